Set down the workspace, the domain types and the traits between crates

Cause: nothing exists yet, and every later part depends on the shape set here. Ruled out: one crate with modules, because the inner protocol and the decisions must not depend on protocol libraries of the front end. Change: ten crates by concern, domain types, ranked mutex for the lock order, the traits Connector, Connection, Store, Gate and Submit, and the design page. Conclusion: the parts can be built against these traits in parallel.

--- /dev/null
+++ b/fulmargw_backend/src/lib.rs
@@ -0,0 +1,3 @@
+//! Connections to backend servers.
+
+pub mod connection;
--- /dev/null
+++ b/fulmargw_decision/src/access.rs
@@ -0,0 +1,1 @@
+//! Authorisation of callers by route, client account and key.
--- /dev/null
+++ b/fulmargw_decision/src/lease.rs
@@ -0,0 +1,1 @@
+//! Validity of a host's lease and quorum sizes.
--- /dev/null
+++ b/fulmargw_decision/src/patch.rs
@@ -0,0 +1,1 @@
+//! Validation and application of configuration patches.
--- /dev/null
+++ b/fulmargw_decision/src/promotion.rs
@@ -0,0 +1,1 @@
+//! Detection of a failed primary and choice of its successor.
--- /dev/null
+++ b/fulmargw_decision/src/queue.rs
@@ -0,0 +1,1 @@
+//! Fair queue of waiting requests.
--- /dev/null
+++ b/fulmargw_decision/src/rate.rs
@@ -0,0 +1,1 @@
+//! Token buckets with expiring grants between hosts.
--- /dev/null
+++ b/fulmargw_decision/src/rendezvous.rs
@@ -0,0 +1,1 @@
+//! Rendezvous hashing.
--- /dev/null
+++ b/fulmargw_decision/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budget and backoff.
--- /dev/null
+++ b/fulmargw_decision/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of the backend server for a request.
--- /dev/null
+++ b/fulmargw_decision/src/staleness.rs
@@ -0,0 +1,1 @@
+//! Bounds of replica staleness from samples of the primary's position.
--- /dev/null
+++ b/fulmargw_lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/fulmargw_model/src/availability_zone.rs
@@ -0,0 +1,18 @@
+//! Availability zones.
+
+use {
+    crate::name::Name,
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// An availability zone, identified by its name.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Zone(pub Name);
+
+impl fmt::Display for Zone {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
--- /dev/null
+++ b/fulmargw_model/src/client_account.rs
@@ -0,0 +1,97 @@
+//! Client accounts and the digests of their keys.
+
+use {
+    crate::name::Name,
+    serde::{Deserialize, Serialize},
+    sha2::{Digest as _, Sha256},
+    std::{fmt, str::FromStr},
+    subtle::ConstantTimeEq,
+};
+
+/// A client account with its keys and its share.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    /// Unique name of the account.
+    pub name: Name,
+    /// Sustained rate over all hosts together, in requests per second.
+    pub rate: f64,
+    /// Burst over all hosts together, in requests.
+    pub burst: f64,
+    /// Digests of the keys that callers may present.
+    #[serde(default)]
+    pub keys: Vec<Digest>,
+}
+
+impl Account {
+    /// Reports whether `key` is one of the account's keys, in constant time per key.
+    #[must_use]
+    pub fn accepts(&self, key: &[u8]) -> bool {
+        let presented = Digest::of(key);
+        self.keys.iter().fold(false, |accepted, digest| {
+            accepted | digest.matches(&presented)
+        })
+    }
+}
+
+/// The SHA-256 digest of a key. Keys themselves are never stored.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Computes the digest of a key.
+    #[must_use]
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+
+    /// Compares two digests in constant time.
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Digest {
+    /// Shows the first four bytes only, which is enough to tell keys apart in a dump.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Digest({}..)", hex::encode(&self.0[..4]))
+    }
+}
+
+/// A key digest is not 64 hexadecimal digits.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub struct Malformed;
+
+impl std::error::Error for Malformed {}
+
+impl FromStr for Digest {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| Malformed)?;
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = Malformed;
+
+    fn try_from(text: String) -> Result<Self, Malformed> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
--- /dev/null
+++ b/fulmargw_model/src/host.rs
@@ -0,0 +1,28 @@
+//! Hosts that run a fulmargw process.
+
+use {
+    crate::{availability_zone::Zone, name::Name},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// One life of a host as a member of the fleet; a restart or rejoin gets a greater one.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// The identity of a host and the address at which other hosts reach it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// Unique name of the host.
+    pub name: Name,
+    /// Availability zone in which the host runs.
+    pub zone: Zone,
+    /// Address of the peer protocol.
+    pub address: SocketAddr,
+    /// Address that serves documents to peers over HTTP.
+    pub document_address: SocketAddr,
+}
--- /dev/null
+++ b/fulmargw_model/src/lib.rs
@@ -0,0 +1,15 @@
+//! Domain types shared by every crate, without any protocol encoding.
+
+pub mod availability_zone;
+pub mod backend_server;
+pub mod client_account;
+pub mod configuration;
+pub mod fleet;
+pub mod host;
+pub mod name;
+pub mod order;
+pub mod outcome;
+pub mod position;
+pub mod request;
+pub mod route;
+pub mod service;
--- /dev/null
+++ b/fulmargw_model/src/name.rs
@@ -0,0 +1,62 @@
+//! Shared immutable names.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{borrow::Borrow, fmt, sync::Arc},
+};
+
+/// The name of a service, route, client account, host or backend server.
+///
+/// Cloning copies a pointer, so a name can be put in every request and table.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// The longest accepted name, in bytes.
+    pub const MAX_BYTES: usize = 63;
+
+    /// Makes a name from text without validation.
+    #[must_use]
+    pub fn new(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+
+    /// Returns the text of the name.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Reports whether the name is not empty, at most [`Self::MAX_BYTES`] long and made of
+    /// ASCII letters, digits, `-`, `_` and `.`.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+        !self.0.is_empty() && self.0.len() <= Self::MAX_BYTES && self.0.bytes().all(allowed)
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Self::new(text)
+    }
+}
+
+impl From<String> for Name {
+    fn from(text: String) -> Self {
+        Self(Arc::from(text))
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
--- /dev/null
+++ b/fulmargw_model/src/position.rs
@@ -0,0 +1,139 @@
+//! Terms and log positions of a database group.
+
+use {
+    crate::name::Name,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, fmt, str::FromStr},
+};
+
+/// The number of a primary's period; each promotion uses a greater one.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Term(pub u64);
+
+/// A place in the replicated log: the term of the last entry and its index.
+///
+/// There is no `Ord`: use [`Position::satisfies`], which is not lexicographic order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Position {
+    /// Term of the last entry.
+    pub term: Term,
+    /// Index of the last entry; the first entry has index 1.
+    pub index: u64,
+}
+
+impl Position {
+    /// Reports whether a server at this position holds an acknowledged write at `wanted`.
+    ///
+    /// A log of a later term extends the acknowledged prefix of earlier terms, so both the
+    /// term and the index must reach the wanted ones. An equal index in an earlier term can
+    /// belong to a tail that was never acknowledged.
+    #[must_use]
+    pub fn satisfies(self, wanted: Self) -> bool {
+        self.term >= wanted.term && self.index >= wanted.index
+    }
+
+    /// Returns the position that satisfies both, for a session that wrote at either.
+    #[must_use]
+    pub fn join(self, other: Self) -> Self {
+        Self {
+            term: self.term.max(other.term),
+            index: self.index.max(other.index),
+        }
+    }
+}
+
+/// The positions that a session must read at or after, per service.
+///
+/// The text form is a comma-separated list of `service/term/index`.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Session(BTreeMap<Name, Position>);
+
+impl Session {
+    /// The most services that one session may name.
+    pub const MAX_SERVICES: usize = 16;
+
+    /// Returns the required position for a service; the default requires nothing.
+    #[must_use]
+    pub fn required(&self, service: &Name) -> Position {
+        self.0.get(service).copied().unwrap_or_default()
+    }
+
+    /// Raises the required position of a service to include `position`.
+    pub fn advance(&mut self, service: &Name, position: Position) {
+        let required = self.0.entry(service.clone()).or_default();
+        *required = required.join(position);
+    }
+
+    /// Raises every position to include those of `other`.
+    pub fn merge(&mut self, other: &Self) {
+        for (service, position) in &other.0 {
+            self.advance(service, *position);
+        }
+    }
+}
+
+impl fmt::Display for Session {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut separator = "";
+        for (service, position) in &self.0 {
+            write!(
+                formatter,
+                "{separator}{service}/{}/{}",
+                position.term.0, position.index
+            )?;
+            separator = ",";
+        }
+        Ok(())
+    }
+}
+
+/// Failures to read the text form of a session's positions.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// session position {0:?} is not service/term/index
+    Malformed(String),
+    /// a session names more than 16 services
+    TooMany,
+}
+
+impl std::error::Error for Error {}
+
+impl FromStr for Session {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let mut session = Self::default();
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            let (service, position) = parse_entry(part)?;
+            session.advance(&service, position);
+            if session.0.len() > Self::MAX_SERVICES {
+                return Err(Error::TooMany);
+            }
+        }
+        Ok(session)
+    }
+}
+
+fn parse_entry(part: &str) -> Result<(Name, Position), Error> {
+    let malformed = || Error::Malformed(part.chars().take(Name::MAX_BYTES).collect());
+    let mut fields = part.split('/');
+    let service = Name::new(fields.next().unwrap_or_default().trim());
+    let mut number = || fields.next().and_then(|field| field.trim().parse().ok());
+    let term = number().ok_or_else(malformed)?;
+    let index = number().ok_or_else(malformed)?;
+    if fields.next().is_some() || !service.is_valid() {
+        return Err(malformed());
+    }
+    Ok((
+        service,
+        Position {
+            term: Term(term),
+            index,
+        },
+    ))
+}
--- /dev/null
+++ b/fulmargw_model/src/service.rs
@@ -0,0 +1,30 @@
+//! Services, each answered by one database group.
+
+use {
+    crate::{backend_server::Server, name::Name},
+    serde::{Deserialize, Serialize},
+};
+
+/// A service and the backend servers of its database group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Unique name of the service.
+    pub name: Name,
+    /// Members of the database group.
+    pub servers: Vec<Server>,
+}
+
+impl Service {
+    /// The number of members that make a majority of the group.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.servers.len() / 2 + 1
+    }
+
+    /// Returns the member with this name.
+    #[must_use]
+    pub fn server(&self, name: &Name) -> Option<&Server> {
+        self.servers.iter().find(|server| server.name == *name)
+    }
+}
--- /dev/null
+++ b/fulmargw_platform/src/lib.rs
@@ -0,0 +1,4 @@
+//! The platform's table service, object store and host list.
+
+pub mod message;
+pub mod store;
