--- a/fulmargw_backend/src/lib.rs
+++ b/fulmargw_backend/src/lib.rs
@@ -1,3 +1,7 @@
 //! Connections to backend servers.
 
+pub mod batch;
 pub mod connection;
+pub mod frame;
+pub mod group;
+pub mod postgres;
--- /dev/null
+++ b/fulmargw_backend/src/postgres.rs
@@ -0,0 +1,11 @@
+//! Connections to backend servers over the PostgreSQL protocol.
+
+mod connector;
+mod exchange;
+mod segment;
+mod task;
+
+pub use {
+    connector::{Connector, Settings},
+    exchange::Connection,
+};
