Serve callers over the PostgreSQL protocol

Cause: callers need sessions that turn their messages into requests. Ruled out: pgwire's server loop, which answers rows one by one and does not relay; decoding Parse and Bind with pgwire, which panics on cut content. Change: listener, start-up, session loop, lexer, prepared statements, session settings and the SQLSTATE codes of the design.

--- /dev/null
+++ b/fulmargw_frontend/src/error.rs
@@ -0,0 +1,207 @@
+//! Errors that fulmargw raises itself, with their SQLSTATE codes.
+
+use {
+    fulmargw_model::{
+        outcome::{Reason, Refusal, Step},
+        position::Position,
+    },
+    pgwire::messages::response::ErrorResponse,
+    std::time::Duration,
+};
+
+/// An error for a caller.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+#[displaydoc("{code}: {message}")]
+pub struct Failure {
+    /// SQLSTATE code.
+    pub code: &'static str,
+    /// Message text.
+    pub message: String,
+    /// Detail text, which says `not run` where that is certain.
+    pub detail: String,
+}
+
+impl std::error::Error for Failure {}
+
+impl Failure {
+    /// SQLSTATE code of a protocol violation, which ends the session.
+    pub const PROTOCOL: &str = "08P01";
+
+    fn new(code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            detail: "not run".into(),
+        }
+    }
+
+    /// A refusal of a request or of a caller.
+    #[must_use]
+    pub fn refused(refusal: &Refusal) -> Self {
+        let mut failure = Self::new(code(refusal.reason), refusal.reason.to_string());
+        if refusal.retry_after > Duration::ZERO {
+            let milliseconds = refusal.retry_after.as_millis();
+            failure.detail = format!("not run; retry after {milliseconds} ms");
+        }
+        failure
+    }
+
+    /// A request of which nobody knows whether it ran.
+    #[must_use]
+    pub fn unknown(step: Step) -> Self {
+        Self {
+            code: "08007",
+            message: format!("it is not known whether the request ran; failed step: {step}"),
+            detail: String::new(),
+        }
+    }
+
+    /// A request whose key was withdrawn while it ran.
+    #[must_use]
+    pub fn withdrawn_while_running(refusal: &Refusal) -> Self {
+        Self {
+            detail: "it is not known whether the running request ran".into(),
+            ..Self::refused(refusal)
+        }
+    }
+
+    /// A request that ran before.
+    #[must_use]
+    pub fn already_ran(position: Position) -> Self {
+        Self {
+            code: "FG001",
+            message: "a request with this id already ran".into(),
+            detail: format!("committed at {}/{}", position.term.0, position.index),
+        }
+    }
+
+    /// Something that is not supported.
+    #[must_use]
+    pub fn unsupported(what: &str) -> Self {
+        Self::new("0A000", format!("{what} is not supported"))
+    }
+
+    /// A statement inside a transaction that failed.
+    #[must_use]
+    pub fn failed_transaction() -> Self {
+        Self::new(
+            "25P02",
+            "the transaction failed and was rolled back; statements are ignored until it ends",
+        )
+    }
+
+    /// A value of a setting that cannot be read.
+    #[must_use]
+    pub fn malformed_value(setting: &str) -> Self {
+        Self::new("22023", format!("malformed value of setting {setting}"))
+    }
+
+    /// A setting that does not exist.
+    #[must_use]
+    pub fn unknown_setting(name: &str) -> Self {
+        let name: String = name.chars().take(64).collect();
+        Self::new("42704", format!("setting fulmar.{name} does not exist"))
+    }
+
+    /// A prepared statement or portal that does not exist.
+    #[must_use]
+    pub fn unknown_name(what: &str) -> Self {
+        Self::new("26000", format!("{what} does not exist"))
+    }
+
+    /// More than a limit of this host allows.
+    #[must_use]
+    pub fn limit(what: &str, limit: usize) -> Self {
+        Self::new("54000", format!("more than {limit} {what}"))
+    }
+
+    /// A message that the protocol does not allow here.
+    #[must_use]
+    pub fn protocol(what: &str) -> Self {
+        Self::new(Self::PROTOCOL, format!("protocol violation: {what}"))
+    }
+
+    /// A statement that is not UTF-8.
+    #[must_use]
+    pub fn encoding() -> Self {
+        Self::new("22021", "the statement is not valid UTF-8")
+    }
+
+    /// Too many connections from one address.
+    #[must_use]
+    pub fn too_many_connections() -> Self {
+        Self::new("53300", "too many connections from this address")
+    }
+
+    /// This host has no configuration yet.
+    #[must_use]
+    pub fn starting() -> Self {
+        Self::new("57P03", "this host has no configuration yet")
+    }
+
+    /// This host shuts down.
+    #[must_use]
+    pub fn shutdown() -> Self {
+        Self::new("57P01", "this host shuts down")
+    }
+
+    /// The caller sent no request for too long.
+    #[must_use]
+    pub fn idle() -> Self {
+        Self::new("57P05", "the connection was idle for too long")
+    }
+
+    /// The caller left a transaction open for too long.
+    #[must_use]
+    pub fn idle_transaction() -> Self {
+        Self::new("25P03", "the transaction was idle for too long")
+    }
+
+    /// Adds that the transaction around a refused request is gone.
+    #[must_use]
+    pub fn with_rollback(mut self) -> Self {
+        self.message.push_str("; the transaction is rolled back");
+        self
+    }
+
+    /// Makes the message for an error that leaves the connection open.
+    #[must_use]
+    pub fn response(&self) -> ErrorResponse {
+        self.with_severity("ERROR")
+    }
+
+    /// Makes the message for an error that ends the connection.
+    #[must_use]
+    pub fn fatal(&self) -> ErrorResponse {
+        self.with_severity("FATAL")
+    }
+
+    fn with_severity(&self, severity: &str) -> ErrorResponse {
+        let mut fields = vec![
+            (b'S', severity.into()),
+            (b'V', severity.into()),
+            (b'C', self.code.into()),
+            (b'M', self.message.clone()),
+        ];
+        if !self.detail.is_empty() {
+            fields.push((b'D', self.detail.clone()));
+        }
+        ErrorResponse::new(fields)
+    }
+}
+
+/// Returns the SQLSTATE code of a refusal.
+fn code(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Key => "28P01",
+        Reason::Route => "3D000",
+        Reason::Rate => "53400",
+        Reason::QueueFull | Reason::Deadline => "53300",
+        Reason::Unsupported => "0A000",
+        Reason::NoPrimary
+        | Reason::Position
+        | Reason::Lease
+        | Reason::Leaving
+        | Reason::Connection => "57P03",
+    }
+}
--- a/fulmargw_frontend/src/lib.rs
+++ b/fulmargw_frontend/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! PostgreSQL sessions of callers.
+
+pub mod batch;
+pub mod error;
+pub mod lexer;
+pub mod listener;
+pub mod prepared;
+pub mod response;
+pub mod session;
+pub mod settings;
+pub mod startup;
+pub mod statement;
+pub mod variable;
--- /dev/null
+++ b/fulmargw_frontend/src/session/channel.rs
@@ -0,0 +1,98 @@
+//! The connection of a caller with its codecs and limits.
+
+use {
+    super::End,
+    crate::{
+        error::Failure,
+        response::Output,
+        settings::Settings,
+        startup::{self, Hello},
+    },
+    bytes::BytesMut,
+    fulmargw_backend::frame::{self, Frame},
+    std::{io, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        time,
+    },
+    tokio_util::codec::Decoder,
+};
+
+/// Room for one read, in bytes. It is small because every idle connection keeps it.
+const READ_BYTES: usize = 4096;
+
+/// The connection of one caller.
+#[derive(Debug)]
+pub struct Channel {
+    /// Messages that wait for the next flush.
+    pub output: Output,
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+    input: BytesMut,
+    codec: frame::Codec,
+    write_timeout: Duration,
+}
+
+impl Channel {
+    pub fn new(stream: TcpStream, settings: &Settings) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        let (reader, writer) = stream.into_split();
+        Ok(Self {
+            output: Output::default(),
+            reader,
+            writer,
+            input: BytesMut::new(),
+            codec: frame::Codec::new(startup::MAXIMUM_BYTES),
+            write_timeout: settings.write_timeout,
+        })
+    }
+
+    /// Raises the limit of a message, once the caller is accepted.
+    pub fn allow(&mut self, maximum_bytes: usize) {
+        self.codec = frame::Codec::new(maximum_bytes);
+    }
+
+    /// Reads a message without a type.
+    pub async fn hello(&mut self) -> Result<Hello, End> {
+        loop {
+            match startup::Codec.decode(&mut self.input) {
+                Ok(Some(hello)) => return Ok(hello),
+                Ok(None) => self.fill().await?,
+                Err(_) => return Err(Failure::protocol("malformed start-up message").into()),
+            }
+        }
+    }
+
+    /// Reads a message. A dropped call loses nothing.
+    pub async fn frame(&mut self) -> Result<Frame, End> {
+        loop {
+            match self.codec.decode(&mut self.input) {
+                Ok(Some(frame)) => return Ok(frame),
+                Ok(None) => self.fill().await?,
+                Err(error) => return Err(Failure::protocol(&error.to_string()).into()),
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> Result<(), End> {
+        self.input.reserve(READ_BYTES);
+        match self.reader.read_buf(&mut self.input).await {
+            Ok(0) | Err(_) => Err(End::Closed),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Writes all messages that wait.
+    pub async fn flush(&mut self) -> Result<(), End> {
+        let messages = self.output.take();
+        let write = self.writer.write_all(&messages);
+        match time::timeout(self.write_timeout, write).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(End::Closed),
+        }
+    }
+}
