--- /dev/null
+++ b/fulmargw_backend/tests/connector.rs
@@ -0,0 +1,402 @@
+//! Pipelines of the connector against a scripted server.
+
+mod fixture;
+
+use {
+    fixture::{
+        ANSWER_LIMIT, Script, Step, connector,
+        message::{complete, error, message, mutate, ready, row},
+        query, server, tags,
+    },
+    fulmargw_backend::{
+        batch::{Answer, Batch},
+        connection::{
+            Connection as _, Connector as _, Error, Kind, Level, Reply, Task, Transaction,
+        },
+        postgres::Connection,
+    },
+    fulmargw_model::{
+        backend_server::Role,
+        position::{Position, Term},
+        request::Id,
+    },
+    std::time::Duration,
+    tokio::time,
+};
+
+const WRITE: &[&str] = &[
+    "Q BEGIN",
+    "Q SELECT * FROM group_record('id-1', 2)",
+    "Q INSERT",
+    "Q COMMIT",
+    "Q SELECT * FROM group_position()",
+];
+
+fn id() -> Id {
+    Id::parse("id-1").unwrap()
+}
+
+fn position(term: u64, index: u64) -> Position {
+    Position {
+        term: Term(term),
+        index,
+    }
+}
+
+async fn write(connection: &mut Connection) -> Result<Reply<Answer>, Error> {
+    let (id, body) = (id(), query("INSERT"));
+    let task = Task::Write {
+        id: &id,
+        attempt: 2,
+        body: &body,
+    };
+    connection.run(task).await
+}
+
+async fn read(connection: &mut Connection, text: &str) -> Result<Reply<Answer>, Error> {
+    let body = query(text);
+    let task = Task::Read {
+        after: None,
+        body: &body,
+    };
+    connection.run(task).await
+}
+
+/// Answers of the wrapping statements around `body`, with the state of a failed transaction
+/// if `tag` is `ROLLBACK`.
+fn wrapped(body: Vec<u8>, status: u8, tag: &str) -> Vec<Vec<u8>> {
+    let begin = [complete("BEGIN"), ready(b'T')].concat();
+    let record = [row(&["t"]), complete("SELECT 1"), ready(b'T')].concat();
+    let body = [body, ready(status)].concat();
+    let commit = [complete(tag), ready(b'I')].concat();
+    let position = [row(&["3", "17"]), complete("SELECT 1"), ready(b'I')].concat();
+    vec![begin, record, body, commit, position]
+}
+
+/// Guards against round trips between the parts of a write, and against wrapping answers
+/// that reach the caller.
+#[tokio::test]
+async fn write_is_one_pipeline() {
+    let body = [row(&["x"]), complete("INSERT 0 1")].concat();
+    let steps = vec![
+        Step::Expect(WRITE),
+        Step::Send(wrapped(body, b'T', "COMMIT")),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(3).await;
+
+    let reply = write(&mut connection).await.unwrap();
+
+    assert_eq!(reply.committed, Some(position(3, 17)));
+    assert_eq!(reply.transaction, Transaction::Idle);
+    assert_eq!(tags(&reply.answer.messages), "DC");
+    let startup = String::from_utf8_lossy(&script.end().await).into_owned();
+    assert!(startup.contains("options\0-c group.term=3\0"), "{startup}");
+}
+
+/// Guards against a rolled back write that counts as committed.
+#[tokio::test]
+async fn failed_body_is_the_callers_error() {
+    let steps = vec![
+        Step::Expect(WRITE),
+        Step::Send(wrapped(error("23505", ""), b'E', "ROLLBACK")),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(3).await;
+
+    let reply = write(&mut connection).await.unwrap();
+
+    assert_eq!(reply.committed, None);
+    assert_eq!(reply.transaction, Transaction::Idle);
+    assert_eq!(tags(&reply.answer.messages), "E");
+}
+
+/// Guards against a caller that sees success although its commit failed.
+#[tokio::test]
+async fn failed_commit_replaces_the_answer() {
+    let mut answers = wrapped(complete("INSERT 0 1"), b'T', "COMMIT");
+    answers[3] = [error("40001", ""), ready(b'I')].concat();
+    let script = Script::ready(vec![Step::Expect(WRITE), Step::Send(answers)]).await;
+    let mut connection = script.connect(3).await;
+
+    let reply = write(&mut connection).await.unwrap();
+
+    assert_eq!(reply.committed, None);
+    assert_eq!(tags(&reply.answer.messages), "E");
+}
+
+/// Guards `at-most-once`: a refused record must end the write as an error of its own kind,
+/// and leave a connection that serves the next task.
+#[tokio::test]
+async fn refused_record_is_an_error() {
+    let cases = [
+        ("GR004", "3/12", Kind::Duplicate(position(3, 12))),
+        ("GR005", "7", Kind::Cancelled(7)),
+        ("GR001", "", Kind::WrongTerm),
+    ];
+    for (code, detail, expected) in cases {
+        let mut answers = wrapped(error("25P02", ""), b'E', "ROLLBACK");
+        answers[1] = [error(code, detail), ready(b'E')].concat();
+        let steps = vec![
+            Step::Expect(WRITE),
+            Step::Send(answers),
+            Step::Expect(&["Q SELECT"]),
+            Step::Send(vec![complete("SELECT 0"), ready(b'I')]),
+        ];
+        let script = Script::ready(steps).await;
+        let mut connection = script.connect(3).await;
+
+        let error = write(&mut connection).await.unwrap_err();
+        let next = read(&mut connection, "SELECT").await;
+
+        assert_eq!(error.kind, expected);
+        assert!(error.is_not_run());
+        assert!(next.is_ok());
+    }
+}
+
+/// Guards `not-run`: after a failed `BEGIN` the body can have run on its own.
+#[tokio::test]
+async fn failed_begin_is_not_reported_as_not_run() {
+    let mut answers = wrapped(complete("INSERT 0 1"), b'I', "COMMIT");
+    answers[0] = [error("53200", ""), ready(b'I')].concat();
+    let script = Script::ready(vec![Step::Expect(WRITE), Step::Send(answers)]).await;
+    let mut connection = script.connect(3).await;
+
+    let error = write(&mut connection).await.unwrap_err();
+
+    assert!(!error.is_not_run());
+}
+
+/// Guards against statements of an old term whose error the caller gets as an answer.
+#[tokio::test]
+async fn wrong_term_inside_a_transaction_is_an_error() {
+    let answers = vec![error("GR001", ""), ready(b'I')];
+    let script = Script::ready(vec![Step::Expect(&["Q INSERT"]), Step::Send(answers)]).await;
+    let mut connection = script.connect(3).await;
+    let body = query("INSERT");
+
+    let result = connection.run(Task::Inside { body: &body }).await;
+
+    assert_eq!(result.unwrap_err().kind, Kind::WrongTerm);
+}
+
+/// Guards `read-your-writes`: the answer of a server that is behind must be dropped.
+#[tokio::test]
+async fn read_on_a_server_that_is_behind_is_an_error() {
+    let wait = "Q SELECT * FROM group_wait('applied', 3, 17, 250)";
+    let cases = [
+        ("GR003", "", Kind::Behind),
+        ("GR002", "promised 5", Kind::Promised(Term(5))),
+    ];
+    for (code, detail, expected) in cases {
+        let stale = vec![
+            [error(code, detail), ready(b'I')].concat(),
+            [row(&["stale"]), complete("SELECT 1"), ready(b'I')].concat(),
+        ];
+        let fresh = vec![row(&["fresh"]), complete("SELECT 1"), ready(b'I')];
+        let steps = vec![
+            Step::Expect(vec![wait, "Q SELECT"].leak()),
+            Step::Send(stale),
+            Step::Expect(&["Q SELECT 2"]),
+            Step::Send(fresh),
+        ];
+        let script = Script::ready(steps).await;
+        let mut connection = script.connect(0).await;
+        let body = query("SELECT");
+        let task = Task::Read {
+            after: Some((position(3, 17), Duration::from_millis(250))),
+            body: &body,
+        };
+
+        let error = connection.run(task).await.unwrap_err();
+        let next = read(&mut connection, "SELECT 2").await.unwrap();
+
+        assert_eq!(error.kind, expected);
+        assert_eq!(&next.answer.messages[11..16], b"fresh");
+    }
+}
+
+/// Guards `whole-answer`: the late answer of a dropped call must not reach the next call.
+#[tokio::test]
+async fn dropped_call_poisons_the_connection() {
+    let steps = vec![
+        Step::Expect(&["Q SELECT 1"]),
+        Step::Pause(Duration::from_millis(50)),
+        Step::Send(vec![row(&["late"]), complete("SELECT 1"), ready(b'I')]),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(0).await;
+
+    let dropped = time::timeout(Duration::from_millis(10), read(&mut connection, "SELECT 1"));
+    assert!(dropped.await.is_err());
+    time::sleep(Duration::from_millis(100)).await;
+    let next = read(&mut connection, "SELECT 2").await;
+
+    assert!(matches!(next.unwrap_err().kind, Kind::Closed(_)));
+}
+
+/// Guards against completions of replayed statements that shift the caller's answer.
+#[tokio::test]
+async fn completions_of_replayed_statements_are_left_out() {
+    let sent = [message(b'C', b"Ss\0"), message(b'P', b"s\0SELECT\0\0\0")];
+    let body = [message(b'B', b"\0s\0\0\0\0\0\0\0"), message(b'S', b"")];
+    let answers = ["3", "1", "2"].map(|tag| message(tag.as_bytes()[0], b""));
+    let steps = vec![
+        Step::Expect(&["C Ss", "P s", "B ", "S "]),
+        Step::Send(vec![answers.concat(), complete("SELECT 0"), ready(b'I')]),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(0).await;
+    let body = Batch {
+        messages: [sent.concat(), body.concat()].concat().into(),
+        replayed: 2,
+    };
+    let task = Task::Read {
+        after: None,
+        body: &body,
+    };
+
+    let reply = connection.run(task).await.unwrap();
+
+    assert_eq!(tags(&reply.answer.messages), "2C");
+}
+
+/// Guards `at-most-once` in explicit transactions: the record follows the caller's `BEGIN`,
+/// and the position follows its `COMMIT`.
+#[tokio::test]
+async fn explicit_transaction_is_recorded() {
+    let steps = vec![
+        Step::Expect(&["Q BEGIN"]),
+        Step::Send(vec![complete("BEGIN"), ready(b'T')]),
+        Step::Expect(&["Q SELECT * FROM group_record('id-1', 1)"]),
+        Step::Send(vec![complete("SELECT 1"), ready(b'T')]),
+        Step::Expect(&["Q COMMIT", "Q SELECT * FROM group_position()"]),
+        Step::Send(vec![complete("COMMIT"), ready(b'I')]),
+        Step::Send(vec![row(&["3", "18"]), complete("SELECT 1"), ready(b'I')]),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(3).await;
+    let (id, first, last) = (id(), query("BEGIN"), query("COMMIT"));
+    let task = Task::Begin {
+        record: Some((&id, 1)),
+        body: &first,
+    };
+
+    let begun = connection.run(task).await.unwrap();
+    let ended = connection.run(Task::End { body: &last }).await.unwrap();
+
+    assert_eq!(begun.transaction, Transaction::Open);
+    assert_eq!(tags(&begun.answer.messages), "C");
+    assert_eq!(ended.transaction, Transaction::Idle);
+    assert_eq!(ended.committed, Some(position(3, 18)));
+}
+
+/// Guards `no-interleaving`: a connection with a reusable error must have no open
+/// transaction left for the next caller.
+#[tokio::test]
+async fn refused_record_of_a_begun_transaction_rolls_back() {
+    let steps = vec![
+        Step::Expect(&["Q BEGIN"]),
+        Step::Send(vec![complete("BEGIN"), ready(b'T')]),
+        Step::Expect(&["Q SELECT * FROM group_record('id-1', 1)"]),
+        Step::Send(vec![error("GR005", "1"), ready(b'E')]),
+        Step::Expect(&["Q ROLLBACK"]),
+        Step::Send(vec![complete("ROLLBACK"), ready(b'I')]),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(3).await;
+    let (id, begin) = (id(), query("BEGIN"));
+    let task = Task::Begin {
+        record: Some((&id, 1)),
+        body: &begin,
+    };
+
+    let result = connection.run(task).await;
+
+    assert_eq!(result.unwrap_err().kind, Kind::Cancelled(1));
+    script.end().await;
+}
+
+/// Guards `not-run` and the memory bound: a write whose answer is too long has committed.
+#[tokio::test]
+async fn too_long_answer_is_dropped_and_the_commit_kept() {
+    let line = row(&["x".repeat(1000).as_str()]);
+    let body = [line.repeat(2 * ANSWER_LIMIT / 1000), complete("SELECT 8")].concat();
+    let steps = vec![
+        Step::Expect(WRITE),
+        Step::Send(wrapped(body, b'T', "COMMIT")),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(3).await;
+
+    let reply = write(&mut connection).await.unwrap();
+
+    assert_eq!(reply.committed, Some(position(3, 17)));
+    assert_eq!(tags(&reply.answer.messages), "E");
+}
+
+/// Guards against misread columns of the group functions.
+#[tokio::test]
+async fn group_functions_are_read_by_column_order() {
+    let columns = ["replica", "3", "4", "3", "17", "2", "16", "120"];
+    let status = || vec![row(&columns), complete("SELECT 1"), ready(b'I')];
+    let settled = vec![row(&["t", "3", "17"]), complete("SELECT 1"), ready(b'I')];
+    let steps = vec![
+        Step::Expect(&["Q SELECT * FROM group_status()"]),
+        Step::Send(status()),
+        Step::Expect(&["Q SELECT * FROM group_wait('received', 3, 17, 100)"]),
+        Step::Send(status()),
+        Step::Expect(&["Q SELECT * FROM group_cancel('id-1', 2)"]),
+        Step::Send(settled),
+    ];
+    let script = Script::ready(steps).await;
+    let mut connection = script.connect(0).await;
+
+    let status = connection.status().await.unwrap();
+    let timeout = Duration::from_millis(100);
+    let waited = connection.wait(Level::Received, position(3, 17), timeout);
+    let waited = waited.await.unwrap();
+    let settled = connection.cancel(&id(), 2).await.unwrap();
+
+    assert_eq!(status.role, Role::Replica);
+    assert_eq!((status.term, status.promised), (Term(3), Term(4)));
+    assert_eq!(
+        (status.received, status.applied),
+        (position(3, 17), position(2, 16))
+    );
+    assert_eq!(status.silence, Duration::from_millis(120));
+    assert_eq!(status, waited);
+    assert!(settled.committed);
+    assert_eq!(settled.position, position(3, 17));
+}
+
+/// Guards `connection-cap`: the refusal of a full server must be told from other failures.
+#[tokio::test]
+async fn refused_connections_have_their_kind() {
+    let full = Script::start(vec![error("53300", "")], vec![]).await;
+    let silent = Script::start(vec![], vec![Step::Pause(Duration::from_secs(2))]).await;
+
+    let refused = connector().connect(&server(full.address), Term(0)).await;
+    let timeout = connector().connect(&server(silent.address), Term(0)).await;
+
+    assert_eq!(refused.unwrap_err().kind, Kind::TooManyConnections);
+    assert_eq!(timeout.unwrap_err().kind, Kind::Timeout);
+}
+
+/// Guards against panics and endless waits on damaged answers.
+#[tokio::test]
+async fn damaged_answers_end_in_errors_or_replies() {
+    let body = [row(&["x"]), error("GR004", "3/12"), complete("SELECT 1")].concat();
+    let answer = wrapped(body, b'T', "COMMIT").concat();
+    for seed in 0..300 {
+        let damaged = mutate(&answer, seed);
+        let steps = vec![Step::Expect(WRITE), Step::Send(vec![damaged])];
+        let script = Script::ready(steps).await;
+        let mut connection = script.connect(3).await;
+
+        let written = time::timeout(Duration::from_secs(5), write(&mut connection));
+
+        assert!(written.await.is_ok(), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/fulmargw_decision/tests/access.rs
@@ -0,0 +1,153 @@
+//! Authorisation of callers.
+
+use {
+    fulmargw_decision::access::{Grant, authorize},
+    fulmargw_model::{
+        client_account::{Account, Digest},
+        configuration::Configuration,
+        name::Name,
+        outcome::{Reason, Refusal},
+        request::{Class, Repeat},
+        route::{Access, Route},
+    },
+    quickcheck::quickcheck,
+};
+
+/// A change of the configuration under a connected caller.
+type Change = fn(&mut Configuration);
+
+const KEY: &[u8] = b"key of a";
+
+fn account(name: &str, keys: &[&[u8]]) -> Account {
+    Account {
+        name: name.into(),
+        rate: 1.0,
+        burst: 1.0,
+        keys: keys.iter().map(|key| Digest::of(key)).collect(),
+    }
+}
+
+fn route(name: &str, access: Access) -> Route {
+    Route {
+        name: name.into(),
+        service: "ledger".into(),
+        class: Class::Write,
+        repeat: Repeat::Once,
+        access,
+    }
+}
+
+/// Accounts `a` and `b` with a key each; `keyed` is for `a` only, `open` is for everybody.
+fn configuration() -> Configuration {
+    let accounts = [account("a", &[KEY]), account("b", &[b"key of b"])];
+    let routes = [
+        route("keyed", Access::Accounts(vec!["a".into()])),
+        route("open", Access::Open("b".into())),
+    ];
+    Configuration {
+        accounts: accounts
+            .map(|account| (account.name.clone(), account))
+            .into(),
+        routes: routes.map(|route| (route.name.clone(), route)).into(),
+        ..Configuration::default()
+    }
+}
+
+fn reason(result: Result<Grant, Refusal>) -> Option<Reason> {
+    result.err().map(|refusal| refusal.reason)
+}
+
+/// Guards `own-account`: a right key must give the account and the guarantees of the route.
+#[test]
+fn right_key_is_granted() {
+    let configuration = configuration();
+
+    let grant = authorize(&configuration, "keyed", "a", Some(KEY)).unwrap();
+
+    assert_eq!(grant.account, Name::new("a"));
+    assert_eq!(grant.service, Name::new("ledger"));
+    assert!(grant.keyed);
+}
+
+/// Guards `own-account`: the key of one account must not open another account or route.
+#[test]
+fn key_of_another_account_is_refused() {
+    let configuration = configuration();
+
+    let other_account = authorize(&configuration, "keyed", "b", Some(b"key of b"));
+    let other_key = authorize(&configuration, "keyed", "a", Some(b"key of b"));
+    let no_key = authorize(&configuration, "keyed", "a", None);
+    let nobody = authorize(&configuration, "keyed", "nobody", Some(KEY));
+
+    for result in [other_account, other_key, no_key, nobody] {
+        assert_eq!(reason(result), Some(Reason::Key));
+    }
+}
+
+/// Guards against callers of an open route choosing the account that they count against.
+#[test]
+fn open_route_uses_its_own_account() {
+    let configuration = configuration();
+
+    let grant = authorize(&configuration, "open", "a", None).unwrap();
+
+    assert_eq!(grant.account, Name::new("b"));
+    assert!(!grant.keyed);
+}
+
+/// Guards `withdrawn-key`: a connected caller must lose its grant with its key, its place on
+/// the route, its account or the route.
+#[test]
+fn grant_ends_with_each_of_its_conditions() {
+    let grant = authorize(&configuration(), "keyed", "a", Some(KEY)).unwrap();
+    let changes: [(Change, Reason); 4] = [
+        (
+            |next| next.accounts.get_mut("a").unwrap().keys.clear(),
+            Reason::Key,
+        ),
+        (|next| drop(next.accounts.remove("a")), Reason::Key),
+        (
+            |next| next.routes.get_mut("keyed").unwrap().access = Access::Accounts(vec![]),
+            Reason::Key,
+        ),
+        (|next| drop(next.routes.remove("keyed")), Reason::Route),
+    ];
+
+    for (change, expected) in changes {
+        let mut next = configuration();
+        change(&mut next);
+
+        let revalidated = grant.revalidate(&next);
+
+        assert_eq!(reason(revalidated), Some(expected));
+    }
+}
+
+/// Guards against a rotation of keys that breaks callers with a key that stays.
+#[test]
+fn grant_survives_the_withdrawal_of_another_key() {
+    let mut configuration = configuration();
+    let both = account("a", &[KEY, b"second key"]);
+    configuration.accounts.insert("a".into(), both);
+    let grant = authorize(&configuration, "keyed", "a", Some(b"second key")).unwrap();
+    let only = account("a", &[b"second key"]);
+    configuration.accounts.insert("a".into(), only);
+
+    let revalidated = grant.revalidate(&configuration);
+
+    assert_eq!(revalidated, Ok(grant));
+}
+
+quickcheck! {
+    /// Guards `own-account` over arbitrary input: only the one right combination is granted.
+    fn only_the_right_key_opens_a_keyed_route(account: String, key: Vec<u8>) -> bool {
+        let granted = authorize(&configuration(), "keyed", &account, Some(&key)).is_ok();
+        granted == (account == "a" && key == KEY)
+    }
+
+    /// Guards against unknown routes that inherit the access of another.
+    fn unknown_routes_are_refused(name: String) -> bool {
+        let known = ["keyed", "open"].contains(&name.as_str());
+        known || reason(authorize(&configuration(), &name, "a", Some(KEY))) == Some(Reason::Route)
+    }
+}
--- a/fulmargw_frontend/src/lib.rs
+++ b/fulmargw_frontend/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod error;
 pub mod lexer;
 pub mod listener;
+pub mod plan;
 pub mod prepared;
 pub mod response;
 pub mod session;
--- a/fulmargw_frontend/src/session/local.rs
+++ b/fulmargw_frontend/src/session/local.rs
@@ -2,12 +2,7 @@
 
 use {
     super::Session,
-    crate::{
-        batch::{Operation, Scope},
-        error::Failure,
-        prepared::Store,
-        statement::Kind,
-    },
+    crate::{batch::Operation, error::Failure, plan::Scope, prepared::Store, statement::Kind},
     fulmargw_backend::{
         batch::{Answer, Batch},
         connection::Transaction,
--- a/fulmargw_frontend/src/session/relay.rs
+++ b/fulmargw_frontend/src/session/relay.rs
@@ -3,8 +3,9 @@
 use {
     super::{End, Session, request::Work},
     crate::{
-        batch::{Collected, Operation, Plan},
+        batch::{Collected, Operation},
         error::Failure,
+        plan::Plan,
         statement::{self, Kind},
     },
     fulmargw_backend::{
@@ -77,7 +78,9 @@
         let collected = self.collector.take(frame);
         let (count, bytes) = collected.growth();
         let fits = self.statements.check(count, bytes);
-        let plan = collected.plan(&self.statements, |kind| self.is_local(kind));
+        let plan = Plan::new(&collected.operations, &self.statements, |kind| {
+            self.is_local(kind)
+        });
         match fits.and(plan) {
             Err(failure) => self.fail(&failure),
             Ok(Plan::Local) => self.answer_locally(collected.operations),
