Add decisions on leases, shares, rates and patches, and the peer and platform clients

Cause: hosts have to agree on leases, shares and configuration without a coordination service. Change: pure decision modules, tarpc service with counting codec, documents over HTTP, platform client. Conclusion: the control agent can be built on these.

--- a/fulmargw_decision/src/patch.rs
+++ b/fulmargw_decision/src/patch.rs
@@ -1,1 +1,357 @@
 //! Validation and application of configuration patches.
+
+use {
+    fulmargw_model::{
+        backend_server::Server,
+        client_account::{Account, Digest},
+        configuration::{Change, Configuration, Patch, Version},
+        name::Name,
+        route::{Access, Route},
+        service::Service,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Connections that each holder needs to a server: one for control and one for work.
+pub const CONNECTIONS_PER_HOLDER: u32 = 2;
+
+/// What a valid patch leads to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Applied {
+    /// The document that the patch makes.
+    New(Box<Configuration>),
+    /// The current document was made by this patch.
+    Already,
+}
+
+/// Reasons to refuse a patch. Nothing of a refused patch is applied.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// the patch was made for version {base:?}, but version {current:?} is in force
+    Stale {
+        /// Version that the operator saw.
+        base: Version,
+        /// Version in force.
+        current: Version,
+    },
+    /// change {number}, {path}: {fault}
+    Invalid {
+        /// Number of the change in the patch; the first is 1.
+        number: usize,
+        /// Path of the faulty key.
+        path: String,
+        /// What is wrong.
+        fault: Fault,
+    },
+    /// the patch has no changes
+    Empty,
+}
+
+impl std::error::Error for Error {}
+
+/// What is wrong with a value.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum Fault {
+    /// a name has 1 to 63 ASCII letters, digits, "-", "_" or "."
+    Name,
+    /// {0} does not exist
+    Missing(String),
+    /// {0} is used twice
+    Duplicate(String),
+    /// must be a finite number greater than 0
+    NotPositive,
+    /// must be at least {0}
+    TooSmall(u32),
+    /// is still used by {0}
+    InUse(String),
+}
+
+/// Applies a patch to the current configuration.
+///
+/// `holders` is the number of hosts that share each connection limit.
+///
+/// # Errors
+///
+/// If the patch is stale, or names the first change that is not valid.
+pub fn apply(current: &Configuration, patch: &Patch, holders: u32) -> Result<Applied, Error> {
+    if !patch.id.is_empty() && patch.id == current.patch {
+        return Ok(Applied::Already);
+    }
+    if patch.base != current.version {
+        return Err(Error::Stale {
+            base: patch.base,
+            current: current.version,
+        });
+    }
+    if patch.changes.is_empty() {
+        return Err(Error::Empty);
+    }
+    let mut next = current.clone();
+    next.version = Version(current.version.0 + 1);
+    next.patch.clone_from(&patch.id);
+    let mut touched = BTreeMap::new();
+    for (index, change) in patch.changes.iter().enumerate() {
+        let number = index + 1;
+        apply_change(&mut next, change, holders).map_err(|at| at.number(number))?;
+        touched.insert(key_path(change), number);
+    }
+    check_references(&next).map_err(|at| {
+        let changed = at.causes.iter().filter_map(|cause| touched.get(cause));
+        let number = changed.copied().max().unwrap_or(patch.changes.len());
+        at.number(number)
+    })?;
+    Ok(Applied::New(Box::new(next)))
+}
+
+/// A fault with the path of its key, and the entries whose change can cause it.
+struct At {
+    path: String,
+    causes: Vec<String>,
+    fault: Fault,
+}
+
+impl At {
+    fn new(path: String, fault: Fault) -> Self {
+        Self {
+            causes: Vec::new(),
+            path,
+            fault,
+        }
+    }
+
+    fn number(self, number: usize) -> Error {
+        Error::Invalid {
+            number,
+            path: self.path,
+            fault: self.fault,
+        }
+    }
+}
+
+fn key_path(change: &Change) -> String {
+    match change {
+        Change::PutService(Service { name, .. }) | Change::RemoveService(name) => {
+            service_path(name)
+        }
+        Change::PutServer { service, .. } | Change::RemoveServer { service, .. } => {
+            service_path(service)
+        }
+        Change::PutAccount(Account { name, .. }) | Change::RemoveAccount(name) => {
+            account_path(name)
+        }
+        Change::AddKey { account, .. } | Change::WithdrawKey { account, .. } => {
+            account_path(account)
+        }
+        Change::PutRoute(Route { name, .. }) | Change::RemoveRoute(name) => route_path(name),
+    }
+}
+
+fn service_path(name: &Name) -> String {
+    format!("services.{name}")
+}
+
+fn account_path(name: &Name) -> String {
+    format!("accounts.{name}")
+}
+
+fn route_path(name: &Name) -> String {
+    format!("routes.{name}")
+}
+
+fn apply_change(next: &mut Configuration, change: &Change, holders: u32) -> Result<(), At> {
+    match change {
+        Change::PutService(service) => put_service(next, service, holders),
+        Change::RemoveService(name) => remove(&mut next.services, name, &service_path(name)),
+        Change::PutServer { service, server } => put_server(next, service, server, holders),
+        Change::RemoveServer { service, server } => remove_server(next, service, server),
+        Change::PutAccount(account) => put_account(next, account),
+        Change::RemoveAccount(name) => remove(&mut next.accounts, name, &account_path(name)),
+        Change::AddKey { account, digest } => add_key(next, account, *digest),
+        Change::WithdrawKey { account, digest } => withdraw_key(next, account, *digest),
+        Change::PutRoute(route) => put_route(next, route),
+        Change::RemoveRoute(name) => remove(&mut next.routes, name, &route_path(name)),
+    }
+}
+
+fn remove<T>(map: &mut BTreeMap<Name, T>, name: &Name, path: &str) -> Result<(), At> {
+    let missing = || At::new(path.to_owned(), Fault::Missing(path.to_owned()));
+    map.remove(name).map(drop).ok_or_else(missing)
+}
+
+fn check_name(name: &Name, path: &str) -> Result<(), At> {
+    let valid = name.is_valid();
+    valid
+        .then_some(())
+        .ok_or_else(|| At::new(format!("{path}.name"), Fault::Name))
+}
+
+fn put_service(next: &mut Configuration, service: &Service, holders: u32) -> Result<(), At> {
+    let path = service_path(&service.name);
+    check_name(&service.name, &path)?;
+    let mut names = BTreeSet::new();
+    for server in &service.servers {
+        check_server(server, &path, holders)?;
+        if !names.insert(&server.name) {
+            let path = format!("{path}.servers.{}.name", server.name);
+            return Err(At::new(path, Fault::Duplicate(server.name.to_string())));
+        }
+    }
+    next.services.insert(service.name.clone(), service.clone());
+    Ok(())
+}
+
+fn find_service<'a>(next: &'a mut Configuration, name: &Name) -> Result<&'a mut Service, At> {
+    let path = service_path(name);
+    let missing = || At::new(path.clone(), Fault::Missing(path.clone()));
+    next.services.get_mut(name).ok_or_else(missing)
+}
+
+fn put_server(
+    next: &mut Configuration,
+    service: &Name,
+    server: &Server,
+    holders: u32,
+) -> Result<(), At> {
+    check_server(server, &service_path(service), holders)?;
+    let servers = &mut find_service(next, service)?.servers;
+    match servers.iter_mut().find(|known| known.name == server.name) {
+        Some(known) => *known = server.clone(),
+        None => servers.push(server.clone()),
+    }
+    Ok(())
+}
+
+fn remove_server(next: &mut Configuration, service: &Name, server: &Name) -> Result<(), At> {
+    let servers = &mut find_service(next, service)?.servers;
+    let path = format!("{}.servers.{server}", service_path(service));
+    let place = servers.iter().position(|known| known.name == *server);
+    let missing = || At::new(path.clone(), Fault::Missing(path.clone()));
+    servers.remove(place.ok_or_else(missing)?);
+    Ok(())
+}
+
+fn check_server(server: &Server, service: &str, holders: u32) -> Result<(), At> {
+    let path = format!("{service}.servers.{}", server.name);
+    check_name(&server.name, &path)?;
+    check_name(&server.zone.0, &format!("{path}.zone"))?;
+    if server.slots < 1 {
+        return Err(At::new(format!("{path}.slots"), Fault::TooSmall(1)));
+    }
+    let least = CONNECTIONS_PER_HOLDER * holders.max(1);
+    if server.connections < least {
+        return Err(At::new(
+            format!("{path}.connections"),
+            Fault::TooSmall(least),
+        ));
+    }
+    Ok(())
+}
+
+fn put_account(next: &mut Configuration, account: &Account) -> Result<(), At> {
+    let path = account_path(&account.name);
+    check_name(&account.name, &path)?;
+    check_positive(account.rate, &path, "rate")?;
+    check_positive(account.burst, &path, "burst")?;
+    let mut keys = BTreeSet::new();
+    for digest in &account.keys {
+        if !keys.insert(digest.to_string()) {
+            let fault = Fault::Duplicate(format!("{digest:?}"));
+            return Err(At::new(format!("{path}.keys"), fault));
+        }
+    }
+    next.accounts.insert(account.name.clone(), account.clone());
+    Ok(())
+}
+
+fn check_positive(value: f64, path: &str, key: &str) -> Result<(), At> {
+    let valid = value.is_finite() && value > 0.0;
+    valid
+        .then_some(())
+        .ok_or_else(|| At::new(format!("{path}.{key}"), Fault::NotPositive))
+}
+
+fn find_account<'a>(next: &'a mut Configuration, name: &Name) -> Result<&'a mut Account, At> {
+    let path = account_path(name);
+    let missing = || At::new(path.clone(), Fault::Missing(path.clone()));
+    next.accounts.get_mut(name).ok_or_else(missing)
+}
+
+fn add_key(next: &mut Configuration, account: &Name, digest: Digest) -> Result<(), At> {
+    let keys = &mut find_account(next, account)?.keys;
+    if keys.contains(&digest) {
+        let path = format!("{}.keys", account_path(account));
+        return Err(At::new(path, Fault::Duplicate(format!("{digest:?}"))));
+    }
+    keys.push(digest);
+    Ok(())
+}
+
+fn withdraw_key(next: &mut Configuration, account: &Name, digest: Digest) -> Result<(), At> {
+    let keys = &mut find_account(next, account)?.keys;
+    let place = keys.iter().position(|known| *known == digest);
+    let missing = || {
+        let path = format!("{}.keys", account_path(account));
+        At::new(path, Fault::Missing(format!("{digest:?}")))
+    };
+    keys.remove(place.ok_or_else(missing)?);
+    Ok(())
+}
+
+fn put_route(next: &mut Configuration, route: &Route) -> Result<(), At> {
+    check_name(&route.name, &route_path(&route.name))?;
+    next.routes.insert(route.name.clone(), route.clone());
+    Ok(())
+}
+
+/// Checks what must hold between entries once all changes are applied, so that the order of
+/// changes in a patch does not matter for references.
+fn check_references(next: &Configuration) -> Result<(), At> {
+    next.routes
+        .values()
+        .try_for_each(|route| check_route(next, route))?;
+    check_addresses(next)
+}
+
+fn check_route(next: &Configuration, route: &Route) -> Result<(), At> {
+    let path = route_path(&route.name);
+    if !next.services.contains_key(&route.service) {
+        return Err(At {
+            path: format!("{path}.service"),
+            causes: vec![path, service_path(&route.service)],
+            fault: Fault::Missing(service_path(&route.service)),
+        });
+    }
+    let accounts = match &route.access {
+        Access::Accounts(names) => names.as_slice(),
+        Access::Open(name) => std::slice::from_ref(name),
+    };
+    let unknown = |name: &&Name| !next.accounts.contains_key(*name);
+    match accounts.iter().find(unknown) {
+        None => Ok(()),
+        Some(name) => Err(At {
+            path: format!("{path}.access"),
+            causes: vec![path, account_path(name)],
+            fault: Fault::Missing(account_path(name)),
+        }),
+    }
+}
+
+fn check_addresses(next: &Configuration) -> Result<(), At> {
+    let mut addresses = BTreeSet::new();
+    for service in next.services.values() {
+        for server in &service.servers {
+            if !addresses.insert(server.address) {
+                return Err(At {
+                    path: format!(
+                        "{}.servers.{}.address",
+                        service_path(&service.name),
+                        server.name
+                    ),
+                    causes: vec![service_path(&service.name)],
+                    fault: Fault::Duplicate(server.address.to_string()),
+                });
+            }
+        }
+    }
+    Ok(())
+}
--- a/fulmargw_model/src/fleet.rs
+++ b/fulmargw_model/src/fleet.rs
@@ -39,6 +39,27 @@
     pub state: State,
 }
 
+/// One life of one host, as the fleet record and the lease rules name it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Life {
+    /// Name of the host.
+    pub host: Name,
+    /// Incarnation of the host.
+    pub incarnation: Incarnation,
+}
+
+impl Member {
+    /// Returns the life to which this entry belongs.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        Life {
+            host: self.host.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// The fleet record that the table service keeps.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/fulmargw_peer/src/document.rs
@@ -0,0 +1,151 @@
+//! Documents between hosts over HTTP, encoded as MessagePack.
+
+use {
+    crate::{client::Error, service::Handler},
+    axum::{
+        Router,
+        extract::State,
+        http::StatusCode,
+        response::{IntoResponse, Response},
+        routing::get,
+    },
+    fulmargw_model::{configuration::Configuration, fleet::Fleet},
+    metrics::counter,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        io,
+        net::{IpAddr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::net::TcpListener,
+    tokio_util::sync::CancellationToken,
+};
+
+/// The largest document that is accepted, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Serves the documents until `stop` is cancelled.
+///
+/// # Errors
+///
+/// If the listener fails.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    let router = Router::new()
+        .route("/configuration", get(configuration::<H>))
+        .route("/fleet", get(fleet::<H>))
+        .with_state(handler);
+    axum::serve(listener, router)
+        .with_graceful_shutdown(stop.cancelled_owned())
+        .await
+}
+
+async fn configuration<H: Handler>(State(handler): State<H>) -> Response {
+    respond("configuration", handler.configuration())
+}
+
+async fn fleet<H: Handler>(State(handler): State<H>) -> Response {
+    respond("fleet", handler.fleet())
+}
+
+fn respond<T: Serialize>(mechanism: &'static str, document: Option<Arc<T>>) -> Response {
+    let Some(document) = document else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    match rmp_serde::to_vec_named(&*document) {
+        Ok(bytes) => {
+            count(mechanism, bytes.len());
+            bytes.into_response()
+        }
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+fn count(mechanism: &'static str, bytes: usize) {
+    counter!("fulmargw_control_messages_total", "mechanism" => mechanism).increment(1);
+    counter!("fulmargw_control_bytes_total", "mechanism" => mechanism).increment(bytes as u64);
+}
+
+/// Fetches documents.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: reqwest::Client,
+}
+
+/// The HTTP client for documents cannot be made: {0}
+#[derive(Debug, displaydoc::Display)]
+pub struct Invalid(reqwest::Error);
+
+impl std::error::Error for Invalid {}
+
+impl Client {
+    /// Makes a client whose calls end after `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// If the HTTP client cannot be made.
+    pub fn new(timeout: Duration, source: Option<IpAddr>) -> Result<Self, Invalid> {
+        reqwest::Client::builder()
+            .timeout(timeout)
+            .connect_timeout(timeout)
+            .local_address(source)
+            .no_proxy()
+            .build()
+            .map(|http| Self { http })
+            .map_err(Invalid)
+    }
+
+    /// Fetches the configuration of the host whose documents are at `peer`.
+    ///
+    /// # Errors
+    ///
+    /// If there is no valid answer in time.
+    pub async fn configuration(&self, peer: SocketAddr) -> Result<Configuration, Error> {
+        self.fetch("configuration", peer).await
+    }
+
+    /// Fetches the fleet record of the host whose documents are at `peer`.
+    ///
+    /// # Errors
+    ///
+    /// If there is no valid answer in time.
+    pub async fn fleet(&self, peer: SocketAddr) -> Result<Fleet, Error> {
+        self.fetch("fleet", peer).await
+    }
+
+    async fn fetch<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+    ) -> Result<T, Error> {
+        let error = |cause: String| Error { step, peer, cause };
+        let bytes = self
+            .download(&format!("http://{peer}/{step}"))
+            .await
+            .map_err(error)?;
+        count(step, bytes.len());
+        rmp_serde::from_slice(&bytes).map_err(|cause| error(cause.to_string()))
+    }
+
+    async fn download(&self, url: &str) -> Result<Vec<u8>, String> {
+        let answer = self.http.get(url).send().await;
+        let mut answer = answer.map_err(|cause| cause.without_url().to_string())?;
+        if !answer.status().is_success() {
+            return Err(format!("status {}", answer.status()));
+        }
+        let mut bytes = Vec::new();
+        while let Some(part) = answer.chunk().await.map_err(|cause| cause.to_string())? {
+            if bytes.len() + part.len() > MAX_DOCUMENT_BYTES {
+                return Err(format!(
+                    "the document is larger than {MAX_DOCUMENT_BYTES} bytes"
+                ));
+            }
+            bytes.extend_from_slice(&part);
+        }
+        Ok(bytes)
+    }
+}
--- a/fulmargw_peer/src/lib.rs
+++ b/fulmargw_peer/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Internal protocol: messages between hosts, their service and the documents over HTTP.
+
+pub mod client;
+pub mod codec;
+pub mod document;
+mod link;
+pub mod message;
+pub mod server;
+pub mod service;
--- /dev/null
+++ b/fulmargw_peer/src/server.rs
@@ -0,0 +1,64 @@
+//! Serves the remote procedures to other hosts.
+
+use {
+    crate::{
+        codec::{self, Codec},
+        service::{Adapter, Control, Handler},
+    },
+    futures::StreamExt,
+    std::{io, time::Duration},
+    tarpc::server::{BaseChannel, Channel, Config},
+    tokio::net::{TcpListener, TcpStream},
+    tokio_util::{codec::Framed, sync::CancellationToken, task::TaskTracker},
+};
+
+/// Pause after a failed accept, for example when file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves connections until `stop` is cancelled, then closes all of them.
+///
+/// # Errors
+///
+/// If the listener has no local address.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    let connections = TaskTracker::new();
+    let accepting = accept(&listener, &handler, &stop, &connections);
+    stop.run_until_cancelled(accepting).await;
+    connections.close();
+    connections.wait().await;
+    Ok(())
+}
+
+async fn accept<H: Handler>(
+    listener: &TcpListener,
+    handler: &H,
+    stop: &CancellationToken,
+    connections: &TaskTracker,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = answer(stream, handler.clone());
+                connections.spawn(stop.clone().run_until_cancelled_owned(connection));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Answers the requests of one connection in order; each answer comes from memory.
+async fn answer<H: Handler>(stream: TcpStream, handler: H) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let framed = Framed::new(stream, codec::framing());
+    let transport = tarpc::serde_transport::new(framed, Codec);
+    BaseChannel::new(Config::default(), transport)
+        .execute(Adapter(handler).serve())
+        .for_each(|response| response)
+        .await;
+}
