Add the agent that joins, leases, polls, patches and admits

Cause: the engine needs one handle for lease, shares, rates and configuration. Ruled out: evidence of a lease computed for each request; it is computed when it changes, and requests compare times. Change: Agent over Store and Peers, membership changes with conditional writes, borrowing, in-memory fixtures.

--- a/fulmargw_control/src/lib.rs
+++ b/fulmargw_control/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Lease, membership, rates and configuration over peers and platform.
+
+pub mod agent;
+mod answer;
+mod borrow;
+pub mod configuration;
+pub mod dump;
+mod fetch;
+mod lease;
+mod membership;
+mod meter;
+pub mod peers;
+mod poll;
+mod rate;
+pub mod record;
+pub mod settings;
+mod table;
--- /dev/null
+++ b/fulmargw_control/src/poll.rs
@@ -0,0 +1,110 @@
+//! Reads the fleet record and the head of the configuration from the store.
+
+use {
+    crate::{
+        agent::Agent,
+        peers::Peers,
+        record::{self, Head, Stored},
+    },
+    fulmargw_model::{configuration::Configuration, fleet},
+    fulmargw_platform::{
+        message::{Commit, Row, Transaction},
+        store::{Error, Store},
+    },
+    metrics::{counter, gauge},
+    std::sync::Arc,
+    tokio::time::{Instant, MissedTickBehavior, interval, timeout},
+};
+
+impl<S: Store, P: Peers> Agent<S, P> {
+    pub(crate) async fn poll_store(self) {
+        let mut ticks = interval(self.shared.settings.poll_interval());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = self.shared.poll.notified() => {}
+            }
+            let polled = self.poll_once().await;
+            let outcome = if polled.is_ok() { "done" } else { "failed" };
+            counter!("fulmargw_store_polls_total", "outcome" => outcome).increment(1);
+            gauge!("fulmargw_store_available").set(f64::from(u8::from(polled.is_ok())));
+            if polled.is_err() {
+                self.recover().await;
+            }
+        }
+    }
+
+    async fn poll_once(&self) -> Result<(), Error> {
+        let sent = Instant::now();
+        let rows = self.read(&[record::FLEET, record::HEAD]).await?;
+        let fleet: Stored<fleet::Fleet> = Stored::decode(record::FLEET, rows[0].as_ref())?;
+        let head: Stored<Head> = Stored::decode(record::HEAD, rows[1].as_ref())?;
+        self.read_fleet(fleet.value, sent);
+        self.read_head(head.value, sent).await
+    }
+
+    /// Takes a record that was read from the store.
+    pub(crate) fn read_fleet(&self, record: fleet::Fleet, sent: Instant) {
+        let record = Arc::new(record);
+        let now = Instant::now();
+        self.shared.fleet.lock().read(&record, sent, now);
+        self.report_fleet(&record);
+    }
+
+    /// Takes a record that is known to be stored.
+    pub(crate) fn adopt_fleet(&self, record: fleet::Fleet) {
+        let record = Arc::new(record);
+        let newer = self.shared.fleet.lock().adopt(&record, Instant::now());
+        if newer {
+            self.report_fleet(&record);
+        }
+    }
+
+    fn report_fleet(&self, record: &fleet::Fleet) {
+        let members = record.members.iter().map(|member| member.host.address);
+        self.shared.peers.retain(&members.collect::<Vec<_>>());
+        gauge!("fulmargw_fleet_members").set(f64::from(
+            u32::try_from(record.members.len()).unwrap_or(u32::MAX),
+        ));
+    }
+
+    async fn read_head(&self, head: Head, sent: Instant) -> Result<(), Error> {
+        let wanted = {
+            let configuration = self.shared.configuration.lock();
+            configuration.document.is_none() || head.version > configuration.version()
+        };
+        if wanted {
+            let rows = self.read(&[record::DOCUMENT]).await?;
+            let stored: Stored<Configuration> = Stored::decode(record::DOCUMENT, rows[0].as_ref())?;
+            self.adopt(stored.value);
+        }
+        let mut configuration = self.shared.configuration.lock();
+        configuration.read = configuration.read.max(Some(sent));
+        Ok(())
+    }
+
+    /// Reads rows with the time limit of the settings.
+    pub(crate) async fn read(&self, keys: &[&str]) -> Result<Vec<Option<Row>>, Error> {
+        let limit = self.shared.settings.store_timeout();
+        timeout(limit, self.shared.store.read(keys))
+            .await
+            .unwrap_or_else(|_| Err(late("read")))
+    }
+
+    /// Commits with the time limit of the settings; after an error the outcome is unknown.
+    pub(crate) async fn commit(&self, transaction: Transaction) -> Result<Commit, Error> {
+        let limit = self.shared.settings.store_timeout() * 2;
+        timeout(limit, self.shared.store.commit(transaction))
+            .await
+            .unwrap_or_else(|_| Err(late("commit")))
+    }
+}
+
+fn late(step: &'static str) -> Error {
+    Error {
+        step,
+        peer: "store".to_owned(),
+        cause: "timeout".to_owned(),
+    }
+}
--- /dev/null
+++ b/fulmargw_control/src/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of the control part.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Settings of an agent. Times that the lease rules fix are constants, not settings.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Interval of lease confirmations, in milliseconds.
+    pub confirm_interval_ms: u64,
+    /// Interval of reads of the store, in milliseconds.
+    pub poll_interval_ms: u64,
+    /// Longest time for one call to the store, in milliseconds.
+    pub store_timeout_ms: u64,
+    /// Time without an answer after which a member is suspected, in milliseconds.
+    pub suspect_ms: u64,
+    /// Longest wait of a request for tokens, in milliseconds.
+    pub admit_wait_ms: u64,
+    /// Shortest time between two rounds of borrowing for one account, in milliseconds.
+    pub borrow_interval_ms: u64,
+    /// Hosts that share each connection limit when a patch is validated.
+    pub holders: u32,
+    /// Document addresses of other hosts, asked on start-up while the store is down.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            confirm_interval_ms: 250,
+            poll_interval_ms: 500,
+            store_timeout_ms: 400,
+            suspect_ms: 1_500,
+            admit_wait_ms: 1_000,
+            borrow_interval_ms: 10,
+            holders: 4,
+            seeds: Vec::new(),
+        }
+    }
+}
+
+impl Settings {
+    pub(crate) fn confirm_interval(&self) -> Duration {
+        Duration::from_millis(self.confirm_interval_ms)
+    }
+
+    pub(crate) fn poll_interval(&self) -> Duration {
+        Duration::from_millis(self.poll_interval_ms)
+    }
+
+    pub(crate) fn store_timeout(&self) -> Duration {
+        Duration::from_millis(self.store_timeout_ms)
+    }
+
+    pub(crate) fn suspect(&self) -> Duration {
+        Duration::from_millis(self.suspect_ms)
+    }
+
+    pub(crate) fn admit_wait(&self) -> Duration {
+        Duration::from_millis(self.admit_wait_ms)
+    }
+
+    pub(crate) fn borrow_interval(&self) -> Duration {
+        Duration::from_millis(self.borrow_interval_ms)
+    }
+}
--- /dev/null
+++ b/fulmargw_control/src/table.rs
@@ -0,0 +1,376 @@
+//! The shared tables of the control part.
+
+use {
+    crate::meter::Meter,
+    fulmargw_decision::{
+        lease::{self, Evidence},
+        membership::{self, Share},
+        rate::{self, Bucket},
+    },
+    fulmargw_model::{
+        client_account::Account,
+        configuration,
+        fleet::{self, Generation, Life, Member, State},
+        name::Name,
+    },
+    metrics::{Counter, counter},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{Notify, Semaphore},
+        time::Instant,
+    },
+};
+
+/// Age at which an unobtainable version stops keyed routes.
+const HEARD_LIMIT: Duration = Duration::from_secs(2);
+
+/// Age at which a version that nobody has is taken as given up by its host.
+const HEARD_EXPIRY: Duration = Duration::from_secs(10);
+
+/// Rank 1: the document in force and noted versions.
+#[derive(Debug, Default)]
+pub(crate) struct Configuration {
+    /// Document in force; none before the first one was obtained.
+    pub(crate) document: Option<Arc<configuration::Configuration>>,
+    /// Greater versions and when this host first heard of them.
+    pub(crate) heard: BTreeMap<configuration::Version, Heard>,
+    /// Sending of the last successful read of the head, whose document was then adopted.
+    pub(crate) read: Option<Instant>,
+}
+
+/// How a host heard of a version.
+#[derive(Debug, Clone)]
+pub(crate) struct Heard {
+    pub(crate) since: Instant,
+    /// Host that has the document, if it is known to have it.
+    pub(crate) source: Option<Name>,
+}
+
+impl Configuration {
+    pub(crate) fn version(&self) -> configuration::Version {
+        self.document
+            .as_ref()
+            .map_or_else(Default::default, |document| document.version)
+    }
+
+    pub(crate) fn hear(
+        &mut self,
+        version: configuration::Version,
+        source: Option<&Name>,
+        now: Instant,
+    ) {
+        if self.document.is_some() && version <= self.version() {
+            return;
+        }
+        let heard = self.heard.entry(version).or_insert(Heard {
+            since: now,
+            source: None,
+        });
+        if let Some(source) = source {
+            heard.source = Some(source.clone());
+        }
+    }
+
+    /// Returns the greatest version of which other hosts should hear.
+    pub(crate) fn greatest(&self, now: Instant) -> configuration::Version {
+        let recent = |heard: &&Heard| now < heard.since + HEARD_EXPIRY;
+        let noted = self
+            .heard
+            .iter()
+            .rev()
+            .find(|(_, heard)| recent(heard))
+            .map(|(version, _)| *version);
+        noted.map_or(self.version(), |noted| noted.max(self.version()))
+    }
+
+    /// Reports whether the document is known and no newer one stays unobtainable.
+    ///
+    /// A recent read of the store shows that this host is at most [`HEARD_LIMIT`] behind.
+    pub(crate) fn is_current(&self, now: Instant) -> bool {
+        let read = self.read.is_some_and(|sent| now < sent + HEARD_LIMIT);
+        let missing = self
+            .heard
+            .values()
+            .any(|heard| now >= heard.since + HEARD_LIMIT && now < heard.since + HEARD_EXPIRY);
+        self.document.is_some() && (read || !missing)
+    }
+}
+
+/// Rank 2: fleet record, confirmations and lease.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    /// Record last seen; none before the first one was obtained.
+    pub(crate) record: Option<Arc<fleet::Fleet>>,
+    /// Own life; none before joining and after a removal.
+    pub(crate) own: Option<Life>,
+    pub(crate) evidence: Evidence,
+    /// Members to whose removal this host consented.
+    pub(crate) refused: BTreeSet<Life>,
+    /// When this host last confirmed a lease of a life.
+    pub(crate) granted: HashMap<Life, Instant>,
+    /// When each host last answered, and since when it has been expected to.
+    pub(crate) heard: HashMap<Name, Instant>,
+    pub(crate) share: Share,
+    pub(crate) join: Option<Join>,
+    /// When a witness first refused the own life.
+    pub(crate) expelled: Option<Instant>,
+    pub(crate) started: Instant,
+    valid_until: Option<Instant>,
+}
+
+/// Progress of a join.
+#[derive(Debug)]
+pub(crate) struct Join {
+    pub(crate) generation: Generation,
+    pub(crate) at: Instant,
+    pub(crate) alone: bool,
+    pub(crate) confirmed: BTreeSet<Life>,
+    /// When the last member with a share had confirmed.
+    pub(crate) complete: Option<Instant>,
+}
+
+/// What a host with a valid lease may use.
+#[derive(Debug, Clone)]
+pub(crate) struct Standing {
+    pub(crate) life: Life,
+    pub(crate) state: State,
+    pub(crate) until: Instant,
+    pub(crate) divisor: u32,
+}
+
+impl Standing {
+    pub(crate) fn has_share(&self) -> bool {
+        self.state != State::Joining
+    }
+}
+
+impl Fleet {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            record: None,
+            own: None,
+            evidence: Evidence::default(),
+            refused: BTreeSet::new(),
+            granted: HashMap::new(),
+            heard: HashMap::new(),
+            share: Share::default(),
+            join: None,
+            expelled: None,
+            started: now,
+            valid_until: None,
+        }
+    }
+
+    pub(crate) fn generation(&self) -> Generation {
+        self.record
+            .as_ref()
+            .map_or_else(Default::default, |record| record.generation)
+    }
+
+    /// Returns the own entry in the record.
+    pub(crate) fn entry(&self) -> Option<&Member> {
+        membership::entry(self.record.as_ref()?, self.own.as_ref()?)
+    }
+
+    /// Returns the members other than this host.
+    pub(crate) fn others(&self, own: &Name) -> Vec<Member> {
+        let members = self.record.iter().flat_map(|record| &record.members);
+        members
+            .filter(|member| member.host.name != *own)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns what this host may use at `now`; nothing without a valid lease.
+    pub(crate) fn standing(&self, now: Instant) -> Option<Standing> {
+        let until = self.valid_until.filter(|until| now < *until)?;
+        let entry = self.entry()?;
+        Some(Standing {
+            life: entry.life(),
+            state: entry.state,
+            until,
+            divisor: self.share.divisor(self.record.as_ref()?, now),
+        })
+    }
+
+    /// Computes until when the evidence keeps the lease valid. Called after every change of
+    /// it, because requests only compare times.
+    pub(crate) fn judge(&mut self, now: Instant) {
+        self.valid_until = match (&self.record, &self.own) {
+            (Some(record), Some(own)) => self.evidence.valid_until(record, own, &self.refused, now),
+            _ => None,
+        };
+    }
+
+    /// Takes a newer record; reports whether it was newer.
+    pub(crate) fn adopt(&mut self, record: &Arc<fleet::Fleet>, now: Instant) -> bool {
+        if self.record.is_some() && record.generation <= self.generation() {
+            return false;
+        }
+        if let Some(old) = self.record.take() {
+            self.share.adopt(&old, record, now);
+            if let Some(own) = &self.own {
+                self.evidence.carry(&old, own, &self.refused, now);
+            }
+        }
+        self.record = Some(record.clone());
+        let listed = |life: &Life| membership::entry(record, life).is_some();
+        self.refused.retain(listed);
+        self.granted.retain(|life, _| listed(life));
+        self.heard.retain(|name, _| record.member(name).is_some());
+        for member in &record.members {
+            self.heard.entry(member.host.name.clone()).or_insert(now);
+        }
+        if self.own.as_ref().is_some_and(|own| !listed(own)) {
+            self.suspend();
+        }
+        self.judge(now);
+        true
+    }
+
+    /// Gives up the own life: from now on this host uses no share.
+    pub(crate) fn suspend(&mut self) {
+        self.own = None;
+        self.join = None;
+        self.expelled = None;
+        self.evidence.clear();
+        self.valid_until = None;
+    }
+
+    /// Records a successful read of the store, sent at `sent`.
+    pub(crate) fn read(&mut self, record: &Arc<fleet::Fleet>, sent: Instant, now: Instant) {
+        self.adopt(record, now);
+        let listed = self
+            .own
+            .as_ref()
+            .is_some_and(|own| membership::entry(record, own).is_some());
+        if listed {
+            self.evidence.read(sent);
+        }
+        self.judge(now);
+    }
+
+    /// Reports whether this host has confirmed nothing to a life for the validity of a lease.
+    pub(crate) fn is_silent_to(&self, life: &Life, now: Instant) -> bool {
+        let granted = self.granted.get(life).copied().unwrap_or(self.started);
+        now >= granted + lease::VALIDITY
+    }
+}
+
+/// Rank 3: token buckets and grants.
+#[derive(Debug, Default)]
+pub(crate) struct Accounts {
+    /// Life to which the buckets belong.
+    life: Option<Life>,
+    pub(crate) entries: HashMap<Name, Entry>,
+}
+
+/// The tokens and waiting requests of one account.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    /// Rate and burst, without keys.
+    pub(crate) account: Account,
+    pub(crate) bucket: Bucket,
+    /// Lets one waiting request at a time wait for tokens, in the order of arrival.
+    pub(crate) turn: Arc<Semaphore>,
+    /// Tells the waiting request of new tokens.
+    pub(crate) changed: Arc<Notify>,
+    pub(crate) waiting: u32,
+    pub(crate) offered: Meter,
+    pub(crate) lenders: HashMap<Name, Lender>,
+    pub(crate) borrowing: bool,
+    pub(crate) counters: Counters,
+}
+
+/// What a lender last said.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Lender {
+    pub(crate) remaining: f64,
+    pub(crate) offered: f64,
+    pub(crate) at: Instant,
+}
+
+/// Counters of an account, kept because looking one up by name allocates.
+pub(crate) struct Counters {
+    pub(crate) admitted: Counter,
+    pub(crate) waited: Counter,
+    pub(crate) refused: Counter,
+    pub(crate) refused_inside_rate: Counter,
+}
+
+impl std::fmt::Debug for Counters {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Counters")
+    }
+}
+
+impl Counters {
+    fn new(account: &Name) -> Self {
+        let name = account.to_string();
+        Self {
+            admitted: counter!("fulmargw_admitted_total", "account" => name.clone()),
+            waited: counter!("fulmargw_admit_waited_total", "account" => name.clone()),
+            refused: counter!("fulmargw_refused_rate_total", "account" => name.clone()),
+            refused_inside_rate: counter!(
+                "fulmargw_refused_inside_rate_total", "account" => name
+            ),
+        }
+    }
+}
+
+impl Entry {
+    fn new(account: Account, first_id: u64, now: Instant) -> Self {
+        Self {
+            bucket: Bucket::new(rate::Share::of(&account, 1), first_id, now),
+            counters: Counters::new(&account.name),
+            account,
+            turn: Arc::new(Semaphore::new(1)),
+            changed: Arc::new(Notify::new()),
+            waiting: 0,
+            offered: Meter::new(now),
+            lenders: HashMap::new(),
+            borrowing: false,
+        }
+    }
+
+    pub(crate) fn share(&self, standing: &Standing) -> rate::Share {
+        rate::Share::of(&self.account, standing.divisor)
+    }
+}
+
+impl Accounts {
+    /// Takes over the accounts of a configuration. New accounts start with empty buckets;
+    /// known ones keep their tokens.
+    pub(crate) fn adopt(&mut self, document: &configuration::Configuration, now: Instant) {
+        self.entries
+            .retain(|name, _| document.accounts.contains_key(name));
+        for (name, account) in &document.accounts {
+            let account = Account {
+                keys: Vec::new(),
+                ..account.clone()
+            };
+            if let Some(entry) = self.entries.get_mut(name) {
+                entry.account = account;
+            } else {
+                let entry = Entry::new(account, rand::random(), now);
+                self.entries.insert(name.clone(), entry);
+            }
+        }
+    }
+
+    /// Empties all buckets if they belong to another life: its share may be used by others.
+    pub(crate) fn belong_to(&mut self, life: &Life, now: Instant) {
+        if self.life.as_ref() == Some(life) {
+            return;
+        }
+        self.life = Some(life.clone());
+        for entry in self.entries.values_mut() {
+            let share = rate::Share::of(&entry.account, 1);
+            entry.bucket = Bucket::new(share, rand::random(), now);
+        }
+    }
+}
--- a/fulmargw_decision/src/patch.rs
+++ b/fulmargw_decision/src/patch.rs
@@ -45,6 +45,8 @@
     },
     /// the patch has no changes
     Empty,
+    /// the patch id needs 1 to 63 ASCII letters, digits, "-", "_" or "."
+    Id,
 }
 
 impl std::error::Error for Error {}
@@ -68,13 +70,14 @@
 
 /// Applies a patch to the current configuration.
 ///
-/// `holders` is the number of hosts that share each connection limit.
+/// `holders` is the number of hosts that share each connection limit. The patch must have an
+/// id, because the store keeps one row for each.
 ///
 /// # Errors
 ///
 /// If the patch is stale, or names the first change that is not valid.
 pub fn apply(current: &Configuration, patch: &Patch, holders: u32) -> Result<Applied, Error> {
-    if !patch.id.is_empty() && patch.id == current.patch {
+    if patch.id == current.patch && !patch.id.is_empty() {
         return Ok(Applied::Already);
     }
     if patch.base != current.version {
@@ -86,6 +89,9 @@
     if patch.changes.is_empty() {
         return Err(Error::Empty);
     }
+    if !Name::new(&patch.id).is_valid() {
+        return Err(Error::Id);
+    }
     let mut next = current.clone();
     next.version = Version(current.version.0 + 1);
     next.patch.clone_from(&patch.id);
