Add stand-ins for backend servers and the platform

Cause: no other part can be tested without a database group that enforces terms and a table service that fails on demand. Ruled out: pgwire's server API, because it hides the point between commit and answer at which faults are injected; the runtime's timer for statement times, because it rounds up to 1 ms; a log on disk, because loss at a restart is wanted. Change: `database` (PostgreSQL v3, group functions, log, replication, promises, recovery after a restart, slots, connection limit, faults) and `platform` (table service, objects, lagging host list, faults, counts), both as subcommands. Conclusion: a connection of a term that is not current is refused at start-up, so a batch whose BEGIN failed with GR001 cannot run partly after a promotion.

--- /dev/null
+++ b/fulmargw_lab/src/cli.rs
@@ -0,0 +1,132 @@
+//! Command line of the stand-ins.
+
+use {
+    crate::{
+        database::{
+            member::Start,
+            process::{self as database, Peer},
+        },
+        platform::process as platform,
+    },
+    argh::FromArgs,
+    std::{future, io, net::SocketAddr, time::Duration},
+};
+
+/// Stand-ins for backend servers, the platform and the network.
+#[derive(Debug, FromArgs)]
+pub struct Command {
+    #[argh(subcommand)]
+    stand_in: StandIn,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum StandIn {
+    Database(Database),
+    Platform(Platform),
+}
+
+/// Runs one backend server of a database group.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "database")]
+struct Database {
+    /// name of the server
+    #[argh(option)]
+    name: String,
+    /// address of the PostgreSQL protocol
+    #[argh(option)]
+    listen: SocketAddr,
+    /// another member and its replication address, as name=IP:PORT; repeated
+    #[argh(option, from_str_fn(parse_peer))]
+    peer: Vec<Peer>,
+    /// address at which a primary replicates to this server
+    #[argh(option)]
+    replication_listen: SocketAddr,
+    /// statements that run at the same time
+    #[argh(option, default = "2")]
+    slots: usize,
+    /// limit of open connections
+    #[argh(option, default = "16")]
+    connections: usize,
+    /// time to open a connection, in milliseconds
+    #[argh(option, default = "10")]
+    connect_ms: u64,
+    /// time for which a statement holds a slot, in microseconds
+    #[argh(option, default = "200")]
+    statement_us: u64,
+    /// address of the admin interface
+    #[argh(option)]
+    admin: SocketAddr,
+    /// start as the primary of a new group
+    #[argh(switch)]
+    initial_primary: bool,
+    /// start as a replica of a new group; without it, the server recovers from the others
+    #[argh(switch)]
+    initial: bool,
+    /// end the process when a connection is above the limit or a password arrives
+    #[argh(switch)]
+    strict: bool,
+}
+
+/// Runs the platform: table service, object store and host list.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct Platform {
+    /// address of the platform
+    #[argh(option)]
+    listen: SocketAddr,
+    /// address of the admin interface
+    #[argh(option)]
+    admin: SocketAddr,
+}
+
+fn parse_peer(text: &str) -> Result<Peer, String> {
+    let malformed = || format!("peer {text:?} is not name=IP:PORT");
+    let (name, address) = text.split_once('=').ok_or_else(malformed)?;
+    Ok(Peer {
+        name: name.to_owned(),
+        address: address.parse().map_err(|_| malformed())?,
+    })
+}
+
+impl Command {
+    /// Runs the stand-in until the process is ended.
+    ///
+    /// # Errors
+    ///
+    /// If an address cannot be bound.
+    pub async fn run(self) -> io::Result<()> {
+        match self.stand_in {
+            StandIn::Database(database) => {
+                database::start(database.settings()).await?;
+            }
+            StandIn::Platform(options) => {
+                platform::start(options.listen, options.admin).await?;
+            }
+        }
+        future::pending().await
+    }
+}
+
+impl Database {
+    fn settings(self) -> database::Settings {
+        let start = match (self.initial_primary, self.initial) {
+            (true, _) => Start::Primary,
+            (false, true) => Start::Replica,
+            (false, false) => Start::Restarted(self.peer.len() + 1),
+        };
+        database::Settings {
+            name: self.name,
+            listen: self.listen,
+            replication: self.replication_listen,
+            admin: self.admin,
+            peers: self.peer,
+            slots: self.slots,
+            connections: self.connections,
+            connect_time: Duration::from_millis(self.connect_ms),
+            statement_time: Duration::from_micros(self.statement_us),
+            start,
+            strict: self.strict,
+        }
+    }
+}
--- /dev/null
+++ b/fulmargw_lab/src/database/admin.rs
@@ -0,0 +1,69 @@
+//! Admin interface of a server: state and faults.
+
+use {
+    super::{
+        fault::{Change, Fault},
+        observation::Observation,
+        process::Server,
+    },
+    axum::{
+        Json, Router,
+        extract::State,
+        routing::{get, post},
+    },
+    fulmargw_model::backend_server::Status,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+    tokio::{net::TcpListener, time::Instant},
+};
+
+/// What `GET /state` answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the server.
+    pub name: String,
+    /// Status as `group_status` reports it.
+    pub status: Status,
+    /// Whether the server still recovers what it lost in a restart.
+    pub recovering: bool,
+    /// Faults in force.
+    pub fault: Fault,
+    /// Counts and texts.
+    pub observation: Observation,
+}
+
+/// Serves the admin interface.
+pub async fn serve(server: Arc<Server>, listener: TcpListener) {
+    let router = Router::new()
+        .route("/state", get(state))
+        .route("/fault", post(fault))
+        .route("/silence", post(silence))
+        .with_state(server);
+    if let Err(error) = axum::serve(listener, router).await {
+        log::error!("admin interface ended: {error}");
+    }
+}
+
+async fn state(State(server): State<Arc<Server>>) -> Json<Report> {
+    let fault = server.fault.lock().clone();
+    let member = server.member.lock();
+    let status = member.status(Instant::now());
+    let recovering = member.is_recovering();
+    drop(member);
+    Json(Report {
+        name: server.settings.name.clone(),
+        status,
+        recovering,
+        fault,
+        observation: server.observation.lock().clone(),
+    })
+}
+
+async fn fault(State(server): State<Arc<Server>>, Json(change): Json<Change>) {
+    server.fault.lock().change(&change);
+    server.announce();
+}
+
+async fn silence(State(server): State<Arc<Server>>) {
+    server.silence();
+}
--- /dev/null
+++ b/fulmargw_lab/src/database/session.rs
@@ -0,0 +1,389 @@
+//! Connections of hosts in the PostgreSQL protocol.
+
+use {
+    super::{
+        error::Error,
+        execute::{Executor, Reply},
+        process::Server,
+        sql::{self, Statement},
+        wire,
+    },
+    bytes::BytesMut,
+    fulmargw_model::position::Term,
+    pgwire::messages::{
+        DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, SslNegotiationMetaMessage,
+        data::{NoData, ParameterDescription},
+        extendedquery::{
+            Bind, BindComplete, CloseComplete, Describe, Execute, Parse, ParseComplete,
+            TARGET_TYPE_BYTE_STATEMENT,
+        },
+        response::{EmptyQueryResponse, SslResponse, TransactionStatus},
+        startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup},
+    },
+    std::{
+        collections::HashMap,
+        io,
+        sync::{Arc, atomic::Ordering},
+    },
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::{TcpListener, TcpStream},
+    },
+};
+
+/// Accepts connections of hosts.
+pub async fn serve(server: Arc<Server>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let server = Arc::clone(&server);
+        tokio::spawn(async move {
+            let limit = server.settings.connections;
+            let within = server.observation.lock().connect(limit);
+            if !within {
+                server.violate("too many connections");
+            }
+            // A broken connection concerns only its host, which sees it too.
+            let _ = converse(&server, stream, within).await;
+            server.observation.lock().connections -= 1;
+        });
+    }
+}
+
+async fn converse(server: &Arc<Server>, stream: TcpStream, within: bool) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut channel = Channel::new(Arc::clone(server), stream);
+    let Some(startup) = channel.startup().await? else {
+        return Ok(());
+    };
+    if !within {
+        wire::put_error(&mut channel.output, &Error::too_many_connections())?;
+        return channel.flush().await;
+    }
+    crate::timer::sleep(server.settings.connect_time).await;
+    let bound = bound_term(&startup);
+    // Terms only grow, so a connection of a term that ended stays refused for good.
+    let check = server.member.lock().check_bound(bound);
+    if let Err(error) = check {
+        wire::put_error(&mut channel.output, &error)?;
+        return channel.flush().await;
+    }
+    channel.welcome().await?;
+    let executor = Executor::new(Arc::clone(server), bound);
+    let mut session = Session {
+        channel,
+        executor,
+        statements: HashMap::new(),
+        portals: HashMap::new(),
+        skipping: false,
+    };
+    while let Some(message) = session.channel.receive().await? {
+        if matches!(message, PgWireFrontendMessage::Terminate(_)) {
+            break;
+        }
+        session.handle(message).await?;
+    }
+    Ok(())
+}
+
+/// Reads `-c group.term=N` from the start-up options; 0 if it is absent.
+fn bound_term(startup: &Startup) -> Term {
+    let options = startup.parameters.get("options");
+    let term = options.and_then(|options| options.split("group.term=").nth(1));
+    let digits = term.map(|rest| rest.split_whitespace().next().unwrap_or_default());
+    Term(digits.and_then(|digits| digits.parse().ok()).unwrap_or(0))
+}
+
+/// Messages from and to a host.
+struct Channel {
+    server: Arc<Server>,
+    number: u64,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    context: DecodeContext,
+}
+
+impl Channel {
+    fn new(server: Arc<Server>, stream: TcpStream) -> Self {
+        let number = server.newest.fetch_add(1, Ordering::SeqCst) + 1;
+        Self {
+            server,
+            number,
+            stream,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            context: DecodeContext::default(),
+        }
+    }
+
+    async fn receive(&mut self) -> io::Result<Option<PgWireFrontendMessage>> {
+        loop {
+            let message = PgWireFrontendMessage::decode(&mut self.input, &self.context)
+                .map_err(io::Error::other)?;
+            if message.is_some() {
+                return Ok(message);
+            }
+            self.flush().await?;
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Sends what was written, unless the fault of silent connections is in force.
+    async fn flush(&mut self) -> io::Result<()> {
+        if self.number <= self.server.silenced.load(Ordering::SeqCst) {
+            self.output.clear();
+        }
+        self.stream.write_all_buf(&mut self.output).await
+    }
+
+    fn put(&mut self, message: &PgWireBackendMessage) -> io::Result<()> {
+        wire::put(&mut self.output, message)
+    }
+
+    async fn startup(&mut self) -> io::Result<Option<Startup>> {
+        while let Some(message) = self.receive().await? {
+            match message {
+                PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None) => {
+                    self.context.awaiting_frontend_ssl = false;
+                }
+                PgWireFrontendMessage::SslNegotiation(_) => {
+                    self.put(&PgWireBackendMessage::SslResponse(SslResponse::Refuse))?;
+                }
+                PgWireFrontendMessage::Startup(startup) => {
+                    self.context.awaiting_frontend_startup = false;
+                    let mut observation = self.server.observation.lock();
+                    observation.note_startup(startup.parameters.values());
+                    return Ok(Some(startup));
+                }
+                _ => return Ok(None),
+            }
+        }
+        Ok(None)
+    }
+
+    async fn welcome(&mut self) -> io::Result<()> {
+        self.put(&PgWireBackendMessage::Authentication(Authentication::Ok))?;
+        let parameters = [
+            ("server_version", "16.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("standard_conforming_strings", "on"),
+        ];
+        for (name, value) in parameters {
+            let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+            self.put(&PgWireBackendMessage::ParameterStatus(status))?;
+        }
+        let data = BackendKeyData::new(1, SecretKey::I32(1));
+        self.put(&PgWireBackendMessage::BackendKeyData(data))?;
+        wire::put_ready(&mut self.output, TransactionStatus::Idle)?;
+        self.flush().await
+    }
+}
+
+struct Portal {
+    statement: Option<Statement>,
+    parameters: Vec<String>,
+    format: i16,
+}
+
+struct Session {
+    channel: Channel,
+    executor: Executor,
+    /// Prepared statements; `None` stands for an empty query.
+    statements: HashMap<String, Option<Statement>>,
+    portals: HashMap<String, Portal>,
+    /// Whether messages are ignored until the next `Sync`.
+    skipping: bool,
+}
+
+impl Session {
+    async fn handle(&mut self, message: PgWireFrontendMessage) -> io::Result<()> {
+        if let PgWireFrontendMessage::Query(query) = &message {
+            return self.simple(&query.query).await;
+        }
+        if let PgWireFrontendMessage::Sync(_) = message {
+            return self.sync().await;
+        }
+        if let PgWireFrontendMessage::PasswordMessageFamily(_) = message {
+            self.channel.server.observation.lock().passwords += 1;
+            self.channel.server.violate("a password arrived");
+            return Ok(());
+        }
+        if self.skipping {
+            return Ok(());
+        }
+        let result = match message {
+            PgWireFrontendMessage::Parse(parse) => self.parse(&parse),
+            PgWireFrontendMessage::Bind(bind) => self.bind(&bind),
+            PgWireFrontendMessage::Describe(describe) => self.describe(&describe)?,
+            PgWireFrontendMessage::Execute(execute) => self.execute(&execute).await?,
+            PgWireFrontendMessage::Close(close) => {
+                let name = close.name.unwrap_or_default();
+                if close.target_type == TARGET_TYPE_BYTE_STATEMENT {
+                    self.statements.remove(&name);
+                } else {
+                    self.portals.remove(&name);
+                }
+                Ok(Some(PgWireBackendMessage::CloseComplete(
+                    CloseComplete::new(),
+                )))
+            }
+            PgWireFrontendMessage::Flush(_) => {
+                self.channel.flush().await?;
+                Ok(None)
+            }
+            _ => Err(Error::syntax("unexpected message")),
+        };
+        match result {
+            Ok(Some(reply)) => self.channel.put(&reply),
+            Ok(None) => Ok(()),
+            Err(error) => {
+                self.skipping = true;
+                self.executor.fail();
+                wire::put_error(&mut self.channel.output, &error)
+            }
+        }
+    }
+
+    async fn simple(&mut self, query: &str) -> io::Result<()> {
+        match sql::parse(query) {
+            Ok(statements) if statements.is_empty() => {
+                let empty = EmptyQueryResponse::new();
+                self.channel
+                    .put(&PgWireBackendMessage::EmptyQueryResponse(empty))?;
+            }
+            Ok(statements) => self.run_all(&statements).await?,
+            Err(error) => {
+                self.executor.fail();
+                wire::put_error(&mut self.channel.output, &error)?;
+            }
+        }
+        self.ready().await
+    }
+
+    /// Runs the statements of a simple query up to the first error.
+    async fn run_all(&mut self, statements: &[Statement]) -> io::Result<()> {
+        for (number, statement) in statements.iter().enumerate() {
+            let mut result = self.executor.run(statement, &[]).await;
+            if number + 1 == statements.len() && result.is_ok() {
+                // The last statement is complete only after the implicit commit.
+                result = self.executor.finish().await.and(result);
+            }
+            match result {
+                Ok(reply) => {
+                    let columns = statement.columns();
+                    if !columns.is_empty() {
+                        wire::put_columns(&mut self.channel.output, columns, 0)?;
+                    }
+                    self.put_reply(reply)?;
+                }
+                Err(error) => return wire::put_error(&mut self.channel.output, &error),
+            }
+        }
+        Ok(())
+    }
+
+    fn put_reply(&mut self, reply: Reply) -> io::Result<()> {
+        for row in &reply.rows {
+            wire::put_row(&mut self.channel.output, row)?;
+        }
+        wire::put_complete(&mut self.channel.output, reply.tag)
+    }
+
+    async fn ready(&mut self) -> io::Result<()> {
+        let status = match self.executor.explicit() {
+            None => TransactionStatus::Idle,
+            Some(open) if open.failed => TransactionStatus::Error,
+            Some(_) => TransactionStatus::Transaction,
+        };
+        wire::put_ready(&mut self.channel.output, status)?;
+        self.channel.flush().await
+    }
+
+    async fn sync(&mut self) -> io::Result<()> {
+        self.skipping = false;
+        if let Err(error) = self.executor.finish().await {
+            wire::put_error(&mut self.channel.output, &error)?;
+        }
+        self.ready().await
+    }
+
+    fn parse(&mut self, parse: &Parse) -> Answer {
+        let mut statements = sql::parse(&parse.query)?;
+        if statements.len() > 1 {
+            return Err(Error::syntax("only one statement can be prepared"));
+        }
+        let name = parse.name.clone().unwrap_or_default();
+        self.statements.insert(name, statements.pop());
+        Ok(Some(PgWireBackendMessage::ParseComplete(
+            ParseComplete::new(),
+        )))
+    }
+
+    fn bind(&mut self, bind: &Bind) -> Answer {
+        let name = bind.statement_name.clone().unwrap_or_default();
+        let statement = self.statements.get(&name).cloned();
+        let statement = statement.ok_or_else(|| Error::syntax("unknown statement"))?;
+        let text = |value: &Option<bytes::Bytes>| {
+            String::from_utf8_lossy(value.as_deref().unwrap_or_default()).into_owned()
+        };
+        let portal = Portal {
+            statement,
+            parameters: bind.parameters.iter().map(text).collect(),
+            format: bind
+                .result_column_format_codes
+                .first()
+                .copied()
+                .unwrap_or(0),
+        };
+        let name = bind.portal_name.clone().unwrap_or_default();
+        self.portals.insert(name, portal);
+        Ok(Some(
+            PgWireBackendMessage::BindComplete(BindComplete::new()),
+        ))
+    }
+
+    fn describe(&mut self, describe: &Describe) -> io::Result<Answer> {
+        let name = describe.name.as_deref().unwrap_or_default();
+        let (statement, format) = if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            let Some(statement) = self.statements.get(name) else {
+                return Ok(Err(Error::syntax("unknown statement")));
+            };
+            let count = statement.as_ref().map_or(0, Statement::parameters);
+            let types = ParameterDescription::new(vec![wire::TEXT; count]);
+            let message = PgWireBackendMessage::ParameterDescription(types);
+            wire::put(&mut self.channel.output, &message)?;
+            (statement, 0)
+        } else {
+            let Some(portal) = self.portals.get(name) else {
+                return Ok(Err(Error::syntax("unknown portal")));
+            };
+            (&portal.statement, portal.format)
+        };
+        let columns = statement.as_ref().map_or(&[][..], Statement::columns);
+        if columns.is_empty() {
+            return Ok(Ok(Some(PgWireBackendMessage::NoData(NoData::new()))));
+        }
+        wire::put_columns(&mut self.channel.output, columns, format)?;
+        Ok(Ok(None))
+    }
+
+    async fn execute(&mut self, execute: &Execute) -> io::Result<Answer> {
+        let name = execute.name.as_deref().unwrap_or_default();
+        let Some(portal) = self.portals.get(name) else {
+            return Ok(Err(Error::syntax("unknown portal")));
+        };
+        let Some(statement) = &portal.statement else {
+            let empty = EmptyQueryResponse::new();
+            return Ok(Ok(Some(PgWireBackendMessage::EmptyQueryResponse(empty))));
+        };
+        match self.executor.run(statement, &portal.parameters).await {
+            Ok(reply) => self.put_reply(reply).map(|()| Ok(None)),
+            Err(error) => Ok(Err(error)),
+        }
+    }
+}
+
+/// A message to send, nothing further, or an error to report.
+type Answer = Result<Option<PgWireBackendMessage>, Error>;
--- /dev/null
+++ b/fulmargw_lab/src/database/wire.rs
@@ -0,0 +1,95 @@
+//! Encoding of answers in the PostgreSQL protocol.
+
+use {
+    super::error::Error,
+    bytes::{BufMut as _, BytesMut},
+    pgwire::messages::{
+        PgWireBackendMessage,
+        data::{DataRow, FieldDescription, RowDescription},
+        response::{CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus},
+    },
+    std::io,
+};
+
+/// Type identifier of `text`; all columns have it.
+pub const TEXT: u32 = 25;
+
+/// Encodes a message at the end of `out`.
+///
+/// # Errors
+///
+/// If the message is too large.
+pub fn put(out: &mut BytesMut, message: &PgWireBackendMessage) -> io::Result<()> {
+    message.encode(out).map_err(io::Error::other)
+}
+
+/// Encodes the description of text columns in one format.
+///
+/// # Errors
+///
+/// If the message is too large.
+pub fn put_columns(out: &mut BytesMut, columns: &[&str], format: i16) -> io::Result<()> {
+    let fields = columns
+        .iter()
+        .map(|name| FieldDescription::new((*name).to_owned(), 0, 0, TEXT, -1, -1, format));
+    let description = RowDescription::new(fields.collect());
+    put(out, &PgWireBackendMessage::RowDescription(description))
+}
+
+/// Encodes a row; text has the same bytes in the text and the binary format.
+///
+/// # Errors
+///
+/// If the row is too large.
+pub fn put_row(out: &mut BytesMut, row: &[String]) -> io::Result<()> {
+    let mut data = BytesMut::new();
+    for value in row {
+        let length = i32::try_from(value.len()).map_err(io::Error::other)?;
+        data.put_i32(length);
+        data.put_slice(value.as_bytes());
+    }
+    let count = i16::try_from(row.len()).map_err(io::Error::other)?;
+    put(
+        out,
+        &PgWireBackendMessage::DataRow(DataRow::new(data, count)),
+    )
+}
+
+/// Encodes the end of a statement.
+///
+/// # Errors
+///
+/// If the message is too large.
+pub fn put_complete(out: &mut BytesMut, tag: String) -> io::Result<()> {
+    let complete = CommandComplete::new(tag);
+    put(out, &PgWireBackendMessage::CommandComplete(complete))
+}
+
+/// Encodes an error.
+///
+/// # Errors
+///
+/// If the message is too large.
+pub fn put_error(out: &mut BytesMut, error: &Error) -> io::Result<()> {
+    let mut fields = vec![
+        (b'S', "ERROR".to_owned()),
+        (b'V', "ERROR".to_owned()),
+        (b'C', error.code.to_owned()),
+        (b'M', error.message.clone()),
+    ];
+    if !error.detail.is_empty() {
+        fields.push((b'D', error.detail.clone()));
+    }
+    let response = ErrorResponse::new(fields);
+    put(out, &PgWireBackendMessage::ErrorResponse(response))
+}
+
+/// Encodes the end of a query.
+///
+/// # Errors
+///
+/// If the message is too large.
+pub fn put_ready(out: &mut BytesMut, status: TransactionStatus) -> io::Result<()> {
+    let ready = ReadyForQuery::new(status);
+    put(out, &PgWireBackendMessage::ReadyForQuery(ready))
+}
--- a/fulmargw_lab/src/main.rs
+++ b/fulmargw_lab/src/main.rs
@@ -1,2 +1,10 @@
-//! Placeholder.
-fn main() {}
+//! Entry point of the stand-ins.
+
+use std::{io, process::ExitCode};
+
+#[tokio::main]
+async fn main() -> io::Result<ExitCode> {
+    let command: fulmargw_lab::cli::Command = argh::from_env();
+    command.run().await?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/fulmargw_lab/src/platform/process.rs
@@ -0,0 +1,127 @@
+//! The platform's HTTP interface.
+
+use {
+    super::{
+        admin,
+        fault::{Fault, Injector},
+        state::State as Data,
+    },
+    axum::{
+        Router,
+        body::Bytes,
+        extract::{Path, State},
+        http::StatusCode,
+        routing::{get, post},
+    },
+    fulmargw_model::order::{Mutex, Rank},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{future, io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, time::Instant},
+};
+
+/// Shared state of the platform process.
+#[derive(Debug)]
+pub struct Platform {
+    /// Faults in force; rank of configuration.
+    pub injector: Mutex<Injector>,
+    /// Data; rank of the fleet record.
+    pub data: Mutex<Data>,
+}
+
+type Reply = Result<Vec<u8>, StatusCode>;
+
+/// Binds the addresses and serves until the process ends.
+///
+/// # Errors
+///
+/// If an address cannot be bound.
+pub async fn start(listen: SocketAddr, admin: SocketAddr) -> io::Result<Arc<Platform>> {
+    let hosts = TcpListener::bind(listen).await?;
+    let operators = TcpListener::bind(admin).await?;
+    let platform = Arc::new(Platform {
+        injector: Mutex::new(Rank::Configuration, Injector::new(Fault::default())),
+        data: Mutex::new(Rank::Fleet, Data::default()),
+    });
+    tokio::spawn(admin::serve(Arc::clone(&platform), operators));
+    tokio::spawn(serve(Arc::clone(&platform), hosts));
+    Ok(platform)
+}
+
+async fn serve(platform: Arc<Platform>, listener: TcpListener) {
+    let router = Router::new()
+        .route("/table/read", post(read))
+        .route("/table/commit", post(commit))
+        .route("/hosts", get(hosts))
+        .route("/object/{*key}", get(object).put(put_object))
+        .with_state(platform);
+    if let Err(error) = axum::serve(listener, router).await {
+        log::error!("platform interface ended: {error}");
+    }
+}
+
+/// Counts a call and lets the faults of a call in general take effect.
+async fn enter(platform: &Platform, is_write: bool) -> Result<(), StatusCode> {
+    platform.data.lock().count(is_write, Instant::now());
+    let fault = platform.injector.lock().fault.clone();
+    crate::timer::sleep(Duration::from_millis(fault.slow_ms)).await;
+    if fault.down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    Ok(())
+}
+
+/// Loses the answer to a write: the caller waits until its timeout.
+async fn leave(platform: &Platform) {
+    let loses = platform.injector.lock().loses();
+    if loses {
+        future::pending::<()>().await;
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &Bytes) -> Result<T, StatusCode> {
+    rmp_serde::from_slice(body).map_err(|_| StatusCode::BAD_REQUEST)
+}
+
+fn encode<T: Serialize>(value: &T) -> Reply {
+    rmp_serde::to_vec(value).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+async fn read(State(platform): State<Arc<Platform>>, body: Bytes) -> Reply {
+    enter(&platform, false).await?;
+    let rows = platform.data.lock().read(&decode(&body)?);
+    encode(&rows)
+}
+
+async fn commit(State(platform): State<Arc<Platform>>, body: Bytes) -> Reply {
+    enter(&platform, true).await?;
+    let transaction = decode(&body)?;
+    let outcome = platform.data.lock().commit(transaction);
+    leave(&platform).await;
+    encode(&outcome)
+}
+
+async fn hosts(State(platform): State<Arc<Platform>>) -> Reply {
+    enter(&platform, false).await?;
+    let lag = Duration::from_millis(platform.injector.lock().fault.list_lag_ms);
+    let hosts = platform.data.lock().hosts(Instant::now(), lag);
+    encode(&hosts)
+}
+
+async fn object(State(platform): State<Arc<Platform>>, Path(key): Path<String>) -> Reply {
+    enter(&platform, false).await?;
+    let value = platform.data.lock().object(&key);
+    value
+        .map(|bytes| bytes.to_vec())
+        .ok_or(StatusCode::NOT_FOUND)
+}
+
+async fn put_object(
+    State(platform): State<Arc<Platform>>,
+    Path(key): Path<String>,
+    body: Bytes,
+) -> Result<(), StatusCode> {
+    enter(&platform, true).await?;
+    platform.data.lock().put_object(key, body);
+    leave(&platform).await;
+    Ok(())
+}
--- /dev/null
+++ b/fulmargw_lab/src/timer.rs
@@ -0,0 +1,97 @@
+//! Sleeps that are more precise than the runtime's timer.
+
+use {
+    std::{
+        cmp::Reverse,
+        collections::BinaryHeap,
+        sync::{Arc, Condvar, LazyLock, Mutex, PoisonError},
+        thread,
+        time::Duration,
+    },
+    tokio::{sync::oneshot, time::Instant},
+};
+
+/// The runtime's timer rounds up to whole milliseconds, which is too coarse for statement
+/// times of 200 µs and link delays of 0.5 ms. One thread serves all precise sleeps.
+static TIMER: LazyLock<Arc<Timer>> = LazyLock::new(|| {
+    let timer = Arc::new(Timer::default());
+    let worker = Arc::clone(&timer);
+    thread::spawn(move || worker.run());
+    timer
+});
+
+#[derive(Default)]
+struct Timer {
+    heap: Mutex<BinaryHeap<Reverse<Alarm>>>,
+    changed: Condvar,
+}
+
+struct Alarm {
+    at: Instant,
+    wake: oneshot::Sender<()>,
+}
+
+impl PartialEq for Alarm {
+    fn eq(&self, other: &Self) -> bool {
+        self.at == other.at
+    }
+}
+
+impl Eq for Alarm {}
+
+impl PartialOrd for Alarm {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Alarm {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.cmp(&other.at)
+    }
+}
+
+impl Timer {
+    fn run(&self) {
+        let mut heap = self.heap.lock().unwrap_or_else(PoisonError::into_inner);
+        loop {
+            let now = Instant::now();
+            while heap.peek().is_some_and(|Reverse(alarm)| alarm.at <= now) {
+                if let Some(Reverse(alarm)) = heap.pop() {
+                    // The sleeper may be gone.
+                    let _ = alarm.wake.send(());
+                }
+            }
+            let pause = heap
+                .peek()
+                .map_or(Duration::from_hours(1), |Reverse(alarm)| alarm.at - now);
+            heap = self
+                .changed
+                .wait_timeout(heap, pause)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+}
+
+/// Sleeps for `duration` with a precision of about 0.1 ms.
+pub async fn sleep(duration: Duration) {
+    sleep_until(Instant::now() + duration).await;
+}
+
+/// Sleeps until `at` with a precision of about 0.1 ms.
+pub async fn sleep_until(at: Instant) {
+    if at <= Instant::now() {
+        return;
+    }
+    let (wake, woken) = oneshot::channel();
+    let timer = &*TIMER;
+    timer
+        .heap
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(Reverse(Alarm { at, wake }));
+    timer.changed.notify_one();
+    // The timer thread never drops an alarm without waking it.
+    let _ = woken.await;
+}
--- /dev/null
+++ b/fulmargw_lab/tests/member.rs
@@ -0,0 +1,254 @@
+//! Terms, promises and logs of a group member.
+
+use {
+    fulmargw_lab::database::{
+        entry::{Body, Effect, Entry, Record},
+        member::{Append, Member, Promise, Start},
+        transaction::Transaction,
+    },
+    fulmargw_model::{
+        backend_server::Role,
+        position::{Position, Term},
+    },
+    tokio::time::Instant,
+};
+
+fn position(term: u64, index: u64) -> Position {
+    let term = Term(term);
+    Position { term, index }
+}
+
+fn member(start: Start) -> Member {
+    Member::new(start, Instant::now())
+}
+
+fn put(key: &str, value: &str) -> Transaction {
+    let mut transaction = Transaction::new(Term(1));
+    let effect = Effect::Put(key.to_owned(), value.to_owned());
+    transaction.effects.push(effect);
+    transaction
+}
+
+fn recorded(id: &str, attempt: u64) -> Transaction {
+    let mut transaction = put("k", id);
+    transaction.record = Some(record(id, attempt));
+    transaction
+}
+
+fn record(id: &str, attempt: u64) -> Record {
+    let id = id.to_owned();
+    Record { id, attempt }
+}
+
+/// Copies the log of `from` after `index` to `to`, as the primary of `term` would.
+fn replicate(from: &Member, to: &mut Member, term: u64, index: u64) -> bool {
+    let last = from.log().last().index;
+    let entries = (index + 1..=last).filter_map(|index| from.log().get(index));
+    let append = Append {
+        sequence: 0,
+        term: Term(term),
+        previous: from.log().position(index),
+        entries: entries.map(|(entry, _)| entry.clone()).collect(),
+        last,
+    };
+    let accepted = to.append(append, Instant::now()).accepted;
+    to.apply_up_to(last, Instant::now());
+    accepted
+}
+
+fn group() -> (Member, Member) {
+    let primary = member(Start::Primary);
+    let mut replica = member(Start::Replica);
+    replicate(&primary, &mut replica, 1, 0);
+    (primary, replica)
+}
+
+/// Guards against two promises for one term, which would allow two majorities.
+#[test]
+fn fence_accepts_only_greater_terms() {
+    let mut replica = group().1;
+    let now = Instant::now();
+
+    replica.fence(Term(3), now).expect("first promise");
+    let equal = replica.fence(Term(3), now).expect_err("equal term");
+    let lower = replica.fence(Term(2), now).expect_err("lower term");
+
+    assert_eq!((equal.code, equal.detail.as_str()), ("GR002", "3"));
+    assert_eq!(lower.code, "GR002");
+}
+
+/// Guards against commits and replication of a replaced primary.
+#[test]
+fn promise_stops_the_older_term() {
+    let (mut primary, mut replica) = group();
+    let now = Instant::now();
+    primary.commit(put("k", "v"), Term(1), now).expect("commit");
+
+    replica.fence(Term(2), now).expect("fence replica");
+    let replicated = replicate(&primary, &mut replica, 1, 1);
+    primary.fence(Term(2), now).expect("fence primary");
+    let commit = primary.commit(put("k", "w"), Term(1), now);
+
+    assert!(!replicated);
+    assert_eq!(commit.expect_err("old term").code, "GR001");
+    assert_eq!(primary.status(now).role, Role::Replica);
+}
+
+/// Guards against a promotion for a term that another host took meanwhile.
+#[test]
+fn promotion_needs_the_last_promise() {
+    let mut replica = group().1;
+    let now = Instant::now();
+    replica.fence(Term(2), now).expect("fence 2");
+    replica.fence(Term(3), now).expect("fence 3");
+
+    let stale = replica.promote(Term(2), now);
+    let current = replica.promote(Term(3), now);
+
+    assert_eq!(stale.expect_err("stale promotion").code, "GR002");
+    assert!(current.is_ok());
+    assert_eq!(replica.leading(), Some(Term(3)));
+    assert_eq!(replica.log().last(), position(3, 2));
+}
+
+/// Guards against a divergent tail that stays visible on a former primary.
+#[test]
+fn divergent_tail_is_truncated_and_undone() {
+    let (mut old, mut new) = group();
+    let now = Instant::now();
+    old.commit(put("lost", "1"), Term(1), now).expect("commit");
+    old.commit(put("lost", "2"), Term(1), now).expect("commit");
+    new.fence(Term(2), now).expect("fence");
+    new.promote(Term(2), now).expect("promote");
+    new.commit(put("kept", "3"), Term(2), now).expect("commit");
+
+    let mismatch = replicate(&new, &mut old, 2, 2);
+    let matched = replicate(&new, &mut old, 2, 1);
+
+    assert!(!mismatch, "the entry at index 2 has another term");
+    assert!(matched);
+    assert_eq!(old.log().last(), new.log().last());
+    assert_eq!(old.table().get("lost"), None);
+    assert_eq!(old.table().get("kept"), Some("3"));
+}
+
+/// Guards against a tail of an old term that counts as holding a position of a new one.
+#[test]
+fn longer_log_of_older_term_does_not_satisfy() {
+    let (mut old, mut new) = group();
+    let now = Instant::now();
+    old.commit(put("k", "1"), Term(1), now).expect("commit");
+    new.fence(Term(2), now).expect("fence");
+    new.promote(Term(2), now).expect("promote");
+
+    let reached = old.reached(true, position(2, 2));
+
+    assert_eq!(reached, Ok(false));
+}
+
+/// Guards against an acknowledgement by a member that promised a greater term.
+#[test]
+fn wait_is_refused_after_a_greater_promise() {
+    let mut replica = group().1;
+    assert_eq!(replica.reached(true, position(1, 1)), Ok(true));
+
+    replica.fence(Term(2), Instant::now()).expect("fence");
+
+    let refused = replica.reached(true, position(1, 1));
+    assert_eq!(refused.expect_err("promised").code, "GR002");
+}
+
+/// Guards against a cancelled attempt that commits later, and a request that runs twice.
+#[test]
+fn cancelled_attempt_never_commits_and_the_next_one_commits_once() {
+    let mut primary = group().0;
+    let now = Instant::now();
+
+    let cancelled = primary.cancel(record("r", 1), Term(0), now);
+    let late = primary.commit(recorded("r", 1), Term(1), now);
+    let next = primary.commit(recorded("r", 2), Term(1), now);
+    let again = primary.commit(recorded("r", 3), Term(1), now);
+    let settled = primary.cancel(record("r", 2), Term(0), now);
+
+    assert_eq!(cancelled, Ok((false, position(1, 2))));
+    assert_eq!(late.expect_err("cancelled").code, "GR005");
+    assert_eq!(next, Ok(Some(position(1, 3))));
+    let again = again.expect_err("duplicate");
+    assert_eq!((again.code, again.detail.as_str()), ("GR004", "1/3"));
+    assert_eq!(settled, Ok((true, position(1, 3))));
+}
+
+/// Guards against a lost update between two transactions that read the same key.
+#[test]
+fn conflicting_update_is_refused() {
+    let mut primary = group().0;
+    let now = Instant::now();
+    primary.commit(put("k", "0"), Term(1), now).expect("commit");
+    let mut slow = Transaction::new(Term(1));
+    slow.get(primary.table(), "k");
+    slow.effects = put("k", "slow").effects;
+    primary.commit(put("k", "1"), Term(1), now).expect("commit");
+
+    let conflict = primary.commit(slow, Term(1), now);
+
+    assert_eq!(conflict.expect_err("conflict").code, "40001");
+}
+
+/// Guards against a restarted member that helps to a majority without its former log.
+#[test]
+fn restarted_member_refuses_to_fence_until_it_caught_up() {
+    let (primary, replica) = group();
+    let mut restarted = member(Start::Restarted(3));
+    let now = Instant::now();
+
+    let empty = restarted.fence(Term(9), now);
+    replicate(&primary, &mut restarted, 1, 0);
+    let unknown_promises = restarted.is_recovering();
+    restarted.learn("s1", primary.promise());
+    let one_promise = restarted.fence(Term(9), now);
+    restarted.learn("s2", replica.promise());
+    replicate(&primary, &mut restarted, 1, 1);
+
+    assert_eq!(empty.expect_err("empty").code, "GR002");
+    assert!(unknown_promises);
+    assert!(one_promise.is_err());
+    assert!(restarted.fence(Term(9), now).is_ok());
+}
+
+/// Guards against recovery from a primary that a greater term replaced.
+#[test]
+fn restarted_member_does_not_recover_from_a_replaced_primary() {
+    let (primary, _) = group();
+    let mut restarted = member(Start::Restarted(3));
+    let newer = Promise {
+        promised: Term(2),
+        recovering: false,
+    };
+    restarted.learn("s1", primary.promise());
+    restarted.learn("s2", newer);
+
+    replicate(&primary, &mut restarted, 1, 0);
+
+    assert!(restarted.is_recovering());
+}
+
+/// Guards against a follower that takes over entries after a gap.
+#[test]
+fn append_after_a_gap_is_refused_with_the_end_of_the_log() {
+    let mut replica = group().1;
+    let append = Append {
+        sequence: 7,
+        term: Term(1),
+        previous: position(1, 5),
+        entries: vec![Entry {
+            term: Term(1),
+            body: Body::Start,
+        }],
+        last: 6,
+    };
+
+    let answer = replica.append(append, Instant::now());
+
+    assert!(!answer.accepted);
+    assert_eq!((answer.sequence, answer.index), (7, 1));
+}
