Add link relay, fleets of processes, load generator and history checker

Cause: chaos tests need real processes whose network can be cut, a load that roams between hosts, and a check of what clients saw. Ruled out: ports from the range of outgoing connections, because one was taken between its choice and its use in a test run; reading fulmar.position from another task, because the answer can be seen before the reported parameter. Change: `link` (TCP relay with delay and rules by mapping, source and direction), `fleet` (starts, kills, pauses and cuts processes; ends its children on drop), `load` (bounded sessions over tokio-postgres) and `history` (events and checks). The load generator has not run against a host yet.

--- a/fulmargw_lab/src/cli.rs
+++ b/fulmargw_lab/src/cli.rs
@@ -6,6 +6,7 @@
             member::Start,
             process::{self as database, Peer},
         },
+        link::{process as link, relay::Mapping},
         platform::process as platform,
     },
     argh::FromArgs,
@@ -24,6 +25,7 @@
 enum StandIn {
     Database(Database),
     Platform(Platform),
+    Link(Link),
 }
 
 /// Runs one backend server of a database group.
@@ -80,6 +82,34 @@
     admin: SocketAddr,
 }
 
+/// Relays TCP connections with a delay and rules.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "link")]
+struct Link {
+    /// a mapping, as name=IP:PORT=IP:PORT with the listening address first; repeated
+    #[argh(option, from_str_fn(parse_mapping))]
+    map: Vec<Mapping>,
+    /// one-way delay, in microseconds
+    #[argh(option, default = "0")]
+    delay_us: u64,
+    /// address of the admin interface
+    #[argh(option)]
+    admin: SocketAddr,
+}
+
+fn parse_mapping(text: &str) -> Result<Mapping, String> {
+    let malformed = || format!("mapping {text:?} is not name=IP:PORT=IP:PORT");
+    let fields: Vec<&str> = text.split('=').collect();
+    let [name, listen, target] = fields[..] else {
+        return Err(malformed());
+    };
+    Ok(Mapping {
+        name: name.to_owned(),
+        listen: listen.parse().map_err(|_| malformed())?,
+        target: target.parse().map_err(|_| malformed())?,
+    })
+}
+
 fn parse_peer(text: &str) -> Result<Peer, String> {
     let malformed = || format!("peer {text:?} is not name=IP:PORT");
     let (name, address) = text.split_once('=').ok_or_else(malformed)?;
@@ -103,6 +133,10 @@
             StandIn::Platform(options) => {
                 platform::start(options.listen, options.admin).await?;
             }
+            StandIn::Link(options) => {
+                let delay = Duration::from_micros(options.delay_us);
+                link::start(options.map, delay, options.admin).await?;
+            }
         }
         future::pending().await
     }
--- /dev/null
+++ b/fulmargw_lab/src/fleet/configuration.rs
@@ -0,0 +1,69 @@
+//! The first configuration of a fleet.
+
+use {
+    super::layout::{Layout, Options},
+    fulmargw_model::{
+        availability_zone::Zone,
+        backend_server::Server,
+        client_account::{Account, Digest},
+        configuration::{Change, Patch, Version},
+        name::Name,
+        request::{Class, Repeat},
+        route::{Access, Route},
+        service::Service,
+    },
+    std::time::Duration,
+};
+
+/// Name of the only service.
+pub const SERVICE: &str = "kv";
+/// Age that the route of aged reads accepts.
+pub const MAX_AGE: Duration = Duration::from_secs(2);
+
+/// Returns a patch that makes the whole configuration.
+#[must_use]
+pub fn patch(options: &Options, layout: &Layout) -> Patch {
+    let mut changes = vec![Change::PutService(service(options, layout))];
+    let accounts = options.accounts.iter().map(|account| Account {
+        name: Name::new(&account.name),
+        rate: account.rate * 2.0,
+        burst: account.rate * 2.0,
+        keys: vec![Digest::of(account.key.as_bytes())],
+    });
+    changes.extend(accounts.map(Change::PutAccount));
+    let names = options.accounts.iter();
+    let names: Vec<Name> = names.map(|account| Name::new(&account.name)).collect();
+    let routes = [
+        ("write", Class::Write, Repeat::Once),
+        ("current", Class::Current, Repeat::Idempotent),
+        ("aged", Class::Aged(MAX_AGE), Repeat::Idempotent),
+    ];
+    let route = |(name, class, repeat)| Route {
+        name: Name::new(name),
+        service: Name::new(SERVICE),
+        class,
+        repeat,
+        access: Access::Accounts(names.clone()),
+    };
+    changes.extend(routes.into_iter().map(route).map(Change::PutRoute));
+    Patch {
+        base: Version(0),
+        id: "lab-initial".to_owned(),
+        changes,
+    }
+}
+
+fn service(options: &Options, layout: &Layout) -> Service {
+    let servers = layout.servers.iter().map(|server| Server {
+        name: Name::new(&server.name),
+        zone: Zone(Name::new(&format!("zone-{}", server.name))),
+        address: server.relayed,
+        slots: options.slots,
+        connections: options.connections,
+        leaving: false,
+    });
+    Service {
+        name: Name::new(SERVICE),
+        servers: servers.collect(),
+    }
+}
--- /dev/null
+++ b/fulmargw_lab/src/history/event.rs
@@ -0,0 +1,88 @@
+//! Records of client operations.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::io,
+};
+
+/// One operation of one session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Number of the session.
+    pub session: usize,
+    /// Client account of the session.
+    pub account: String,
+    /// Address of the host that was asked.
+    pub host: String,
+    /// What was asked.
+    pub operation: Operation,
+    /// Start, in microseconds since the start of the load.
+    pub begin_us: u64,
+    /// End, in microseconds since the start of the load.
+    pub end_us: u64,
+    /// What became of it.
+    pub outcome: Outcome,
+    /// SQLSTATE of an error, or a short text if there was none.
+    pub error: String,
+}
+
+/// What a session asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Operation {
+    /// Appends a unique value to each of these keys, in one transaction.
+    Append(Vec<Write>),
+    /// Reads a key, including every write that was acknowledged before.
+    Current(String),
+    /// Reads a key, possibly an older state.
+    Aged(String),
+}
+
+/// A key and the unique value that is appended to it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Write {
+    /// Key.
+    pub key: String,
+    /// Value, see [`value`].
+    pub value: String,
+}
+
+/// What became of an operation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// A write was acknowledged.
+    Acknowledged,
+    /// A read returned these values.
+    Values(Vec<String>),
+    /// It certainly did not run.
+    NotRun,
+    /// It may or may not have run.
+    Unknown,
+}
+
+/// Makes a value that is unique and names its key, so that crossed answers are seen.
+#[must_use]
+pub fn value(key: &str, session: usize, number: u64) -> String {
+    format!("{key}:{session}-{number}")
+}
+
+/// Splits the stored text of a key into the values that were appended.
+#[must_use]
+pub fn split(text: &str) -> Vec<String> {
+    let values = text.split(',').filter(|value| !value.is_empty());
+    values.map(str::to_owned).collect()
+}
+
+/// Writes events as JSON, one per line.
+///
+/// # Errors
+///
+/// If the output fails.
+pub fn write(events: &[Event], mut output: impl io::Write) -> io::Result<()> {
+    for event in events {
+        serde_json::to_writer(&mut output, event)?;
+        output.write_all(b"\n")?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/fulmargw_lab/src/history/mod.rs
@@ -0,0 +1,4 @@
+//! Histories of what clients saw, and their check.
+
+pub mod check;
+pub mod event;
--- a/fulmargw_lab/src/lib.rs
+++ b/fulmargw_lab/src/lib.rs
@@ -3,5 +3,9 @@
 pub mod address;
 pub mod cli;
 pub mod database;
+pub mod fleet;
+pub mod history;
+pub mod link;
+pub mod load;
 pub mod platform;
 pub mod timer;
--- /dev/null
+++ b/fulmargw_lab/src/load/client.rs
@@ -0,0 +1,129 @@
+//! A client connection that knows the position of its session.
+
+use {
+    crate::history::{check::Data, event},
+    std::{future::poll_fn, net::SocketAddr, task::Poll},
+    tokio_postgres::{Config, Connection, Error, NoTls, SimpleQueryMessage, Socket, tls},
+};
+
+/// Name of the reported parameter that holds the positions of a session.
+pub const POSITION: &str = "fulmar.position";
+
+/// Who connects.
+#[derive(Debug, Clone, Copy)]
+pub struct Caller<'a> {
+    /// Client account.
+    pub account: &'a str,
+    /// Key of the account.
+    pub key: &'a str,
+    /// Route.
+    pub route: &'a str,
+}
+
+/// A connection to one host on one route.
+pub struct Client {
+    queries: tokio_postgres::Client,
+    connection: Connection<Socket, tls::NoTlsStream>,
+    position: String,
+    ended: bool,
+}
+
+impl Client {
+    /// Connects to a host.
+    ///
+    /// # Errors
+    ///
+    /// If the host cannot be reached or refuses.
+    pub async fn connect(host: SocketAddr, caller: Caller<'_>) -> Result<Self, Error> {
+        let mut config = Config::new();
+        config.host(host.ip().to_string()).port(host.port());
+        config.user(caller.account).password(caller.key);
+        config.dbname(caller.route);
+        let (queries, connection) = config.connect(NoTls).await?;
+        Ok(Self {
+            queries,
+            connection,
+            position: String::new(),
+            ended: false,
+        })
+    }
+
+    /// Returns the position that the host reported last.
+    #[must_use]
+    pub fn position(&self) -> &str {
+        &self.position
+    }
+
+    /// Presents the position of the session, if the host does not know it yet.
+    ///
+    /// # Errors
+    ///
+    /// If the host refuses it.
+    pub async fn present(&mut self, position: &str) -> Result<(), Error> {
+        if self.position != position && !position.is_empty() {
+            self.query(&format!("SET {POSITION} = '{position}'"))
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Runs a simple query and returns its rows.
+    ///
+    /// # Errors
+    ///
+    /// If the query fails or the connection ends.
+    pub async fn query(&mut self, text: &str) -> Result<Vec<Vec<String>>, Error> {
+        let Self {
+            queries,
+            connection,
+            position,
+            ended,
+        } = self;
+        let query = queries.simple_query(text);
+        tokio::pin!(query);
+        // The connection is polled in this task and first, so that the position is stored
+        // before the query sees the end of its answer.
+        let messages = loop {
+            let drive = poll_fn(|context| {
+                let state = connection.poll_message(context);
+                if let Some(reported) = connection.parameter(POSITION) {
+                    reported.clone_into(position);
+                }
+                match state {
+                    Poll::Ready(Some(Ok(_))) => Poll::Ready(false),
+                    Poll::Ready(_) => Poll::Ready(true),
+                    Poll::Pending => Poll::Pending,
+                }
+            });
+            tokio::select! {
+                biased;
+                end = drive, if !*ended => *ended = end,
+                result = &mut query => break result?,
+            }
+        };
+        Ok(messages.iter().filter_map(row).collect())
+    }
+}
+
+fn row(message: &SimpleQueryMessage) -> Option<Vec<String>> {
+    let SimpleQueryMessage::Row(row) = message else {
+        return None;
+    };
+    let column = |index| row.get(index).unwrap_or_default().to_owned();
+    Some((0..row.len()).map(column).collect())
+}
+
+/// Reads all keys through a host.
+///
+/// # Errors
+///
+/// If the read fails.
+pub async fn read_all(host: SocketAddr, caller: Caller<'_>) -> Result<Data, Error> {
+    let mut client = Client::connect(host, caller).await?;
+    let rows = client.query("SELECT key, value FROM kv").await?;
+    let entry = |row: Vec<String>| match <[String; 2]>::try_from(row) {
+        Ok([key, value]) => Some((key, event::split(&value))),
+        Err(_) => None,
+    };
+    Ok(rows.into_iter().filter_map(entry).collect())
+}
--- /dev/null
+++ b/fulmargw_lab/src/load/mod.rs
@@ -0,0 +1,5 @@
+//! A load generator for the caller protocol.
+
+pub mod client;
+pub mod plan;
+pub mod session;
--- /dev/null
+++ b/fulmargw_lab/src/load/plan.rs
@@ -0,0 +1,96 @@
+//! What a load generator does, and its run.
+
+use {
+    super::session::Session,
+    crate::history::event::Event,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{task::JoinSet, time::Instant},
+};
+
+/// A bounded load.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Addresses at which hosts accept callers.
+    pub hosts: Vec<SocketAddr>,
+    /// Client accounts that send.
+    pub accounts: Vec<Account>,
+    /// Number of keys that are read and written.
+    pub keys: usize,
+    /// Mix of operations.
+    pub mix: Mix,
+    /// Probability with which a session moves to another host before an operation.
+    pub roam: f64,
+    /// Whether writes carry a request id and are sent again after an unknown outcome.
+    pub request_ids: bool,
+    /// Longest time to wait for one operation; afterwards its outcome is unknown.
+    pub timeout: Duration,
+    /// Time after which no operation begins.
+    pub duration: Duration,
+    /// The most operations of one session.
+    pub max_operations: u64,
+    /// Seed of all choices.
+    pub seed: u64,
+}
+
+/// A client account and its load.
+#[derive(Debug, Clone)]
+pub struct Account {
+    /// Name.
+    pub name: String,
+    /// Key.
+    pub key: String,
+    /// Sessions that send at the same time.
+    pub sessions: usize,
+    /// Operations per second of all its sessions together.
+    pub rate: f64,
+}
+
+/// Weights of the kinds of operations, and the routes on which they go.
+#[derive(Debug, Clone)]
+pub struct Mix {
+    /// Weight of single appends.
+    pub write: u32,
+    /// Weight of transactions of two appends.
+    pub transaction: u32,
+    /// Weight of current reads.
+    pub current: u32,
+    /// Weight of aged reads.
+    pub aged: u32,
+    /// Route of writes.
+    pub write_route: String,
+    /// Route of current reads.
+    pub current_route: String,
+    /// Route of aged reads.
+    pub aged_route: String,
+}
+
+impl Default for Mix {
+    fn default() -> Self {
+        Self {
+            write: 4,
+            transaction: 1,
+            current: 3,
+            aged: 3,
+            write_route: "write".to_owned(),
+            current_route: "current".to_owned(),
+            aged_route: "aged".to_owned(),
+        }
+    }
+}
+
+/// Runs a load and returns its history in the order in which operations ended.
+pub async fn run(plan: Plan, epoch: Instant) -> Vec<Event> {
+    let plan = Arc::new(plan);
+    let mut sessions = JoinSet::new();
+    let mut number = 0;
+    for account in &plan.accounts {
+        for _ in 0..account.sessions {
+            let session = Session::new(Arc::clone(&plan), account.clone(), number, epoch);
+            sessions.spawn(session.run());
+            number += 1;
+        }
+    }
+    let mut events: Vec<Event> = sessions.join_all().await.into_iter().flatten().collect();
+    events.sort_by_key(|event| event.end_us);
+    events
+}
--- /dev/null
+++ b/fulmargw_lab/tests/fleet.rs
@@ -0,0 +1,137 @@
+//! Stand-ins as real processes, without hosts.
+
+use {
+    fulmargw_lab::{
+        database::fault::{Change, Exit},
+        fleet::{
+            control::Fleet,
+            layout::{Options, Server},
+            settings::Start,
+        },
+        link::rule::Table,
+    },
+    std::{
+        path::Path,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+    tokio_postgres::{Client, NoTls, SimpleQueryMessage},
+};
+
+async fn fleet(name: &str) -> Fleet {
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let options = Options {
+        hosts: 0,
+        ..Options::new(directory, Vec::new()).expect("options")
+    };
+    Fleet::start(options).await.expect("start fleet")
+}
+
+fn server<'a>(fleet: &'a Fleet, name: &str) -> &'a Server {
+    let servers = &fleet.layout().servers;
+    let found = servers.iter().find(|server| server.name == name);
+    found.expect("server exists")
+}
+
+async fn connect(fleet: &Fleet, name: &str, term: u64) -> Client {
+    let address = server(fleet, name).relayed;
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string()).port(address.port());
+    config.user("lab").options(format!("-c group.term={term}"));
+    let (client, connection) = config.connect(NoTls).await.expect("connect");
+    tokio::spawn(connection);
+    client
+}
+
+/// Returns the first column of the first row.
+async fn first(client: &Client, query: &str) -> Option<String> {
+    let messages = client.simple_query(query).await.expect(query);
+    messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    })
+}
+
+async fn promote(fleet: &Fleet, candidate: &str, members: &[&str], term: u64) {
+    for member in members {
+        let control = connect(fleet, member, 0).await;
+        first(&control, &format!("SELECT * FROM group_fence({term})")).await;
+    }
+    let control = connect(fleet, candidate, 0).await;
+    let promote = format!("SELECT * FROM group_promote({term})");
+    assert_eq!(first(&control, &promote).await.as_deref(), Some("primary"));
+}
+
+/// Guards against a write that is lost with its answer, and a restart that does not recover.
+#[tokio::test]
+async fn write_survives_an_exit_after_commit_and_the_restart_recovers() {
+    let mut fleet = fleet("fleet-exit").await;
+    let old = connect(&fleet, "s1", 1).await;
+    let exit = Change {
+        exit: Some(Exit::AfterCommit),
+        ..Change::default()
+    };
+    fleet.set_server_fault("s1", &exit).await.expect("fault");
+
+    let lost = old.simple_query("INSERT INTO kv VALUES ('k', '1')").await;
+    promote(&fleet, "s2", &["s2", "s3"], 2).await;
+    let new = connect(&fleet, "s2", 2).await;
+    let kept = first(&new, "SELECT value FROM kv WHERE key = 'k'").await;
+    fleet.start_server("s1", Start::Again).expect("restart");
+    let begin = Instant::now();
+    while fleet
+        .report("s1")
+        .await
+        .map_or(true, |report| report.recovering)
+    {
+        assert!(begin.elapsed() < Duration::from_secs(5), "s1 recovers");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+
+    assert!(lost.is_err());
+    assert_eq!(kept.as_deref(), Some("1"));
+    let recovered = connect(&fleet, "s1", 2).await;
+    let value = first(&recovered, "SELECT value FROM kv WHERE key = 'k'").await;
+    assert_eq!(value.as_deref(), Some("1"));
+    assert_eq!(fleet.primary().await.expect("primary"), "s2");
+}
+
+/// Guards against a cut that lets replication through, or lasts after its end.
+#[tokio::test]
+async fn cut_primary_does_not_replicate_until_it_is_reconnected() {
+    let fleet = fleet("fleet-cut").await;
+    let primary = connect(&fleet, "s1", 1).await;
+    let replica = connect(&fleet, "s2", 0).await;
+    let wait = "SELECT * FROM group_wait('received', 1, 2, 400)";
+
+    let cut = fleet.cut("s1").expect("rules");
+    let write = primary.simple_query("INSERT INTO kv VALUES ('k', '1')");
+    write
+        .await
+        .expect("write before the cut of its own connection");
+    fleet.set_rules(&cut).await.expect("cut");
+    let write = primary.simple_query("INSERT INTO kv VALUES ('k', '2')");
+    let silent = time::timeout(Duration::from_millis(200), write).await;
+    fleet.set_rules(&Table::default()).await.expect("reconnect");
+    let reached = first(&replica, wait).await;
+
+    assert!(silent.is_err());
+    assert_eq!(reached.as_deref(), Some("replica"));
+}
+
+/// Guards against a pause that does not stop a process, and a kill that leaves it running.
+#[tokio::test]
+async fn paused_process_is_silent_until_it_resumes() {
+    let mut fleet = fleet("fleet-pause").await;
+
+    fleet.pause("s3").expect("pause");
+    let paused = fleet.report("s3").await;
+    fleet.resume("s3").expect("resume");
+    let resumed = fleet.report("s3").await;
+    fleet.kill("s3").expect("kill");
+    let killed = fleet.report("s3").await;
+
+    assert!(paused.is_err());
+    assert!(resumed.is_ok());
+    assert!(killed.is_err());
+}
--- /dev/null
+++ b/fulmargw_lab/tests/link.rs
@@ -0,0 +1,112 @@
+//! The relay between hosts and outside systems.
+
+use {
+    fulmargw_lab::{
+        address,
+        link::{
+            process,
+            relay::Mapping,
+            rule::{Action, Direction, Rule, Table},
+        },
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        time::{self, Instant},
+    },
+};
+
+/// Starts an echo server and a relay to it, and connects through the relay.
+async fn echo(delay: Duration) -> (Arc<watch::Sender<Table>>, TcpStream) {
+    let target = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let mapping = Mapping {
+        name: "echo".to_owned(),
+        listen: address::free(1).expect("free port"),
+        target: target.local_addr().expect("address"),
+    };
+    let listen = mapping.listen;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = target.accept().await {
+            let (mut read, mut write) = stream.split();
+            // The test sees a broken echo as a missing answer.
+            let _ = tokio::io::copy(&mut read, &mut write).await;
+        }
+    });
+    let admin = address::free(1).expect("free port");
+    let rules = process::start(vec![mapping], delay, admin).await;
+    let stream = TcpStream::connect(listen).await.expect("connect");
+    (rules.expect("start"), stream)
+}
+
+fn rule(direction: Option<Direction>, action: Action) -> Table {
+    Table(vec![Rule {
+        mapping: Some("echo".to_owned()),
+        source: Some("127.0.0.1".parse().expect("address")),
+        direction,
+        action,
+    }])
+}
+
+async fn exchange(stream: &mut TcpStream) -> std::io::Result<u8> {
+    stream.write_u8(7).await?;
+    stream.read_u8().await
+}
+
+/// Guards against a delay in one direction only, and one that is far too long.
+#[tokio::test]
+async fn delay_applies_in_both_directions() {
+    let (_rules, mut stream) = echo(Duration::from_millis(5)).await;
+    exchange(&mut stream).await.expect("first answer");
+    let begin = Instant::now();
+
+    exchange(&mut stream).await.expect("answer");
+
+    let elapsed = begin.elapsed();
+    assert!(elapsed >= Duration::from_millis(10), "{elapsed:?}");
+    assert!(elapsed < Duration::from_millis(40), "{elapsed:?}");
+}
+
+/// Guards against dropped traffic that ends the connection or is lost after the cut.
+#[tokio::test]
+async fn dropped_traffic_waits_until_the_cut_ends() {
+    for direction in [None, Some(Direction::Backward)] {
+        let (rules, mut stream) = echo(Duration::ZERO).await;
+        exchange(&mut stream).await.expect("answer before the cut");
+
+        rules.send_replace(rule(direction, Action::Drop));
+        stream.write_u8(9).await.expect("write");
+        let cut = time::timeout(Duration::from_millis(50), stream.read_u8()).await;
+        rules.send_replace(Table::default());
+
+        assert!(cut.is_err());
+        assert_eq!(stream.read_u8().await.expect("late answer"), 9);
+    }
+}
+
+/// Guards against a reset that idle connections do not notice.
+#[tokio::test]
+async fn reset_ends_idle_connections() {
+    let (rules, mut stream) = echo(Duration::ZERO).await;
+    exchange(&mut stream)
+        .await
+        .expect("answer before the reset");
+
+    rules.send_replace(rule(None, Action::Reset));
+
+    assert!(stream.read_u8().await.is_err());
+}
+
+/// Guards against rules that match another source.
+#[test]
+fn rules_match_by_source() {
+    let rules = rule(None, Action::Drop);
+
+    let other = "127.0.0.2".parse().expect("address");
+
+    assert_eq!(
+        rules.decide("echo", other, Direction::Forward),
+        Action::Pass
+    );
+}
