Refuse connections to a backend server that recovers

Cause: hosts count the received position and the promise of a status, and both mean nothing while a restarted server has not caught up. Ruled out: a refusal of fence and of received waits alone, because the engine also counts plain statuses towards a majority. Change: start-up fails with 57P03 until recovery ends; modules that only the stand-in uses are private. Conclusion: a restarted server looks like one that is down until it has recovered.

--- a/fulmargw_lab/src/database/error.rs
+++ b/fulmargw_lab/src/database/error.rs
@@ -26,67 +26,63 @@
     }
 
     /// The statement or its arguments are not understood.
-    #[must_use]
     pub fn syntax(message: &str) -> Self {
         Self::new("42601", message, String::new())
     }
 
     /// The server is not the primary of the connection's term.
-    #[must_use]
     pub fn wrong_term() -> Self {
         let message = "this server is not the primary of the connection's term";
         Self::new("GR001", message, String::new())
     }
 
     /// A greater or equal term was promised.
-    #[must_use]
     pub fn promised(term: Term) -> Self {
         let message = "a greater or equal term was promised";
         Self::new("GR002", message, term.0.to_string())
     }
 
     /// The position was not reached in time.
-    #[must_use]
     pub fn behind() -> Self {
         let message = "the position was not reached in time";
         Self::new("GR003", message, String::new())
     }
 
     /// The request is already committed.
-    #[must_use]
     pub fn duplicate(position: Position) -> Self {
         let detail = format!("{}/{}", position.term.0, position.index);
         Self::new("GR004", "the request is already committed", detail)
     }
 
     /// The attempt was cancelled.
-    #[must_use]
     pub fn cancelled(attempt: u64) -> Self {
         Self::new("GR005", "the attempt was cancelled", attempt.to_string())
     }
 
     /// A key that the transaction read and wrote was changed meanwhile.
-    #[must_use]
     pub fn serialization() -> Self {
         let message = "could not serialize access due to concurrent update";
         Self::new("40001", message, String::new())
     }
 
     /// The transaction failed before.
-    #[must_use]
     pub fn failed_transaction() -> Self {
         let message = "current transaction is aborted, commands are ignored until it ends";
         Self::new("25P02", message, String::new())
     }
 
     /// The statement needs an open transaction.
-    #[must_use]
     pub fn no_transaction() -> Self {
         Self::new("25P01", "there is no transaction", String::new())
     }
 
+    /// The server recovers after a restart.
+    pub fn starting_up() -> Self {
+        let message = "the database system is starting up";
+        Self::new("57P03", message, String::new())
+    }
+
     /// The limit of connections is reached.
-    #[must_use]
     pub fn too_many_connections() -> Self {
         Self::new("53300", "too many connections", String::new())
     }
--- a/fulmargw_lab/src/database/execute.rs
+++ b/fulmargw_lab/src/database/execute.rs
@@ -55,7 +55,6 @@
 
 impl Executor {
     /// Makes the state of a new connection.
-    #[must_use]
     pub fn new(server: Arc<Server>, bound: Term) -> Self {
         Self {
             server,
@@ -66,16 +65,11 @@
     }
 
     /// Returns the open transaction that a `BEGIN` opened.
-    #[must_use]
     pub fn explicit(&self) -> Option<&Transaction> {
         self.transaction.as_ref().filter(|open| open.explicit)
     }
 
     /// Runs one statement. Without `BEGIN` its changes wait for [`Self::finish`].
-    ///
-    /// # Errors
-    ///
-    /// The error to report; the transaction has then failed.
     pub async fn run(
         &mut self,
         statement: &Statement,
@@ -97,10 +91,6 @@
     }
 
     /// Commits what statements outside of an explicit transaction changed.
-    ///
-    /// # Errors
-    ///
-    /// As of a commit.
     pub async fn finish(&mut self) -> Result<(), Error> {
         match self.transaction.take() {
             Some(open) if open.explicit => {
--- a/fulmargw_lab/src/database/function.rs
+++ b/fulmargw_lab/src/database/function.rs
@@ -47,7 +47,6 @@
 }
 
 /// Returns the names of the result columns of a function.
-#[must_use]
 pub fn columns(name: &str) -> &'static [&'static str] {
     match name {
         "group_record" => &["id", "attempt"],
@@ -59,10 +58,6 @@
 
 impl Function {
     /// Reads a call.
-    ///
-    /// # Errors
-    ///
-    /// `42601` if the name or the arguments are wrong.
     pub fn parse(name: &str, arguments: &[String]) -> Result<Self, Error> {
         let texts: Vec<&str> = arguments.iter().map(String::as_str).collect();
         match (name, texts.as_slice()) {
@@ -91,7 +86,6 @@
 }
 
 /// Returns the row of a status.
-#[must_use]
 pub fn status_row(status: &Status) -> Vec<String> {
     let role = match status.role {
         Role::Primary => "primary",
--- a/fulmargw_lab/src/database/member.rs
+++ b/fulmargw_lab/src/database/member.rs
@@ -4,7 +4,8 @@
 //! promises, so it must not help to make a majority before it holds again what it may have
 //! confirmed. It is `recovering` until a majority of the group (not counting itself) told it
 //! their promises and a primary of at least the greatest of these terms replicated its whole
-//! log to it. Until then it refuses `fence` with `GR002` and satisfies no `received` wait.
+//! log to it. Until then it refuses connections with `57P03`, because its status and its
+//! promises say nothing; `fence` and `received` waits are refused here as well.
 
 use {
     super::{
@@ -163,6 +164,19 @@
         (self.role == Role::Primary && self.promised == self.term).then_some(self.term)
     }
 
+    /// Checks that a connection that is bound to `bound` may be opened. Terms only grow, so a
+    /// connection of a term that ended is refused for good.
+    ///
+    /// # Errors
+    ///
+    /// `57P03` if the member is recovering, `GR001` if it is not in that term.
+    pub fn check_start(&self, bound: Term) -> Result<(), Error> {
+        if self.is_recovering() {
+            return Err(Error::starting_up());
+        }
+        self.check_bound(bound)
+    }
+
     /// Checks that statements may run on a connection that is bound to `bound`.
     ///
     /// # Errors
--- a/fulmargw_lab/src/database/mod.rs
+++ b/fulmargw_lab/src/database/mod.rs
@@ -2,16 +2,16 @@
 
 pub mod admin;
 pub mod entry;
-pub mod error;
-pub mod execute;
+mod error;
+mod execute;
 pub mod fault;
-pub mod function;
+mod function;
 pub mod member;
 pub mod observation;
 pub mod process;
-pub mod replication;
-pub mod session;
-pub mod sql;
-pub mod table;
+mod replication;
+mod session;
+mod sql;
+mod table;
 pub mod transaction;
-pub mod wire;
+mod wire;
--- a/fulmargw_lab/src/database/session.rs
+++ b/fulmargw_lab/src/database/session.rs
@@ -60,8 +60,7 @@
     }
     crate::timer::sleep(server.settings.connect_time).await;
     let bound = bound_term(&startup);
-    // Terms only grow, so a connection of a term that ended stays refused for good.
-    let check = server.member.lock().check_bound(bound);
+    let check = server.member.lock().check_start(bound);
     if let Err(error) = check {
         wire::put_error(&mut channel.output, &error)?;
         return channel.flush().await;
--- a/fulmargw_lab/src/database/sql.rs
+++ b/fulmargw_lab/src/database/sql.rs
@@ -40,10 +40,6 @@
 
 impl Operand {
     /// Returns the text of the operand.
-    ///
-    /// # Errors
-    ///
-    /// If the parameter is missing.
     pub fn text(&self, parameters: &[String]) -> Result<String, Error> {
         match self {
             Self::Text(text) => Ok(text.clone()),
@@ -57,7 +53,6 @@
 
 impl Statement {
     /// Returns the names of the result columns; none if there are no rows.
-    #[must_use]
     pub fn columns(&self) -> &'static [&'static str] {
         match self {
             Self::Get(_) => &["value"],
@@ -69,7 +64,6 @@
     }
 
     /// Returns the number of parameters.
-    #[must_use]
     pub fn parameters(&self) -> usize {
         let number = |operand: &Operand| match operand {
             Operand::Text(_) => 0,
@@ -85,7 +79,6 @@
     }
 
     /// Reports whether the statement reads or changes data and so needs a slot.
-    #[must_use]
     pub fn needs_slot(&self) -> bool {
         matches!(
             self,
@@ -103,10 +96,6 @@
 }
 
 /// Parses the statements of a query, which are separated by `;`.
-///
-/// # Errors
-///
-/// `42601` if a statement is not understood.
 pub fn parse(query: &str) -> Result<Vec<Statement>, Error> {
     let tokens = tokenize(query)?;
     tokens
--- a/fulmargw_lab/src/database/table.rs
+++ b/fulmargw_lab/src/database/table.rs
@@ -40,19 +40,16 @@
 
 impl Table {
     /// Returns the position of the last applied entry.
-    #[must_use]
     pub fn applied(&self) -> Position {
         self.applied
     }
 
     /// Returns a value.
-    #[must_use]
     pub fn get(&self, key: &str) -> Option<&str> {
         self.cells.get(key).map(|cell| cell.value.as_str())
     }
 
     /// Returns the index of the entry that last changed a key; 0 if it does not exist.
-    #[must_use]
     pub fn changed(&self, key: &str) -> u64 {
         self.cells.get(key).map_or(0, |cell| cell.changed)
     }
@@ -65,13 +62,11 @@
     }
 
     /// Returns the position at which a request committed.
-    #[must_use]
     pub fn committed(&self, id: &str) -> Option<Position> {
         self.committed.get(id).copied()
     }
 
     /// Returns the greatest cancelled attempt of a request.
-    #[must_use]
     pub fn cancelled(&self, id: &str) -> Option<Cancellation> {
         self.cancelled.get(id).copied()
     }
--- a/fulmargw_lab/src/database/wire.rs
+++ b/fulmargw_lab/src/database/wire.rs
@@ -15,19 +15,11 @@
 pub const TEXT: u32 = 25;
 
 /// Encodes a message at the end of `out`.
-///
-/// # Errors
-///
-/// If the message is too large.
 pub fn put(out: &mut BytesMut, message: &PgWireBackendMessage) -> io::Result<()> {
     message.encode(out).map_err(io::Error::other)
 }
 
 /// Encodes the description of text columns in one format.
-///
-/// # Errors
-///
-/// If the message is too large.
 pub fn put_columns(out: &mut BytesMut, columns: &[&str], format: i16) -> io::Result<()> {
     let fields = columns
         .iter()
@@ -37,10 +29,6 @@
 }
 
 /// Encodes a row; text has the same bytes in the text and the binary format.
-///
-/// # Errors
-///
-/// If the row is too large.
 pub fn put_row(out: &mut BytesMut, row: &[String]) -> io::Result<()> {
     let mut data = BytesMut::new();
     for value in row {
@@ -56,20 +44,12 @@
 }
 
 /// Encodes the end of a statement.
-///
-/// # Errors
-///
-/// If the message is too large.
 pub fn put_complete(out: &mut BytesMut, tag: String) -> io::Result<()> {
     let complete = CommandComplete::new(tag);
     put(out, &PgWireBackendMessage::CommandComplete(complete))
 }
 
 /// Encodes an error.
-///
-/// # Errors
-///
-/// If the message is too large.
 pub fn put_error(out: &mut BytesMut, error: &Error) -> io::Result<()> {
     let mut fields = vec![
         (b'S', "ERROR".to_owned()),
@@ -85,10 +65,6 @@
 }
 
 /// Encodes the end of a query.
-///
-/// # Errors
-///
-/// If the message is too large.
 pub fn put_ready(out: &mut BytesMut, status: TransactionStatus) -> io::Result<()> {
     let ready = ReadyForQuery::new(status);
     put(out, &PgWireBackendMessage::ReadyForQuery(ready))
--- a/fulmargw_lab/src/fleet/child.rs
+++ b/fulmargw_lab/src/fleet/child.rs
@@ -19,10 +19,6 @@
 
 impl Child {
     /// Starts a process whose output is appended to a file.
-    ///
-    /// # Errors
-    ///
-    /// If the process cannot be started.
     pub fn start(program: &Path, arguments: &[String], output: &Path) -> io::Result<Self> {
         let file = OpenOptions::new().create(true).append(true).open(output)?;
         let child = Command::new(program)
@@ -35,10 +31,6 @@
     }
 
     /// Sends a signal, unless the process has ended.
-    ///
-    /// # Errors
-    ///
-    /// If the signal cannot be sent.
     pub fn signal(&mut self, signal: Signal) -> io::Result<()> {
         // An ended child is reaped here, so its id cannot belong to another process below.
         if self.has_ended()? {
@@ -49,19 +41,11 @@
     }
 
     /// Reports whether the process has ended.
-    ///
-    /// # Errors
-    ///
-    /// If the state cannot be read.
     pub fn has_ended(&mut self) -> io::Result<bool> {
         self.0.try_wait().map(|status| status.is_some())
     }
 
     /// Kills the process and waits for its end.
-    ///
-    /// # Errors
-    ///
-    /// If the process cannot be waited for.
     pub fn kill(&mut self) -> io::Result<()> {
         if !self.has_ended()? {
             self.0.kill()?;
--- a/fulmargw_lab/src/fleet/configuration.rs
+++ b/fulmargw_lab/src/fleet/configuration.rs
@@ -21,7 +21,6 @@
 pub const MAX_AGE: Duration = Duration::from_secs(2);
 
 /// Returns a patch that makes the whole configuration.
-#[must_use]
 pub fn patch(options: &Options, layout: &Layout) -> Patch {
     let mut changes = vec![Change::PutService(service(options, layout))];
     let accounts = options.accounts.iter().map(|account| Account {
--- a/fulmargw_lab/src/load/mod.rs
+++ b/fulmargw_lab/src/load/mod.rs
@@ -2,4 +2,4 @@
 
 pub mod client;
 pub mod plan;
-pub mod session;
+mod session;
--- a/fulmargw_lab/src/load/session.rs
+++ b/fulmargw_lab/src/load/session.rs
@@ -79,7 +79,6 @@
 
 impl Session {
     /// Makes a session.
-    #[must_use]
     pub fn new(plan: Arc<Plan>, account: Account, number: usize, epoch: Instant) -> Self {
         let random = StdRng::seed_from_u64(plan.seed ^ (number as u64) << 32);
         Self {
@@ -213,7 +212,8 @@
                     _ => return (failure.outcome, failure.error),
                 },
             }
-            if id.is_none() {
+            let end = self.epoch + self.plan.duration + self.plan.timeout;
+            if id.is_none() || Instant::now() >= end {
                 break;
             }
         }
--- a/fulmargw_lab/tests/member.rs
+++ b/fulmargw_lab/tests/member.rs
@@ -202,6 +202,7 @@
     let now = Instant::now();
 
     let empty = restarted.fence(Term(9), now);
+    let connection = restarted.check_start(Term(0));
     replicate(&primary, &mut restarted, 1, 0);
     let unknown_promises = restarted.is_recovering();
     restarted.learn("s1", primary.promise());
@@ -210,8 +211,10 @@
     replicate(&primary, &mut restarted, 1, 1);
 
     assert_eq!(empty.expect_err("empty").code, "GR002");
+    assert_eq!(connection.expect_err("starting").code, "57P03");
     assert!(unknown_promises);
     assert!(one_promise.is_err());
+    assert!(restarted.check_start(Term(0)).is_ok());
     assert!(restarted.fence(Term(9), now).is_ok());
 }
 
