--- a/fulmargw_lab/src/lib.rs
+++ b/fulmargw_lab/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Stand-ins for outside systems, a load generator and a history checker; not shipped.
+
+pub mod address;
+pub mod cli;
+pub mod database;
+pub mod fleet;
+pub mod history;
+pub mod link;
+pub mod load;
+pub mod platform;
+pub mod timer;
