Add command line, settings, logs and operator interface

Cause: the shipped program needs its outer parts before the crates behind it are wired in. Ruled out: argh's from_env, because it exits with 1 for usage errors, which scripts cannot tell from failures; one error for the first settings problem only; wall-clock times in log lines, because the runtime's clock is the only clock of the code (lines carry the uptime). Change: commands with documented exit codes; TOML settings by section with file, line and key in each error; text and JSON logs; metrics recorder; operator interface with bearer credential against a small trait; reference pages for settings and metrics.

--- /dev/null
+++ b/fulmargw/src/cli.rs
@@ -0,0 +1,188 @@
+//! Command line.
+
+use {
+    crate::exit::Exit,
+    argh::{EarlyExit, FromArgs},
+    std::{ffi::OsString, path::PathBuf},
+};
+
+/// Name of the program in help texts.
+const PROGRAM: &str = "fulmargw";
+
+/// A database proxy with session consistency.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    example = "fulmargw serve --settings /etc/fulmargw/fulmargw.toml",
+    note = "Exit codes: 0 done, 1 failed, 2 usage, 3 stale patch refused, 4 invalid settings or \
+            patch, 5 unreachable."
+)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+/// What the program is asked to do.
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Serves callers.
+    Serve(Serve),
+    /// Checks a settings file.
+    Check(Check),
+    /// Submits a configuration patch.
+    Patch(Patch),
+    /// Prints the configuration in force.
+    Config(Config),
+    /// Prints the state of a host.
+    State(State),
+    /// Makes a key.
+    Key(Key),
+    /// Prints the version.
+    Version(Version),
+}
+
+/// serve callers until SIGTERM or SIGINT
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "serve",
+    example = "fulmargw serve --settings /etc/fulmargw/fulmargw.toml"
+)]
+pub struct Serve {
+    /// settings file
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
+/// check a settings file and name each problem by file, line and key
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "fulmargw check --settings /etc/fulmargw/fulmargw.toml"
+)]
+pub struct Check {
+    /// settings file
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// print problems as JSON on standard output
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// submit a configuration patch to a host
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "patch",
+    example = "fulmargw patch --operator http://10.0.0.1:9100 --credential-file credential \
+               accounts.toml",
+    note = "A file that ends in .json is read as JSON, every other one as TOML."
+)]
+pub struct Patch {
+    /// URL of the operator interface
+    #[argh(option)]
+    pub operator: String,
+    /// file with the operator credential
+    #[argh(option)]
+    pub credential_file: PathBuf,
+    /// print the answer as JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// patch file, TOML or JSON
+    #[argh(positional)]
+    pub patch: PathBuf,
+}
+
+/// print the configuration in force on a host, with shortened key digests
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "config",
+    example = "fulmargw config --operator http://10.0.0.1:9100 --credential-file credential"
+)]
+pub struct Config {
+    /// URL of the operator interface
+    #[argh(option)]
+    pub operator: String,
+    /// file with the operator credential
+    #[argh(option)]
+    pub credential_file: PathBuf,
+    /// print JSON on one line
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// print the state dump of a host
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "state",
+    example = "fulmargw state --operator http://10.0.0.1:9100 --credential-file credential"
+)]
+pub struct State {
+    /// URL of the operator interface
+    #[argh(option)]
+    pub operator: String,
+    /// file with the operator credential
+    #[argh(option)]
+    pub credential_file: PathBuf,
+    /// print JSON on one line
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// print a new random key and its digest
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "key",
+    example = "fulmargw key --json",
+    example = "fulmargw key --stdin < key"
+)]
+pub struct Key {
+    /// read the key from standard input and print its digest only
+    #[argh(switch)]
+    pub stdin: bool,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// print the version
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "version", example = "fulmargw version --json")]
+pub struct Version {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Reads the command line; help goes to standard output and usage errors to standard error.
+///
+/// # Errors
+///
+/// The exit to take when there is no command to run.
+pub fn parse(arguments: impl Iterator<Item = OsString>) -> Result<Command, Exit> {
+    let arguments: Result<Vec<String>, OsString> =
+        arguments.skip(1).map(OsString::into_string).collect();
+    let arguments = arguments.map_err(|argument| {
+        eprintln!("fulmargw: argument {} is not UTF-8", argument.display());
+        Exit::Usage
+    })?;
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    Arguments::from_args(&[PROGRAM], &words)
+        .map(|arguments| arguments.command)
+        .map_err(report)
+}
+
+fn report(early: EarlyExit) -> Exit {
+    let EarlyExit { output, status } = early;
+    if status.is_ok() {
+        println!("{}", output.trim_end());
+        return Exit::Done;
+    }
+    eprintln!("fulmargw: {}", output.trim_end());
+    eprintln!("Run 'fulmargw --help' for usage.");
+    Exit::Usage
+}
--- /dev/null
+++ b/fulmargw/src/lib.rs
@@ -0,0 +1,9 @@
+//! The fulmargw program: command line, settings, logs, metrics and operator interface.
+
+pub mod cli;
+pub mod command;
+pub mod exit;
+pub mod log;
+pub mod operator;
+pub mod recorder;
+pub mod settings;
--- /dev/null
+++ b/fulmargw/src/operator/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP interface for operators and the balancer.
+
+pub mod access;
+pub mod body;
+pub mod client;
+pub mod message;
+pub mod router;
+pub mod subject;
+pub mod view;
--- /dev/null
+++ b/fulmargw/src/settings/host.rs
@@ -0,0 +1,106 @@
+//! `[host]`: identity and addresses of this host.
+
+use {
+    super::problem::Findings,
+    fulmargw_model::{availability_zone::Zone, host, name::Name},
+    serde::{Deserialize, Serialize},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
+};
+
+/// Identity and addresses of this host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// Unique name of the host.
+    pub name: Name,
+    /// Availability zone of the host.
+    pub zone: Name,
+    /// Address on which other hosts reach the peer protocol.
+    pub peer_address: SocketAddr,
+    /// Address on which other hosts fetch documents over HTTP.
+    pub document_address: SocketAddr,
+    /// Local address of outgoing connections; the system chooses one without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub source_ip: Option<IpAddr>,
+    /// Time for a graceful stop, in milliseconds.
+    #[serde(default = "default_stop_timeout_ms")]
+    pub stop_timeout_ms: u64,
+    /// Time between a failing health check and the end of accepting, in milliseconds.
+    #[serde(default = "default_stop_notice_ms")]
+    pub stop_notice_ms: u64,
+}
+
+fn default_stop_timeout_ms() -> u64 {
+    30_000
+}
+
+/// A balancer that asks every 500 ms and needs two failures has noticed by then.
+fn default_stop_notice_ms() -> u64 {
+    1_500
+}
+
+impl Host {
+    /// Notes the problems of the section.
+    pub fn check(&self, findings: &mut Findings) {
+        for (key, name) in [("host.name", &self.name), ("host.zone", &self.zone)] {
+            if !name.is_valid() {
+                findings.add(
+                    key,
+                    format!(
+                        "{name:?} is not 1 to {} ASCII letters, digits, '-', '_' or '.'",
+                        Name::MAX_BYTES
+                    ),
+                );
+            }
+        }
+        for (key, address) in [
+            ("host.peer_address", self.peer_address),
+            ("host.document_address", self.document_address),
+        ] {
+            if address.ip().is_unspecified() {
+                findings.add(
+                    key,
+                    format!("{address} is not an address that other hosts reach"),
+                );
+            }
+        }
+        findings.range(
+            "host.stop_timeout_ms",
+            &self.stop_timeout_ms,
+            &(1..=600_000),
+        );
+        findings.range("host.stop_notice_ms", &self.stop_notice_ms, &(0..=60_000));
+        if self.stop_notice_ms >= self.stop_timeout_ms {
+            findings.add(
+                "host.stop_notice_ms",
+                "is not less than host.stop_timeout_ms",
+            );
+        }
+    }
+
+    /// Returns the identity that other hosts see.
+    #[must_use]
+    pub fn identity(&self) -> host::Host {
+        host::Host {
+            name: self.name.clone(),
+            zone: Zone(self.zone.clone()),
+            address: self.peer_address,
+            document_address: self.document_address,
+        }
+    }
+
+    /// Returns the bound of a graceful stop.
+    #[must_use]
+    pub const fn stop_timeout(&self) -> Duration {
+        Duration::from_millis(self.stop_timeout_ms)
+    }
+
+    /// Returns the time during which the health check fails before accepting ends.
+    #[must_use]
+    pub const fn stop_notice(&self) -> Duration {
+        Duration::from_millis(self.stop_notice_ms)
+    }
+}
--- /dev/null
+++ b/fulmargw/src/settings/mod.rs
@@ -0,0 +1,135 @@
+//! Settings of a process, read once from a TOML file.
+
+pub mod frontend;
+pub mod host;
+pub mod locate;
+pub mod log;
+pub mod operator;
+pub mod platform;
+pub mod problem;
+
+use {
+    problem::{Error, Findings, Problem},
+    serde::{Deserialize, Serialize},
+    std::{
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
+};
+
+/// All sections of the settings file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Identity and addresses of this host.
+    pub host: host::Host,
+    /// The PostgreSQL interface for callers.
+    pub frontend: frontend::Frontend,
+    /// The interface for operators and the balancer.
+    pub operator: operator::Operator,
+    /// The platform's table service and host list.
+    pub platform: platform::Platform,
+    /// Level, format and destination of log lines.
+    #[serde(default)]
+    pub log: log::Log,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or every problem that was found in it.
+    pub fn load(file: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(file).map_err(|cause| Error::Unreadable {
+            file: file.to_owned(),
+            cause: cause.to_string(),
+        })?;
+        Self::parse(file, &text)
+    }
+
+    /// Reads and checks the text of a settings file; `file` is used in errors only.
+    ///
+    /// # Errors
+    ///
+    /// Every problem that was found.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, Error> {
+        let settings = decode(file, text).map_err(|problem| Error::Invalid(vec![problem]))?;
+        let problems: Vec<Problem> = settings
+            .check()
+            .into_inner()
+            .into_iter()
+            .map(|(key, cause)| Problem {
+                file: file.to_owned(),
+                line: locate::line(text, &key),
+                key,
+                cause,
+            })
+            .collect();
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        Err(Error::Invalid(problems))
+    }
+
+    fn check(&self) -> Findings {
+        let mut findings = Findings::default();
+        self.host.check(&mut findings);
+        self.platform.check(&mut findings);
+        self.log.check(&mut findings);
+        self.check_addresses(&mut findings);
+        findings
+    }
+
+    /// Listening addresses must differ, so that callers cannot reach the operator interface.
+    fn check_addresses(&self, findings: &mut Findings) {
+        let addresses = self.listening();
+        for (position, (key, address)) in addresses.iter().enumerate() {
+            if address.port() == 0 {
+                findings.add(key, "port 0 is not an address that others reach");
+            }
+            for (other_key, other) in &addresses[..position] {
+                if overlap(*address, *other) {
+                    findings.add(key, format!("{address} is also used by {other_key}"));
+                }
+            }
+        }
+    }
+
+    fn listening(&self) -> [(&'static str, SocketAddr); 4] {
+        [
+            ("host.peer_address", self.host.peer_address),
+            ("host.document_address", self.host.document_address),
+            ("frontend.address", self.frontend.address),
+            ("operator.address", self.operator.address),
+        ]
+    }
+}
+
+fn overlap(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_ip = one.ip() == other.ip();
+    let any_ip = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && (same_ip || any_ip)
+}
+
+fn decode(file: &Path, text: &str) -> Result<Settings, Problem> {
+    let problem = |line, key, cause| Problem {
+        file: PathBuf::from(file),
+        line,
+        key,
+        cause,
+    };
+    let at = |error: &toml::de::Error| {
+        let span = error.span().unwrap_or_default();
+        locate::line_at(text, span.start)
+    };
+    let document = toml::Deserializer::parse(text)
+        .map_err(|error| problem(at(&error), String::new(), error.message().to_owned()))?;
+    serde_path_to_error::deserialize(document).map_err(|error| {
+        let key = match error.path().to_string() {
+            path if path == "." => String::new(),
+            path => path,
+        };
+        problem(at(error.inner()), key, error.inner().message().to_owned())
+    })
+}
--- /dev/null
+++ b/fulmargw/src/settings/operator.rs
@@ -0,0 +1,17 @@
+//! `[operator]`: the interface for operators and the balancer.
+
+use {
+    fulmargw_model::client_account::Digest,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// The interface for operators and the balancer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// Address of the operator interface.
+    pub address: SocketAddr,
+    /// SHA-256 digest of the operator credential.
+    pub credential_digest: Digest,
+}
--- /dev/null
+++ b/fulmargw/tests/cli.rs
@@ -0,0 +1,167 @@
+//! Command line: exit codes and output that scripts rely on.
+
+mod fixture;
+
+use {
+    fixture::{CREDENTIAL, Fake, example, example_with, file, operator, run, stderr, stdout},
+    fulmargw_model::client_account::Digest,
+    std::process::Output,
+};
+
+/// Runs the program while the test's runtime serves the operator interface.
+async fn run_beside(arguments: Vec<String>) -> Output {
+    tokio::task::spawn_blocking(move || {
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        run(&arguments)
+    })
+    .await
+    .expect("program ends")
+}
+
+fn patch_arguments(url: &str, credential: &str, patch: &str) -> Vec<String> {
+    [
+        "patch",
+        "--json",
+        "--operator",
+        url,
+        "--credential-file",
+        credential,
+        patch,
+    ]
+    .map(str::to_owned)
+    .to_vec()
+}
+
+/// Guards against scripts that cannot tell a usage error from a failure.
+#[test]
+fn usage_errors_exit_with_2() {
+    for arguments in [&["serve"][..], &["unknown"], &[], &["check", "--settings"]] {
+        let output = run(arguments);
+
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}");
+        assert!(output.stdout.is_empty(), "{arguments:?}");
+    }
+}
+
+/// Guards against a command without an example in its help.
+#[test]
+fn every_help_has_an_example() {
+    for command in [
+        "serve", "check", "patch", "config", "state", "key", "version",
+    ] {
+        let output = run(&[command, "--help"]);
+
+        assert_eq!(output.status.code(), Some(0), "{command}");
+        assert!(stdout(&output).contains("Examples:"), "{command}");
+    }
+}
+
+/// Guards against a check that refuses the shipped example.
+#[test]
+fn check_accepts_the_example() {
+    let settings = file("cli-example.toml", &example());
+
+    let output = run(&["check", "--settings", &settings]);
+
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+}
+
+/// Guards against settings errors without file, line and key.
+#[test]
+fn check_names_file_line_and_key() {
+    let text = example_with("zone = ", "zones = ");
+    let settings = file("cli-unknown-key.toml", &text);
+
+    let plain = run(&["check", "--settings", &settings]);
+    let json = run(&["check", "--json", "--settings", &settings]);
+
+    assert_eq!(plain.status.code(), Some(4));
+    let line = text
+        .lines()
+        .position(|line| line.starts_with("zones"))
+        .expect("line")
+        + 1;
+    let start = format!("{settings}:{line}: host.zones: ");
+    assert!(stderr(&plain).starts_with(&start), "{}", stderr(&plain));
+    assert_eq!(json.status.code(), Some(4));
+    assert!(stdout(&json).contains("\"key\":\"host.zones\""));
+}
+
+/// Guards against a serve that starts with invalid settings.
+#[test]
+fn serve_refuses_invalid_settings() {
+    let settings = file("cli-serve.toml", &example_with("zone = ", "zones = "));
+
+    let output = run(&["serve", "--settings", &settings]);
+
+    assert_eq!(output.status.code(), Some(4));
+}
+
+/// Guards against a printed digest that does not belong to the printed key.
+#[test]
+fn key_and_digest_belong_together() {
+    let output = run(&["key", "--json"]);
+
+    let pair: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let key = pair["key"].as_str().expect("key");
+    let digest = Digest::of(key.as_bytes()).to_string();
+    assert_eq!(pair["digest"].as_str(), Some(digest.as_str()));
+    assert_eq!(key.len(), 64);
+}
+
+/// Guards against scripts that take a refused patch for an accepted one.
+#[tokio::test(flavor = "multi_thread")]
+async fn patch_exit_codes_tell_accepted_stale_invalid_and_unreachable() {
+    let url = operator(Fake::default()).await;
+    let credential = file("cli-credential", &format!("{CREDENTIAL}\n"));
+    let current = file(
+        "cli-current.toml",
+        "base = 7\nchanges = [{remove_route = \"r\"}]\n",
+    );
+    let stale = file("cli-stale.json", "{\"base\":6,\"changes\":[]}");
+    let invalid = file(
+        "cli-invalid.toml",
+        "base = 7\nchanges = [{remove_road = \"r\"}]\n",
+    );
+    let cases = [
+        (url.as_str(), &current, 0, "\"version\":8"),
+        (url.as_str(), &stale, 3, "\"current\":7"),
+        (url.as_str(), &invalid, 4, "\"change\":1"),
+        ("http://127.0.0.1:1", &current, 5, ""),
+    ];
+    for (url, patch, code, text) in cases {
+        let output = run_beside(patch_arguments(url, &credential, patch)).await;
+
+        assert_eq!(
+            output.status.code(),
+            Some(code),
+            "{patch}: {}",
+            stderr(&output)
+        );
+        assert!(
+            stdout(&output).contains(text),
+            "{patch}: {}",
+            stdout(&output)
+        );
+    }
+}
+
+/// Guards against a wrong credential that looks like success.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_credential_fails() {
+    let url = operator(Fake::default()).await;
+    let credential = file("cli-wrong-credential", "guess");
+    let arguments = [
+        "state",
+        "--operator",
+        &url,
+        "--credential-file",
+        &credential,
+    ];
+
+    let output = run_beside(arguments.map(str::to_owned).to_vec()).await;
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(output.stdout.is_empty());
+    assert!(!stderr(&output).contains("guess"));
+}
--- /dev/null
+++ b/fulmargw/tests/log.rs
@@ -0,0 +1,72 @@
+//! Log lines in both formats.
+
+use {
+    fulmargw::{
+        log::dispatch,
+        settings::{
+            host::Host,
+            log::{Format, Level, Log},
+        },
+    },
+    fulmargw_model::name::Name,
+    log::Record,
+    std::sync::mpsc::channel,
+};
+
+fn host() -> Host {
+    Host {
+        name: Name::new("host-a"),
+        zone: Name::new("zone-1"),
+        peer_address: "10.0.0.1:9000".parse().expect("address"),
+        document_address: "10.0.0.1:9001".parse().expect("address"),
+        source_ip: None,
+        stop_timeout_ms: 1,
+        stop_notice_ms: 0,
+    }
+}
+
+/// Writes one record at level info and returns the line, if one was written.
+fn line(level: Level, format: Format) -> Option<String> {
+    let (sender, receiver) = channel();
+    let settings = Log {
+        level,
+        format,
+        ..Log::default()
+    };
+    let (_, logger) = dispatch(&settings, &host()).chain(sender).into_log();
+    let record = Record::builder()
+        .level(log::Level::Info)
+        .target("test")
+        .args(format_args!("lease \"lost\""))
+        .key_values(&("term", 7))
+        .build();
+    logger.log(&record);
+    receiver.try_recv().ok()
+}
+
+/// Guards against JSON lines that a collector cannot read or assign to a host.
+#[test]
+fn json_line_has_host_zone_and_fields() {
+    let line = line(Level::Info, Format::Json).expect("a line");
+
+    let value: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    assert_eq!(value["host"], "host-a");
+    assert_eq!(value["zone"], "zone-1");
+    assert_eq!(value["message"], "lease \"lost\"");
+    assert_eq!(value["term"], "7");
+}
+
+/// Guards against text lines that cannot be assigned to a host.
+#[test]
+fn text_line_has_host_zone_and_fields() {
+    let line = line(Level::Info, Format::Text).expect("a line");
+
+    let end = " INFO host-a zone-1 test: lease \"lost\" term=7\n";
+    assert!(line.ends_with(end), "{line:?}");
+}
+
+/// Guards against a level setting without effect.
+#[test]
+fn less_severe_lines_are_left_out() {
+    assert_eq!(line(Level::Warn, Format::Text), None);
+}
