--- /dev/null
+++ b/extra/fulmargw.bash
@@ -0,0 +1,36 @@
+# Completion of fulmargw for bash. Install as
+# /usr/share/bash-completion/completions/fulmargw.
+_fulmargw() {
+    local current=${COMP_WORDS[COMP_CWORD]}
+    local previous=${COMP_WORDS[COMP_CWORD - 1]}
+    local options
+    COMPREPLY=()
+    if [ "$COMP_CWORD" -eq 1 ]; then
+        mapfile -t COMPREPLY < <(
+            compgen -W "serve check patch config state key version --help" -- "$current")
+        return
+    fi
+    case $previous in
+    --settings | --credential-file)
+        mapfile -t COMPREPLY < <(compgen -f -- "$current")
+        return
+        ;;
+    --operator)
+        return
+        ;;
+    esac
+    case ${COMP_WORDS[1]} in
+    serve) options="--settings --help" ;;
+    check) options="--settings --json --help" ;;
+    patch | config | state) options="--operator --credential-file --json --help" ;;
+    key) options="--stdin --json --help" ;;
+    version) options="--json --help" ;;
+    *) return ;;
+    esac
+    if [ "${COMP_WORDS[1]}" = patch ] && [[ $current != -* ]]; then
+        mapfile -t COMPREPLY < <(compgen -f -- "$current")
+        return
+    fi
+    mapfile -t COMPREPLY < <(compgen -W "$options" -- "$current")
+}
+complete -o filenames -F _fulmargw fulmargw
--- /dev/null
+++ b/fulmargw/examples/query.rs
@@ -0,0 +1,126 @@
+//! An ordinary PostgreSQL client: runs one statement and prints its rows and the position.
+//!
+//! Prints `row VALUE...` per row and `position TEXT` at the end. A refusal is printed as
+//! `refused SQLSTATE: MESSAGE (DETAIL)` on standard error and exits with 1.
+
+use {
+    argh::FromArgs,
+    std::{future::poll_fn, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration},
+    tokio::{sync::watch, task::JoinHandle},
+    tokio_postgres::{
+        Client, Config, Connection, Error, NoTls, SimpleQueryMessage, Socket, tls::NoTlsStream,
+    },
+};
+
+/// Reported parameter with the session's position.
+const POSITION: &str = "fulmar.position";
+
+/// Bound for opening the connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Runs one statement through a fulmargw host.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// address of the host, IP:port
+    #[argh(option)]
+    address: SocketAddr,
+    /// route, presented as the database
+    #[argh(option)]
+    route: String,
+    /// client account, presented as the user
+    #[argh(option)]
+    account: String,
+    /// file with the key, presented as the password
+    #[argh(option)]
+    key_file: Option<PathBuf>,
+    /// session position to read at or after
+    #[argh(option)]
+    position: Option<String>,
+    /// statement to run
+    #[argh(positional)]
+    statement: String,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}", describe(&error));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(arguments: &Arguments) -> Result<(), Error> {
+    let (client, connection) = config(arguments).connect(NoTls).await?;
+    let (position, task) = drive(connection);
+    print_rows(&client, &arguments.statement).await?;
+    println!("position {}", position.borrow().as_str());
+    drop(client);
+    // The task ends with the connection, whose failure no longer matters.
+    let _ = task.await;
+    Ok(())
+}
+
+fn config(arguments: &Arguments) -> Config {
+    let mut config = Config::new();
+    config
+        .host(arguments.address.ip().to_string())
+        .port(arguments.address.port())
+        .dbname(&arguments.route)
+        .user(&arguments.account)
+        .connect_timeout(CONNECT_TIMEOUT);
+    if let Some(file) = &arguments.key_file {
+        let key = std::fs::read_to_string(file).expect("the key file is readable");
+        config.password(key.trim());
+    }
+    if let Some(position) = &arguments.position {
+        config.options(format!("-c {POSITION}={position}"));
+    }
+    config
+}
+
+/// Drives a connection in a task and publishes each position that the host reports.
+fn drive(
+    mut connection: Connection<Socket, NoTlsStream>,
+) -> (watch::Receiver<String>, JoinHandle<()>) {
+    let (sender, receiver) = watch::channel(String::new());
+    let task = tokio::spawn(async move {
+        while let Some(Ok(_)) = poll_fn(|context| {
+            let message = connection.poll_message(context);
+            if let Some(position) = connection.parameter(POSITION) {
+                sender.send_replace(position.to_owned());
+            }
+            message
+        })
+        .await
+        {}
+    });
+    (receiver, task)
+}
+
+async fn print_rows(client: &Client, statement: &str) -> Result<(), Error> {
+    for message in client.simple_query(statement).await? {
+        if let SimpleQueryMessage::Row(row) = message {
+            let values: Vec<&str> = (0..row.len())
+                .map(|column| row.get(column).unwrap_or("NULL"))
+                .collect();
+            println!("row {}", values.join("\t"));
+        }
+    }
+    Ok(())
+}
+
+fn describe(error: &Error) -> String {
+    match error.as_db_error() {
+        Some(refusal) => format!(
+            "refused {}: {} ({})",
+            refusal.code().code(),
+            refusal.message(),
+            refusal.detail().unwrap_or("no detail"),
+        ),
+        None => format!("failed: {error}"),
+    }
+}
--- a/fulmargw/tests/cli.rs
+++ b/fulmargw/tests/cli.rs
@@ -8,6 +8,10 @@
     std::process::Output,
 };
 
+const COMMANDS: [&str; 7] = [
+    "serve", "check", "patch", "config", "state", "key", "version",
+];
+
 /// Runs the program while the test's runtime serves the operator interface.
 async fn run_beside(arguments: Vec<String>) -> Output {
     tokio::task::spawn_blocking(move || {
@@ -165,3 +169,33 @@
     assert!(output.stdout.is_empty());
     assert!(!stderr(&output).contains("guess"));
 }
+
+/// Options that the help of a command names.
+fn options(command: &str) -> Vec<String> {
+    stdout(&run(&[command, "--help"]))
+        .split_whitespace()
+        .filter(|word| word.starts_with("--") && word.len() > 2)
+        .map(|word| word.trim_end_matches([',', ']']).to_owned())
+        .collect()
+}
+
+/// Guards against a manual or completions that miss a command or an option.
+#[test]
+fn manual_and_completions_name_every_command_and_option() {
+    let files = ["fulmargw.1", "fulmargw.bash", "_fulmargw", "fulmargw.fish"];
+    for name in files {
+        let path = fixture::root().join("extra").join(name);
+        let text = std::fs::read_to_string(path).expect("read the file");
+        let text = text.replace("\\-", "-");
+        for command in COMMANDS {
+            assert!(text.contains(command), "{name} misses {command}");
+            for option in options(command) {
+                let bare = format!("-l {}", option.trim_start_matches('-'));
+                assert!(
+                    text.contains(&option) || text.contains(&bare),
+                    "{name} misses {option}"
+                );
+            }
+        }
+    }
+}
