Run requests through a worker pool over shared tables

Cause: front ends need an engine that carries reads and writes to their outcomes. Ruled out: one task per request that opens its own connection (no limit of slots and connections); workers that hold a request while it waits for a majority or a new primary (64 stuck writes would stop reads). A worker carries one execution; the submitter's future waits, confirms and settles.

--- /dev/null
+++ b/fulmargw_engine/src/engine.rs
@@ -0,0 +1,117 @@
+//! Entry point of the engine.
+
+use {
+    crate::{
+        core::{Answer, Body, Core},
+        gate::Gate,
+        settings::Settings,
+        state::State,
+        submit::Submit,
+        supervisor, worker,
+    },
+    fulmargw_backend::connection::Connector,
+    fulmargw_model::{
+        availability_zone::Zone, configuration::Configuration, outcome::Outcome, request::Request,
+    },
+    std::{fmt, sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
+};
+
+/// Time between two looks at the work that is still running.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Carries requests of callers to their outcomes. Clones share the same state.
+pub struct Engine<C: Connector, G: Gate>(Arc<Core<C, G>>);
+
+impl<C: Connector, G: Gate> Clone for Engine<C, G> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<C: Connector, G: Gate> fmt::Debug for Engine<C, G> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Engine").finish_non_exhaustive()
+    }
+}
+
+impl<C: Connector, G: Gate> Engine<C, G> {
+    /// Starts the workers and the tasks of the configured services on the current runtime.
+    #[must_use]
+    pub fn start(settings: Settings, zone: Zone, connector: C, gate: G) -> Self {
+        let core = Arc::new(Core::new(settings, zone, connector, gate));
+        for _ in 0..core.settings.worker_count.max(1) {
+            core.tasks.spawn(worker::run(Arc::clone(&core)));
+        }
+        core.tasks.spawn(supervisor::run(Arc::clone(&core)));
+        Self(core)
+    }
+
+    /// Begins no new transaction, lets running ones finish until `deadline`, and then closes
+    /// all connections. Returns whether everything finished.
+    pub async fn drain(&self, deadline: Instant) -> bool {
+        self.0.draining.cancel();
+        while self.is_busy() && Instant::now() < deadline {
+            sleep(DRAIN_INTERVAL).await;
+        }
+        let finished = !self.is_busy();
+        self.0.stop.cancel();
+        self.0.tasks.close();
+        let rest = tokio::time::timeout_at(deadline, self.0.tasks.wait());
+        finished & rest.await.is_ok()
+    }
+
+    fn is_busy(&self) -> bool {
+        let waiting = self.0.queues.lock().len();
+        let lent = {
+            let servers = self.0.servers.lock();
+            let mut members = servers.groups.values().flat_map(|group| &group.members);
+            members.any(|member| member.load.lent > 0)
+        };
+        waiting > 0 || lent
+    }
+
+    /// Reports whether the open connections are within a share of one in `divisor`.
+    ///
+    /// A host confirms a change of the membership only after this is true.
+    #[must_use]
+    pub fn is_within(&self, divisor: u32) -> bool {
+        let servers = self.0.servers.lock();
+        let mut members = servers.groups.values().flat_map(|group| &group.members);
+        members.all(|member| {
+            let cap = member.server.connections / divisor.max(1);
+            member.open() <= cap
+        })
+    }
+
+    /// Returns the present state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> State {
+        State::of(&self.0)
+    }
+}
+
+impl<C: Connector, G: Gate> Submit for Engine<C, G> {
+    type Body = Body<C>;
+    type Answer = Answer<C>;
+
+    fn open(&self) -> u64 {
+        self.0.pins.lock().open()
+    }
+
+    fn close(&self, caller: u64) {
+        let held = self.0.pins.lock().close(caller);
+        self.0.close_held(held.into_iter().collect());
+    }
+
+    async fn submit(&self, request: Request<Body<C>>) -> Outcome<Answer<C>> {
+        self.0.carry(request).await
+    }
+
+    fn configuration(&self) -> watch::Receiver<Arc<Configuration>> {
+        self.0.gate.configuration()
+    }
+}
--- /dev/null
+++ b/fulmargw_engine/src/execute/read.rs
@@ -0,0 +1,112 @@
+//! Reads outside of a transaction that writes.
+
+use {
+    super::{Trace, answered, refused},
+    crate::{
+        core::{Answer, Body, Core},
+        gate::Gate,
+        job::{Done, Failure, Work},
+    },
+    fulmargw_backend::connection::{Connector, Error, Kind},
+    fulmargw_decision::routing::By,
+    fulmargw_model::{
+        outcome::{Outcome, Reason},
+        position::Position,
+        request::{Class, Part, Request},
+    },
+    futures::future,
+    std::sync::Arc,
+    tokio::time::Instant,
+};
+
+/// Result of one execution of a read.
+enum Read<A> {
+    /// It has an answer.
+    Done(Done<A>),
+    /// It was not started.
+    Refused(Outcome<A>),
+    /// It may be run again.
+    Again(Option<Error>, Option<By>),
+}
+
+impl<C: Connector, G: Gate> Core<C, G> {
+    /// Runs a read, or the begin of a transaction that only reads.
+    pub async fn read(
+        self: &Arc<Self>,
+        request: &Arc<Request<Body<C>>>,
+        trace: &mut Trace,
+    ) -> Outcome<Answer<C>> {
+        let mut retries = 0;
+        loop {
+            let read = match request.class {
+                Class::Current => self.read_current(request, trace).await,
+                _ => self.run_read(request, request.required, trace).await,
+            };
+            let (error, by) = match read {
+                Read::Done(done) => return answered(request.required, done.reply.answer),
+                Read::Refused(outcome) => return outcome,
+                Read::Again(error, by) => (error, by),
+            };
+            let reason = match error.map(|error| error.kind) {
+                Some(Kind::TooLarge(_)) => return refused(Reason::Unsupported),
+                Some(Kind::Behind) if by == Some(By::Primary) => {
+                    return refused(Reason::Position);
+                }
+                // Another server is chosen at once: the replica that was behind is left out.
+                Some(Kind::Behind) if Instant::now() < request.deadline => continue,
+                _ => Reason::Connection,
+            };
+            let service = &request.service;
+            if !self
+                .may_retry(service, &mut retries, request.deadline)
+                .await
+            {
+                return refused(reason);
+            }
+        }
+    }
+
+    /// Runs a read that includes every write that was acknowledged before.
+    ///
+    /// The promises are checked while the read runs; they only have to be asked for after the
+    /// read index was taken.
+    async fn read_current(
+        self: &Arc<Self>,
+        request: &Arc<Request<Body<C>>>,
+        trace: &mut Trace,
+    ) -> Read<Answer<C>> {
+        let service = &request.service;
+        let index = self.read_index(service, request.deadline).await;
+        let Some(index) = index else {
+            return Read::Refused(refused(Reason::NoPrimary));
+        };
+        let required = index.join(request.required);
+        let run = self.run_read(request, required, trace);
+        let check = self.promises(service, index.term, request.deadline);
+        let (read, checked) = future::join(run, check).await;
+        match (read, checked) {
+            (Read::Done(done), Err(_)) => {
+                self.abandon(request.caller);
+                Read::Again(None, Some(done.place.by()))
+            }
+            (read, _) => read,
+        }
+    }
+
+    async fn run_read(
+        self: &Arc<Self>,
+        request: &Arc<Request<Body<C>>>,
+        required: Position,
+        trace: &mut Trace,
+    ) -> Read<Answer<C>> {
+        let work = match request.part {
+            Part::Begin => Work::BeginRead(required),
+            _ => Work::Read(required),
+        };
+        match self.dispatch(request, work, trace).await {
+            Ok(done) => Read::Done(done),
+            Err(Failure::Refused(refusal)) => Read::Refused(Outcome::Refused(refusal)),
+            Err(Failure::Failed(error, place)) => Read::Again(Some(error), Some(place.by())),
+        }
+    }
+}
--- /dev/null
+++ b/fulmargw_engine/src/execute/trace.rs
@@ -0,0 +1,89 @@
+//! Record of how a request was carried to its outcome.
+
+use {
+    crate::{
+        core::{Body, Core},
+        gate::Gate,
+        job::Place,
+        journal::{Entry, Label},
+    },
+    fulmargw_backend::connection::Connector,
+    fulmargw_decision::routing::By,
+    fulmargw_model::{
+        outcome::Outcome,
+        request::{Class, Request},
+    },
+    tokio::time::Instant,
+};
+
+/// What happened to a request so far.
+#[derive(Debug)]
+pub struct Trace {
+    began: Instant,
+    /// Where it ran last.
+    pub place: Option<Place>,
+    /// Number of executions.
+    pub tries: u32,
+}
+
+impl Trace {
+    /// Begins the record of a request.
+    pub fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            place: None,
+            tries: 0,
+        }
+    }
+}
+
+impl<C: Connector, G: Gate> Core<C, G> {
+    /// Counts an outcome and adds it to the journal.
+    pub fn record<A>(&self, request: &Request<Body<C>>, trace: &Trace, outcome: &Outcome<A>) {
+        let label = Label::of(outcome);
+        let account = request.account.as_str().to_owned();
+        metrics::counter!(
+            "fulmargw_requests_total", "account" => account.clone(), "outcome" => label.as_str()
+        )
+        .increment(1);
+        if let Label::Refused(reason) = label {
+            metrics::counter!(
+                "fulmargw_refused_total", "account" => account, "reason" => format!("{reason:?}")
+            )
+            .increment(1);
+        }
+        if label == Label::Answered && request.class != Class::Write {
+            count_read(trace);
+        }
+        let choice = trace.place.as_ref().and_then(|place| place.choice);
+        let now = Instant::now();
+        let took = now.saturating_duration_since(trace.began);
+        let mut journal = self.journal.lock();
+        let entry = Entry {
+            offset_ms: journal.offset_ms(now),
+            request: request.id.clone(),
+            route: request.route.clone(),
+            account: request.account.clone(),
+            server: trace.place.as_ref().map(|place| place.key.server.clone()),
+            by: choice.map(|choice| choice.by),
+            why: choice.map(|choice| choice.why),
+            tries: trace.tries,
+            took_us: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+            outcome: label,
+        };
+        journal.add(entry);
+    }
+}
+
+fn count_read(trace: &Trace) {
+    let choice = trace.place.as_ref().and_then(|place| place.choice);
+    let Some(choice) = choice else {
+        return;
+    };
+    let by = match choice.by {
+        By::Primary => "primary",
+        By::Replica => "replica",
+    };
+    // Every read outside of a transaction that writes accepts a replica.
+    metrics::counter!("fulmargw_reads_total", "by" => by, "accepts_replica" => "true").increment(1);
+}
--- /dev/null
+++ b/fulmargw_engine/src/journal.rs
@@ -0,0 +1,122 @@
+//! Bounded record of recent decisions.
+
+use {
+    fulmargw_decision::routing::{By, Why},
+    fulmargw_model::{
+        name::Name,
+        outcome::{Outcome, Reason, Step},
+        request::Id,
+    },
+    serde::Serialize,
+    std::{collections::VecDeque, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Decisions that are kept.
+pub const CAPACITY: usize = 1_024;
+
+/// Recent decisions, the oldest first.
+#[derive(Debug)]
+pub struct Journal {
+    began: Instant,
+    entries: VecDeque<Entry>,
+}
+
+/// What became of one request.
+#[derive(Debug, Clone, Serialize)]
+pub struct Entry {
+    /// Time of the outcome since the engine started, in milliseconds.
+    pub offset_ms: u64,
+    /// Identifier of the request.
+    pub request: Id,
+    /// Route by which it came.
+    pub route: Name,
+    /// Client account that it counted against.
+    pub account: Name,
+    /// Server that ran it last.
+    pub server: Option<Name>,
+    /// Part of that server.
+    pub by: Option<By>,
+    /// Why that server was chosen.
+    pub why: Option<Why>,
+    /// Number of executions.
+    pub tries: u32,
+    /// Time from submission to outcome, in microseconds.
+    pub took_us: u64,
+    /// Outcome.
+    pub outcome: Label,
+}
+
+/// An outcome without its content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Label {
+    /// It ran and was answered.
+    Answered,
+    /// It did not run.
+    Refused(Reason),
+    /// It ran before.
+    AlreadyRan,
+    /// It is not known whether it ran.
+    Unknown(Step),
+}
+
+impl Label {
+    /// Returns the label of an outcome.
+    #[must_use]
+    pub fn of<A>(outcome: &Outcome<A>) -> Self {
+        match outcome {
+            Outcome::Answered(_) => Self::Answered,
+            Outcome::Refused(refusal) => Self::Refused(refusal.reason),
+            Outcome::AlreadyRan(_) => Self::AlreadyRan,
+            Outcome::Unknown(step) => Self::Unknown(*step),
+        }
+    }
+
+    /// Returns the value of the metrics label.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused(_) => "refused",
+            Self::AlreadyRan => "already_ran",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
+impl Journal {
+    /// Makes an empty journal.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            began: now,
+            entries: VecDeque::with_capacity(CAPACITY),
+        }
+    }
+
+    /// Returns the time since the engine started, in milliseconds.
+    #[must_use]
+    pub fn offset_ms(&self, now: Instant) -> u64 {
+        milliseconds(now.saturating_duration_since(self.began))
+    }
+
+    /// Adds an entry and forgets the oldest one if the journal is full.
+    pub fn add(&mut self, entry: Entry) {
+        if self.entries.len() == CAPACITY {
+            self.entries.pop_front();
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Returns the entries, the oldest first.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+}
+
+/// Returns whole milliseconds.
+#[must_use]
+pub fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/fulmargw_engine/src/lib.rs
+++ b/fulmargw_engine/src/lib.rs
@@ -1,4 +1,20 @@
 //! Execution of requests: worker pool, shared tables, monitoring and failover.
 
+mod confirm;
+mod core;
+mod execute;
+mod failover;
+mod invariant;
+mod job;
+mod monitor;
+mod pool;
+mod supervisor;
+mod table;
+mod worker;
+
+pub mod engine;
 pub mod gate;
+pub mod journal;
+pub mod settings;
+pub mod state;
 pub mod submit;
--- /dev/null
+++ b/fulmargw_engine/src/pool.rs
@@ -0,0 +1,128 @@
+//! Work connections of a backend server: opened in advance and held within the limit.
+
+use {
+    crate::{
+        core::Core,
+        gate::Gate,
+        table::{member::Idle, server::Key},
+    },
+    fulmargw_backend::connection::Connector,
+    fulmargw_model::{backend_server::Server, position::Term},
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, interval, sleep, timeout},
+};
+
+/// Time between two checks of the share of this host.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause after a connection could not be opened.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Keeps the work connections of one backend server.
+pub struct Pool<C: Connector, G> {
+    core: Arc<Core<C, G>>,
+    key: Key,
+    /// Time at which this host lost its share, until its work was stopped.
+    lost: Option<Instant>,
+}
+
+impl<C: Connector, G: Gate> Pool<C, G> {
+    /// Makes a pool without connections.
+    pub fn new(core: Arc<Core<C, G>>, key: Key) -> Self {
+        Self {
+            core,
+            key,
+            lost: None,
+        }
+    }
+
+    /// Runs until the server leaves the configuration or the engine stops.
+    pub async fn run(mut self) {
+        let tokens = self.core.with_member(&self.key, |member| {
+            (Arc::clone(&member.refill), member.stop.clone())
+        });
+        let Some((refill, stop)) = tokens else {
+            return;
+        };
+        let core = Arc::clone(&self.core);
+        let mut checks = interval(CHECK_INTERVAL);
+        loop {
+            self.check_share();
+            self.follow_plan();
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = core.stop.cancelled() => return,
+                () = refill.notified() => {}
+                _ = checks.tick() => {}
+            }
+        }
+    }
+
+    /// Takes the share of this host from the gate.
+    fn check_share(&mut self) {
+        let now = Instant::now();
+        let leased = self.core.gate.is_leased(now);
+        let divisor = self.core.gate.divisor().filter(|_| leased);
+        self.core.with_member(&self.key, |member| {
+            let limit = member.server.connections;
+            member.cap = divisor.map_or(0, |divisor| limit / divisor.max(1));
+        });
+        if divisor.is_some() {
+            self.lost = None;
+            return;
+        }
+        let lost = *self.lost.get_or_insert(now);
+        if now.saturating_duration_since(lost) >= self.core.settings.lease_grace() {
+            self.stop_work();
+        }
+    }
+
+    fn stop_work(&self) {
+        self.core.with_member(&self.key, |member| {
+            if member.load.lent > 0 {
+                member.cut();
+            }
+        });
+        let held = self.core.pins.lock().revoke(&self.key);
+        self.core.close_held(held);
+    }
+
+    fn follow_plan(&self) {
+        let planned = self.core.with_member(&self.key, |member| {
+            let plan = member.plan();
+            let within = plan.open == 0 || member.open() <= member.cap;
+            (plan, within, member.server.clone())
+        });
+        let Some((plan, within, server)) = planned else {
+            return;
+        };
+        self.core.check("connection-cap", within);
+        self.core.close(&self.key, plan.close);
+        for _ in 0..plan.open {
+            let core = Arc::clone(&self.core);
+            let opening = open(core, self.key.clone(), server.clone(), plan.term);
+            self.core.tasks.spawn(opening);
+        }
+    }
+}
+
+/// Opens one connection that is already counted as opening.
+async fn open<C: Connector, G: Gate>(core: Arc<Core<C, G>>, key: Key, server: Server, term: Term) {
+    let limit = core.settings.connect_timeout();
+    let opened = timeout(limit, core.connector.connect(&server, term)).await;
+    let Ok(Ok(connection)) = opened else {
+        sleep(PAUSE).await;
+        core.with_member(&key, |member| {
+            member.load.opening = member.load.opening.saturating_sub(1);
+            member.refill.notify_one();
+        });
+        return;
+    };
+    let stored = core.with_member(&key, |member| {
+        member.load.opening = member.load.opening.saturating_sub(1);
+        member.idle.push(Idle { connection, term });
+        member.refill.notify_one();
+    });
+    if stored.is_some() {
+        core.work.notify_one();
+    }
+}
--- /dev/null
+++ b/fulmargw_engine/tests/common/mod.rs
@@ -0,0 +1,244 @@
+//! In-memory database group, gate and requests for the tests of the engine.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+pub mod group;
+pub mod link;
+
+use {
+    fulmargw_engine::{engine::Engine, gate::Gate, settings::Settings, submit::Submit},
+    fulmargw_model::{
+        availability_zone::Zone,
+        backend_server::Server,
+        client_account::Account,
+        configuration::Configuration,
+        name::Name,
+        outcome::{Answer, Outcome, Refusal},
+        position::{Position, Term},
+        request::{Class, Id, Part, Repeat, Request},
+        route::{Access, Route},
+        service::Service,
+    },
+    group::World,
+    link::Links,
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
+};
+
+/// Service of all tests.
+pub const SERVICE: &str = "ledger";
+/// Servers of the service; the first one begins as the primary.
+pub const SERVERS: [&str; 3] = ["a", "b", "c"];
+
+/// Content of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Body {
+    /// Adds a value.
+    Put(u64),
+    /// Reads all values.
+    Get,
+    /// Does nothing, for the begin and end of a transaction.
+    Nothing,
+    /// Rolls back.
+    Rollback,
+}
+
+/// Engine under test.
+pub type Tested = Engine<Links, Switch>;
+
+/// A gate whose decisions a test sets.
+#[derive(Debug, Clone)]
+pub struct Switch {
+    configuration: watch::Sender<Arc<Configuration>>,
+    leased: Arc<AtomicBool>,
+    divisor: Arc<AtomicU32>,
+    rank: usize,
+}
+
+impl Switch {
+    pub fn set_leased(&self, leased: bool) {
+        self.leased.store(leased, Ordering::SeqCst);
+    }
+
+    pub fn set_divisor(&self, divisor: u32) {
+        self.divisor.store(divisor, Ordering::SeqCst);
+    }
+
+    pub fn change(&self, change: impl FnOnce(&mut Service)) {
+        let mut configuration = (**self.configuration.borrow()).clone();
+        change(configuration.services.get_mut(SERVICE).unwrap());
+        self.configuration.send_replace(Arc::new(configuration));
+    }
+}
+
+impl Gate for Switch {
+    fn configuration(&self) -> watch::Receiver<Arc<Configuration>> {
+        self.configuration.subscribe()
+    }
+
+    fn is_leased(&self, _now: Instant) -> bool {
+        self.leased.load(Ordering::SeqCst)
+    }
+
+    fn divisor(&self) -> Option<u32> {
+        Some(self.divisor.load(Ordering::SeqCst)).filter(|divisor| *divisor > 0)
+    }
+
+    fn rank(&self, _service: &Name, _term: Term) -> usize {
+        self.rank
+    }
+
+    async fn admit(&self, _account: &Name, _deadline: Instant) -> Result<(), Refusal> {
+        Ok(())
+    }
+
+    fn announce(&self, _service: &Name, _term: Term, _server: &Name) {}
+}
+
+/// A gate that allows everything to a host with this promotion rank.
+pub fn gate(rank: usize) -> Switch {
+    Switch {
+        configuration: watch::Sender::new(Arc::new(configuration())),
+        leased: Arc::new(AtomicBool::new(true)),
+        divisor: Arc::new(AtomicU32::new(4)),
+        rank,
+    }
+}
+
+fn configuration() -> Configuration {
+    let server = |(number, name): (usize, &&str)| Server {
+        name: Name::new(name),
+        zone: Zone(Name::new(name)),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, u16::try_from(number).unwrap())),
+        slots: 2,
+        connections: 16,
+        leaving: false,
+    };
+    let service = Service {
+        name: SERVICE.into(),
+        servers: SERVERS.iter().enumerate().map(server).collect(),
+    };
+    let account = Account {
+        name: "shop".into(),
+        rate: 100.0,
+        burst: 100.0,
+        keys: Vec::new(),
+    };
+    let route = Route {
+        name: "orders".into(),
+        service: SERVICE.into(),
+        class: Class::Write,
+        repeat: Repeat::Once,
+        access: Access::Accounts(vec!["shop".into()]),
+    };
+    Configuration {
+        services: [(SERVICE.into(), service)].into(),
+        accounts: [("shop".into(), account)].into(),
+        routes: [("orders".into(), route)].into(),
+        ..Configuration::default()
+    }
+}
+
+/// An engine of a host in the zone of server `b`, with a group and a gate.
+pub struct Bench {
+    pub world: World,
+    pub gate: Switch,
+    pub engine: Tested,
+    pub caller: u64,
+}
+
+/// Starts an engine on a new group and waits until it knows the group.
+pub async fn bench() -> Bench {
+    bench_on(World::new(&SERVERS), 0).await
+}
+
+/// Starts an engine on a group.
+pub async fn bench_on(world: World, rank: usize) -> Bench {
+    let gate = gate(rank);
+    let zone = Zone("b".into());
+    let links = Links::new(world.clone());
+    let engine = Engine::start(Settings::default(), zone, links, gate.clone());
+    sleep(Duration::from_millis(400)).await;
+    let caller = engine.open();
+    Bench {
+        world,
+        gate,
+        engine,
+        caller,
+    }
+}
+
+impl Bench {
+    /// Submits a statement of its own.
+    pub async fn statement(&self, class: Class, body: Body) -> Outcome<Vec<u64>> {
+        self.engine.submit(self.request(class, body)).await
+    }
+
+    /// Submits a write and returns the position of its acknowledgement.
+    pub async fn put(&self, value: u64) -> Position {
+        answer(self.statement(Class::Write, Body::Put(value)).await).position
+    }
+
+    /// Submits a read after a position and returns its values.
+    pub async fn get(&self, class: Class, required: Position) -> Vec<u64> {
+        let mut request = self.request(class, Body::Get);
+        request.required = required;
+        answer(self.engine.submit(request).await).body
+    }
+
+    /// Submits a part of an explicit transaction.
+    pub async fn part(&self, part: Part, body: Body) -> Outcome<Vec<u64>> {
+        let mut request = self.request(Class::Write, body);
+        request.part = part;
+        self.engine.submit(request).await
+    }
+
+    /// Makes a request of the bench's caller.
+    pub fn request(&self, class: Class, body: Body) -> Request<Body> {
+        Request {
+            caller: self.caller,
+            account: "shop".into(),
+            route: "orders".into(),
+            service: SERVICE.into(),
+            class,
+            repeat: Repeat::Once,
+            part: Part::Statement,
+            id: Id::random(),
+            required: Position::default(),
+            deadline: Instant::now() + Duration::from_secs(5),
+            body,
+        }
+    }
+
+    /// Returns the server that ran the last request of the journal.
+    pub fn last_server(&self) -> Name {
+        let journal = self.engine.dump().journal;
+        journal
+            .last()
+            .and_then(|entry| entry.server.clone())
+            .unwrap()
+    }
+}
+
+/// Returns the answer of an outcome that must have one.
+pub fn answer(outcome: Outcome<Vec<u64>>) -> Answer<Vec<u64>> {
+    match outcome {
+        Outcome::Answered(answer) => answer,
+        other => panic!("expected an answer, got {other:?}"),
+    }
+}
+
+/// Returns whether an outcome is a refusal.
+pub fn is_refused(outcome: &Outcome<Vec<u64>>) -> bool {
+    matches!(outcome, Outcome::Refused(_))
+}
