Count a begin against the connections that transactions may keep

Cause: several begins at once took every work connection, because a connection counted as held only after its begin had finished. A drain left idle connections open. Change: the count rises when the connection is lent; a drain closes idle connections and gives up those being opened.

--- a/fulmargw_engine/src/engine.rs
+++ b/fulmargw_engine/src/engine.rs
@@ -7,7 +7,9 @@
         settings::Settings,
         state::State,
         submit::Submit,
-        supervisor, worker,
+        supervisor,
+        table::member::Member,
+        worker,
     },
     fulmargw_backend::connection::Connector,
     fulmargw_model::{
@@ -16,7 +18,7 @@
     std::{fmt, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout_at},
     },
 };
 
@@ -60,8 +62,17 @@
         let finished = !self.is_busy();
         self.0.stop.cancel();
         self.0.tasks.close();
-        let rest = tokio::time::timeout_at(deadline, self.0.tasks.wait());
-        finished & rest.await.is_ok()
+        let ended = timeout_at(deadline, self.0.tasks.wait()).await;
+        self.close_idle();
+        finished && ended.is_ok()
+    }
+
+    fn close_idle(&self) {
+        let mut servers = self.0.servers.lock();
+        let members = servers.groups.values_mut().flat_map(|it| &mut it.members);
+        let idle: Vec<_> = members.flat_map(Member::close_idle).collect();
+        drop(servers);
+        drop(idle);
     }
 
     fn is_busy(&self) -> bool {
--- a/fulmargw_engine/src/pool.rs
+++ b/fulmargw_engine/src/pool.rs
@@ -108,7 +108,10 @@
 /// Opens one connection that is already counted as opening.
 async fn open<C: Connector, G: Gate>(core: Arc<Core<C, G>>, key: Key, server: Server, term: Term) {
     let limit = core.settings.connect_timeout();
-    let opened = timeout(limit, core.connector.connect(&server, term)).await;
+    let opened = tokio::select! {
+        () = core.stop.cancelled() => return,
+        opened = timeout(limit, core.connector.connect(&server, term)) => opened,
+    };
     let Ok(Ok(connection)) = opened else {
         sleep(PAUSE).await;
         core.with_member(&key, |member| {
--- a/fulmargw_engine/src/table/member.rs
+++ b/fulmargw_engine/src/table/member.rs
@@ -60,7 +60,7 @@
     pub running: u32,
     /// Connections of workers and open transactions.
     pub lent: u32,
-    /// Connections of open transactions, which are part of `lent`.
+    /// Connections of open transactions and of their begins, which are part of `lent`.
     pub pinned: u32,
     /// Connections that are being opened.
     pub opening: u32,
@@ -197,10 +197,11 @@
         free.or(self.idle.len().checked_sub(1))
     }
 
-    /// Takes an idle connection and a slot.
-    pub fn lend(&mut self, place: usize) -> Idle<K> {
+    /// Takes an idle connection and a slot; `begins` if a transaction may keep the connection.
+    pub fn lend(&mut self, place: usize, begins: bool) -> Idle<K> {
         self.load.running += 1;
         self.load.lent += 1;
+        self.load.pinned += u32::from(begins);
         self.idle.remove(place)
     }
 
--- a/fulmargw_engine/src/worker.rs
+++ b/fulmargw_engine/src/worker.rs
@@ -83,7 +83,7 @@
         let (job, (choice, idle, after)) = queue.pop(now, choose)?;
         drop(views);
         let member = &mut group.members[choice.server];
-        let lent = member.lend(idle);
+        let lent = member.lend(idle, job.work.begins());
         let place = Place {
             key: Key {
                 service: name.clone(),
@@ -256,7 +256,7 @@
     let open = matches!(&result, Ok(reply) if reply.transaction != Transaction::Idle);
     if open && (pinned || job.work.begins()) {
         let hold = hold.unwrap_or_else(|| begin(&job, &place));
-        keep(core, caller, hold, connection, pinned);
+        keep(core, caller, hold, connection);
     } else {
         if pinned {
             core.pins.lock().release(caller);
@@ -268,7 +268,7 @@
         };
         let release = Release {
             term: place.term,
-            pinned,
+            pinned: transactional,
             usable,
         };
         core.give_back(&place.key, connection, &release);
@@ -302,11 +302,7 @@
     caller: u64,
     hold: Hold,
     connection: Connection<C>,
-    pinned: bool,
 ) {
-    if !pinned {
-        core.with_member(&hold.key, |member| member.load.pinned += 1);
-    }
     let key = hold.key.clone();
     let release = Release {
         term: hold.term,
