Test the decisions of the engine

Cause: routing, promotion, queue, retry and staleness had no tests of their own. Change: quickcheck properties and examples; the backoff accepts any random value, since quickcheck found that NaN stopped it with a panic.

--- a/fulmargw_decision/src/retry.rs
+++ b/fulmargw_decision/src/retry.rs
@@ -81,7 +81,14 @@
 }
 
 /// Returns the delay before a retry: full jitter, with `random` uniform in 0.0 to 1.0.
+///
+/// Another value of `random` counts as 1.0.
 #[must_use]
 pub fn delay(retry: u32, random: f64) -> Duration {
-    bound(retry).mul_f64(random.clamp(0.0, 1.0))
+    let share = if (0.0..=1.0).contains(&random) {
+        random
+    } else {
+        1.0
+    };
+    bound(retry).mul_f64(share)
 }
--- /dev/null
+++ b/fulmargw_decision/tests/queue.rs
@@ -0,0 +1,134 @@
+//! Fair queue.
+
+use {
+    fulmargw_decision::queue::{Bound, Entry, Queue, Urgency},
+    fulmargw_model::name::Name,
+    quickcheck::quickcheck,
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+fn queue(lane: usize, total: usize) -> Queue<u32> {
+    Queue::new(Bound { lane, total })
+}
+
+fn entry(account: &str, urgency: Urgency, item: u32) -> Entry<u32> {
+    Entry {
+        account: Name::new(account),
+        urgency,
+        cost: 1,
+        deadline: Instant::now() + Duration::from_secs(5),
+        item,
+    }
+}
+
+fn pop(queue: &mut Queue<u32>) -> Option<u32> {
+    queue
+        .pop(Instant::now(), |_| Some(()))
+        .map(|(item, ())| item)
+}
+
+quickcheck! {
+    /// Guards against items that are lost, doubled or handed out in another order than that of
+    /// their lane.
+    fn every_item_comes_out_once_in_the_order_of_its_lane(lanes: Vec<u8>) -> bool {
+        let mut queue = queue(1_000, 1_000);
+        for (item, lane) in lanes.iter().enumerate() {
+            let urgency = if lane & 4 == 0 { Urgency::Urgent } else { Urgency::Browse };
+            let account = ["a", "b", "c", "d"][usize::from(lane & 3)];
+            queue.push(entry(account, urgency, u32::try_from(item).unwrap()));
+        }
+
+        let mut out = Vec::new();
+        while let Some(item) = pop(&mut queue) {
+            out.push(item);
+        }
+
+        let lane = |item: &u32| lanes[usize::try_from(*item).unwrap()] & 7;
+        let ordered = (0..8).all(|wanted| {
+            let items: Vec<_> = out.iter().filter(|item| lane(item) == wanted).collect();
+            items.is_sorted()
+        });
+        ordered && out.len() == lanes.len() && queue.is_empty()
+    }
+
+    /// Guards against an account that delays others by sending more.
+    fn an_account_waits_for_few_items_of_another(busy: u8) -> bool {
+        let mut queue = queue(1_000, 1_000);
+        for item in 0..u32::from(busy) {
+            queue.push(entry("busy", Urgency::Urgent, item));
+        }
+        queue.push(entry("quiet", Urgency::Urgent, 1_000));
+
+        let before = (0..1_000).take_while(|_| pop(&mut queue) != Some(1_000)).count();
+
+        before <= 4
+    }
+
+    /// Guards against a queue above its bounds, and against items that vanish without a sign.
+    fn bounds_hold_and_shed_items_are_returned(lanes: Vec<u8>) -> bool {
+        let mut queue = queue(5, 12);
+        let mut shed = 0;
+        for lane in &lanes {
+            let account = ["a", "b", "c", "d"][usize::from(lane & 3)];
+            shed += usize::from(queue.push(entry(account, Urgency::Browse, 0)).1.is_some());
+        }
+
+        let within = queue.lanes().all(|(_, _, length)| length <= 5);
+        within && queue.len() <= 12 && queue.len() + shed == lanes.len()
+    }
+}
+
+/// Guards against browse requests that starve under urgent ones.
+#[test]
+fn one_of_eight_is_a_browse_request() {
+    let mut queue = queue(100, 200);
+    for item in 0..64 {
+        queue.push(entry("a", Urgency::Urgent, item));
+        queue.push(entry("a", Urgency::Browse, 1_000 + item));
+    }
+
+    let out: Vec<_> = (0..32).filter_map(|_| pop(&mut queue)).collect();
+
+    assert_eq!(out.iter().filter(|item| **item >= 1_000).count(), 4);
+}
+
+/// Guards against an overload in which the short lane loses its requests.
+#[test]
+fn the_longest_lane_sheds_its_newest_item() {
+    let mut queue = queue(10, 6);
+    for item in 0..6 {
+        queue.push(entry("busy", Urgency::Urgent, item));
+    }
+
+    let (_, shed) = queue.push(entry("quiet", Urgency::Urgent, 100));
+
+    assert_eq!(shed, Some(5));
+}
+
+/// Guards against a request without a free server that stops those behind it.
+#[test]
+fn an_item_without_a_choice_is_passed_over() {
+    let mut queue = queue(10, 10);
+    for item in 0..3 {
+        queue.push(entry("a", Urgency::Urgent, item));
+    }
+
+    let popped = queue.pop(Instant::now(), |item| (*item == 2).then_some(()));
+
+    assert_eq!(popped, Some((2, ())));
+    assert_eq!(queue.len(), 2);
+}
+
+/// Guards against a dispatch after the deadline.
+#[test]
+fn a_late_item_is_not_dispatched() {
+    let mut queue = queue(10, 10);
+    let (ticket, _) = queue.push(entry("a", Urgency::Urgent, 1));
+
+    let popped = queue.pop(Instant::now() + Duration::from_secs(6), |_| Some(()));
+
+    assert_eq!(popped, None);
+    assert_eq!(queue.remove(ticket), Some(1));
+    assert!(queue.is_empty());
+}
