Wire the parts into the serving process

Ruled out: running a patch inside the HTTP handler, because an operator who hangs up would stop it between the store and the other hosts; one stop deadline for all steps, because a session that hangs would leave no time for leaving the fleet.

--- a/fulmargw/src/command/serve.rs
+++ b/fulmargw/src/command/serve.rs
@@ -1,14 +1,37 @@
 //! `fulmargw serve`.
 
-use crate::{cli::Serve, command::check, exit::Exit, settings::Settings};
+use {
+    crate::{cli::Serve, command::check, exit::Exit, serve, settings::Settings},
+    std::io,
+    tokio::runtime::Runtime,
+};
 
 /// Serves callers until a signal stops the process.
 pub(super) fn run(arguments: &Serve) -> Exit {
-    match Settings::load(&arguments.settings) {
-        Ok(_settings) => Exit::Failed,
+    let settings = match Settings::load(&arguments.settings) {
+        Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
-            check::exit(&error)
+            return check::exit(&error);
+        }
+    };
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(cause) => return fail(&cause),
+    };
+    let served = runtime.block_on(serve::run(&settings));
+    // Tasks that are left after a timeout must not keep the process alive.
+    runtime.shutdown_background();
+    match served {
+        Ok(()) => Exit::Done,
+        Err(error) => {
+            eprintln!("fulmargw: {error}");
+            Exit::Failed
         }
     }
 }
+
+fn fail(cause: &io::Error) -> Exit {
+    eprintln!("fulmargw: start the runtime: {cause}");
+    Exit::Failed
+}
--- a/fulmargw/src/lib.rs
+++ b/fulmargw/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod log;
 pub mod operator;
 pub mod recorder;
+pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/fulmargw/src/serve/gate.rs
@@ -0,0 +1,52 @@
+//! Connects the engine to the control part of the host.
+
+use {
+    fulmargw_control::agent,
+    fulmargw_engine::gate,
+    fulmargw_model::{configuration::Configuration, name::Name, outcome::Refusal, position::Term},
+    fulmargw_peer::client::Set,
+    fulmargw_platform::client::Client,
+    std::sync::Arc,
+    tokio::{sync::watch, time::Instant},
+};
+
+/// The control part of a process.
+pub type Agent = agent::Agent<Client, Set>;
+
+/// The control part as the engine sees it.
+#[derive(Debug, Clone)]
+pub struct Gate(Agent);
+
+impl Gate {
+    /// Makes the gate of an agent.
+    #[must_use]
+    pub const fn new(agent: Agent) -> Self {
+        Self(agent)
+    }
+}
+
+impl gate::Gate for Gate {
+    fn configuration(&self) -> watch::Receiver<Arc<Configuration>> {
+        self.0.configuration()
+    }
+
+    fn is_leased(&self, now: Instant) -> bool {
+        self.0.is_leased(now)
+    }
+
+    fn divisor(&self) -> Option<u32> {
+        self.0.divisor()
+    }
+
+    fn rank(&self, service: &Name, term: Term) -> usize {
+        self.0.rank(service, term)
+    }
+
+    async fn admit(&self, account: &Name, deadline: Instant) -> Result<(), Refusal> {
+        self.0.admit(account, deadline).await
+    }
+
+    fn announce(&self, service: &Name, term: Term, server: &Name) {
+        self.0.announce(service, term, server);
+    }
+}
--- /dev/null
+++ b/fulmargw/src/serve/process.rs
@@ -0,0 +1,126 @@
+//! The parts of a serving process and their start.
+
+use {
+    crate::{
+        operator::router::router,
+        recorder,
+        serve::{
+            error::Error,
+            gate::{Agent, Gate},
+            listener::{self, Listeners},
+            parts::{Engine, Parts},
+            task::Tasks,
+        },
+        settings::Settings,
+    },
+    ::log::info,
+    fulmargw_backend::postgres::Connector,
+    fulmargw_frontend::listener as frontend,
+    fulmargw_model::availability_zone::Zone,
+    fulmargw_peer::{client::Set, document, server},
+    fulmargw_platform::client::Client,
+    metrics_exporter_prometheus::PrometheusHandle,
+    std::future::IntoFuture as _,
+    tokio::net::TcpListener,
+    tokio_util::sync::CancellationToken,
+};
+
+/// A started process.
+#[derive(Debug)]
+pub struct Process {
+    /// Parts that the operator interface shows.
+    pub parts: Parts,
+    /// Tasks that serve the listeners.
+    pub tasks: Tasks,
+    /// Ends accepting of callers and drains their sessions.
+    pub stop_callers: CancellationToken,
+    /// Ends the interfaces for operators and other hosts.
+    pub stop_interfaces: CancellationToken,
+}
+
+impl Process {
+    /// Binds all addresses and starts all parts. The host joins the fleet in the background,
+    /// so a process also starts while the platform is down.
+    ///
+    /// # Errors
+    ///
+    /// The step that failed, with its address or peer.
+    pub async fn start(settings: &Settings, metrics: PrometheusHandle) -> Result<Self, Error> {
+        let listeners = Listeners::bind(settings).await?;
+        let agent = start_agent(settings)?;
+        let engine = start_engine(settings, &agent);
+        let mut process = Self {
+            parts: Parts::new(settings.host.clone(), agent, engine, metrics),
+            tasks: Tasks::default(),
+            stop_callers: CancellationToken::new(),
+            stop_interfaces: CancellationToken::new(),
+        };
+        process.serve_peers(listeners.peer, listeners.document);
+        process.serve_operators(settings, listeners.operator);
+        process.serve_callers(settings, listeners.caller);
+        process.keep_metrics();
+        info!("host {} started", settings.host.name);
+        Ok(process)
+    }
+
+    fn serve_peers(&mut self, peer: TcpListener, document: TcpListener) {
+        let agent = self.parts.agent.clone();
+        let stop = self.stop_interfaces.clone();
+        let peers = server::serve(peer, agent.clone(), stop.clone());
+        self.tasks.serve_interface(listener::PEER, peers);
+        let documents = document::serve(document, agent, stop);
+        self.tasks.serve_interface(listener::DOCUMENT, documents);
+    }
+
+    fn serve_operators(&mut self, settings: &Settings, operator: TcpListener) {
+        let router = router(self.parts.clone(), settings.operator.credential_digest);
+        let stop = self.stop_interfaces.clone();
+        let operators =
+            axum::serve(operator, router).with_graceful_shutdown(stop.cancelled_owned());
+        self.tasks
+            .serve_interface(listener::OPERATOR, operators.into_future());
+    }
+
+    fn serve_callers(&mut self, settings: &Settings, caller: TcpListener) {
+        let limits = (&settings.frontend.limits).into();
+        let engine = self.parts.engine.clone();
+        let callers = frontend::serve(caller, engine, limits, self.stop_callers.clone());
+        self.tasks.serve_callers(listener::CALLER, callers);
+    }
+
+    fn keep_metrics(&self) {
+        let keep = recorder::keep(self.parts.metrics.clone());
+        let stop = self.stop_interfaces.clone();
+        tokio::spawn(stop.run_until_cancelled_owned(keep));
+    }
+}
+
+fn start_agent(settings: &Settings) -> Result<Agent, Error> {
+    let source = settings.host.source_ip;
+    let store = Client::new(&settings.platform.client(source))
+        .map_err(|cause| client("platform", &cause.to_string()))?;
+    let peers = Set::new(&settings.peer.client(source))
+        .map_err(|cause| client("other hosts", &cause.to_string()))?;
+    let host = settings.host.identity();
+    Ok(Agent::start(settings.control.clone(), host, store, peers))
+}
+
+fn client(peer: &'static str, cause: &str) -> Error {
+    Error::Client {
+        peer,
+        cause: cause.to_owned(),
+    }
+}
+
+fn start_engine(settings: &Settings, agent: &Agent) -> Engine {
+    let connect_timeout = settings.engine.connect_timeout();
+    let connector = settings
+        .backend
+        .connector(settings.host.source_ip, connect_timeout);
+    Engine::start(
+        settings.engine.clone(),
+        Zone(settings.host.zone.clone()),
+        Connector::new(connector),
+        Gate::new(agent.clone()),
+    )
+}
--- /dev/null
+++ b/fulmargw/src/serve/state.rs
@@ -0,0 +1,52 @@
+//! State dump of a process.
+
+use {
+    crate::{command::version::VERSION, operator::message::Health},
+    fulmargw_control::dump,
+    fulmargw_engine::state,
+    fulmargw_model::name::Name,
+    serde::Serialize,
+};
+
+/// State of a process at one moment. It holds neither keys nor statements.
+#[derive(Debug, Serialize)]
+pub struct State {
+    /// The process itself.
+    pub process: Process,
+    /// Lease, membership, rates and configuration.
+    pub control: dump::State,
+    /// Backend servers, queues and recent decisions.
+    pub engine: state::State,
+}
+
+/// State of the process itself.
+#[derive(Debug, Serialize)]
+pub struct Process {
+    /// Version of the program.
+    pub version: &'static str,
+    /// Name of the host.
+    pub host: Name,
+    /// Availability zone of the host.
+    pub zone: Name,
+    /// Process identifier.
+    pub id: u32,
+    /// Time since the start, in milliseconds.
+    pub uptime_ms: u64,
+    /// Answer to the balancer.
+    pub health: Health,
+}
+
+impl Process {
+    /// Describes this process.
+    #[must_use]
+    pub fn new(host: Name, zone: Name, uptime_ms: u64, health: Health) -> Self {
+        Self {
+            version: VERSION,
+            host,
+            zone,
+            id: std::process::id(),
+            uptime_ms,
+            health,
+        }
+    }
+}
--- /dev/null
+++ b/fulmargw/src/settings/backend.rs
@@ -0,0 +1,66 @@
+//! `[backend]`: connections to backend servers.
+
+use {
+    super::problem::Findings,
+    fulmargw_backend::postgres,
+    serde::{Deserialize, Serialize},
+    std::{net::IpAddr, time::Duration},
+};
+
+/// Connections to backend servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Backend {
+    /// User name of this deployment at the backend servers.
+    pub user: String,
+    /// Database name at the backend servers.
+    pub database: String,
+    /// Greatest length of one answer, in bytes.
+    pub answer_limit_bytes: usize,
+}
+
+impl Default for Backend {
+    /// The default answer limit lets 64 workers hold a whole answer each in 1 GiB.
+    fn default() -> Self {
+        Self {
+            user: "fulmargw".to_owned(),
+            database: "fulmargw".to_owned(),
+            answer_limit_bytes: 16 * 1024 * 1024,
+        }
+    }
+}
+
+impl Backend {
+    /// Notes the problems of the section.
+    pub fn check(&self, findings: &mut Findings) {
+        for (key, value) in [
+            ("backend.user", &self.user),
+            ("backend.database", &self.database),
+        ] {
+            if value.is_empty() || value.contains('\0') {
+                findings.add(key, "is empty or has a NUL character");
+            }
+        }
+        findings.range(
+            "backend.answer_limit_bytes",
+            &self.answer_limit_bytes,
+            &(1_024..=1_073_741_824),
+        );
+    }
+
+    /// Returns the settings of the connector.
+    #[must_use]
+    pub fn connector(
+        &self,
+        source: Option<IpAddr>,
+        connect_timeout: Duration,
+    ) -> postgres::Settings {
+        postgres::Settings {
+            source,
+            user: self.user.clone(),
+            database: self.database.clone(),
+            connect_timeout,
+            answer_limit_bytes: self.answer_limit_bytes,
+        }
+    }
+}
--- a/fulmargw/src/settings/mod.rs
+++ b/fulmargw/src/settings/mod.rs
@@ -1,10 +1,14 @@
 //! Settings of a process, read once from a TOML file.
 
+pub mod backend;
+pub mod control;
+pub mod engine;
 pub mod frontend;
 pub mod host;
 pub mod locate;
 pub mod log;
 pub mod operator;
+pub mod peer;
 pub mod platform;
 pub mod problem;
 
@@ -18,7 +22,7 @@
 };
 
 /// All sections of the settings file.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Identity and addresses of this host.
@@ -29,6 +33,18 @@
     pub operator: operator::Operator,
     /// The platform's table service and host list.
     pub platform: platform::Platform,
+    /// Calls to other hosts.
+    #[serde(default)]
+    pub peer: peer::Peer,
+    /// Lease, membership, rates and configuration.
+    #[serde(default)]
+    pub control: control::Control,
+    /// Workers, probes, queues and time limits.
+    #[serde(default)]
+    pub engine: engine::Engine,
+    /// Connections to backend servers.
+    #[serde(default)]
+    pub backend: backend::Backend,
     /// Level, format and destination of log lines.
     #[serde(default)]
     pub log: log::Log,
@@ -75,7 +91,12 @@
     fn check(&self) -> Findings {
         let mut findings = Findings::default();
         self.host.check(&mut findings);
+        self.frontend.limits.check(&mut findings);
         self.platform.check(&mut findings);
+        self.peer.check(&mut findings);
+        control::check(&self.control, &mut findings);
+        engine::check(&self.engine, &mut findings);
+        self.backend.check(&mut findings);
         self.log.check(&mut findings);
         self.check_addresses(&mut findings);
         findings
--- a/fulmargw/src/settings/platform.rs
+++ b/fulmargw/src/settings/platform.rs
@@ -2,40 +2,63 @@
 
 use {
     super::problem::Findings,
+    fulmargw_platform::client,
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, time::Duration},
+    std::net::{IpAddr, SocketAddr},
 };
 
 /// The platform's table service and host list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
-    /// Address of the platform's HTTP interface.
-    pub address: SocketAddr,
+    /// Addresses of the platform's HTTP interface; a failed call moves on to the next one.
+    pub addresses: Vec<SocketAddr>,
     /// Bound of one call, in milliseconds.
     #[serde(default = "default_timeout_ms")]
     pub timeout_ms: u64,
+    /// Bound for opening a connection, in milliseconds.
+    #[serde(default = "default_connect_timeout_ms")]
+    pub connect_timeout_ms: u64,
 }
 
 fn default_timeout_ms() -> u64 {
-    1_000
+    client::Settings::default().timeout_ms
+}
+
+fn default_connect_timeout_ms() -> u64 {
+    client::Settings::default().connect_timeout_ms
 }
 
 impl Platform {
     /// Notes the problems of the section.
     pub fn check(&self, findings: &mut Findings) {
         findings.range("platform.timeout_ms", &self.timeout_ms, &(10..=30_000));
-        if self.address.ip().is_unspecified() || self.address.port() == 0 {
-            findings.add(
-                "platform.address",
-                format!("{} is not an address to connect to", self.address),
-            );
+        findings.range(
+            "platform.connect_timeout_ms",
+            &self.connect_timeout_ms,
+            &(10..=30_000),
+        );
+        if self.addresses.is_empty() {
+            findings.add("platform.addresses", "is empty");
+        }
+        for address in &self.addresses {
+            if address.ip().is_unspecified() || address.port() == 0 {
+                findings.add(
+                    "platform.addresses",
+                    format!("{address} cannot be connected to"),
+                );
+            }
         }
     }
 
-    /// Returns the bound of one call.
+    /// Returns the settings of the client.
     #[must_use]
-    pub const fn timeout(&self) -> Duration {
-        Duration::from_millis(self.timeout_ms)
+    pub fn client(&self, source: Option<IpAddr>) -> client::Settings {
+        client::Settings {
+            addresses: self.addresses.clone(),
+            timeout_ms: self.timeout_ms,
+            connect_timeout_ms: self.connect_timeout_ms,
+            source,
+        }
     }
 }
--- a/fulmargw/tests/settings.rs
+++ b/fulmargw/tests/settings.rs
@@ -19,7 +19,7 @@
      [frontend]\naddress = \"10.0.0.1:5432\"\n\
      [operator]\naddress = \"10.0.0.1:9100\"\n\
      credential_digest = \"0000000000000000000000000000000000000000000000000000000000000000\"\n\
-     [platform]\naddress = \"10.0.0.200:8080\"\n"
+     [platform]\naddresses = [\"10.0.0.200:8080\"]\n"
         .to_owned()
 }
 
@@ -70,8 +70,13 @@
     let (code, mut page) = (keys_in_code(), keys_on_page());
 
     let optional = page.remove("host.source_ip");
+    let by_build = page.insert(
+        "engine.strict".to_owned(),
+        cfg!(debug_assertions).to_string(),
+    );
 
     assert_eq!(optional.as_deref(), Some("none"));
+    assert_eq!(by_build.as_deref(), Some("debug builds"));
     assert_eq!(
         page.keys().collect::<Vec<_>>(),
         code.keys().collect::<Vec<_>>()
@@ -126,14 +131,25 @@
 fn every_value_out_of_range_is_reported() {
     let text = minimal()
         .replace("zone-1", "zone 1")
-        .replace("10.0.0.200:8080", "10.0.0.200:8080\"\ntimeout_ms = 1 #");
+        .replace("[platform]", "[platform]\ntimeout_ms = 1")
+        .replace(
+            "[operator]",
+            "[frontend.limits]\ndeadline_ms = 0\n[operator]",
+        );
 
     let keys: Vec<String> = problems(&text)
         .into_iter()
         .map(|problem| problem.key)
         .collect();
 
-    assert_eq!(keys, ["host.zone", "platform.timeout_ms"]);
+    assert_eq!(
+        keys,
+        [
+            "host.zone",
+            "frontend.limits.deadline_ms",
+            "platform.timeout_ms"
+        ]
+    );
 }
 
 /// Guards against a syntax error without a place.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -127,7 +127,7 @@
 credential_digest = "$credential_digest"
 
 [platform]
-address = "127.0.0.1:$PLATFORM_PORT"
+addresses = ["127.0.0.1:$PLATFORM_PORT"]
 
 [log]
 format = "json"
