Confirm a join only when the engine is within its smaller share

Cause: a transaction keeps its connection up to 30 s, but a joining host used its share 500 ms after the last confirmation, so both hosts together could exceed a backend server's connection limit. The front end and the engine both counted fulmargw_requests_total, with different labels, so that its sum was twice the requests. Ruled out: a longer fixed delay, because transactions have no useful bound for it. Change: the process answers other hosts through the engine's is_within, which now also refuses while a greater cap is in force; the front end counts fulmargw_caller_requests_total.

--- a/fulmargw/src/serve/mod.rs
+++ b/fulmargw/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! A serving process: its parts, its start and its graceful stop.
 
+pub mod answer;
 pub mod error;
 pub mod gate;
 pub mod listener;
--- a/fulmargw/src/serve/process.rs
+++ b/fulmargw/src/serve/process.rs
@@ -5,6 +5,7 @@
         operator::router::router,
         recorder,
         serve::{
+            answer::Answer,
             error::Error,
             gate::{Agent, Gate},
             listener::{self, Listeners},
@@ -64,11 +65,11 @@
     }
 
     fn serve_peers(&mut self, peer: TcpListener, document: TcpListener) {
-        let agent = self.parts.agent.clone();
+        let answer = Answer::new(self.parts.agent.clone(), self.parts.engine.clone());
         let stop = self.stop_interfaces.clone();
-        let peers = server::serve(peer, agent.clone(), stop.clone());
+        let peers = server::serve(peer, answer.clone(), stop.clone());
         self.tasks.serve_interface(listener::PEER, peers);
-        let documents = document::serve(document, agent, stop);
+        let documents = document::serve(document, answer, stop);
         self.tasks.serve_interface(listener::DOCUMENT, documents);
     }
 
--- a/fulmargw_engine/src/engine.rs
+++ b/fulmargw_engine/src/engine.rs
@@ -85,7 +85,8 @@
         waiting > 0 || lent
     }
 
-    /// Reports whether the open connections are within a share of one in `divisor`.
+    /// Reports whether the open connections are within a share of one in `divisor`, and no
+    /// more are about to be opened.
     ///
     /// A host confirms a change of the membership only after this is true.
     #[must_use]
@@ -94,7 +95,7 @@
         let mut members = servers.groups.values().flat_map(|group| &group.members);
         members.all(|member| {
             let cap = member.server.connections / divisor.max(1);
-            member.open() <= cap
+            member.cap <= cap && member.open() <= cap
         })
     }
 
--- a/fulmargw_frontend/src/session/request.rs
+++ b/fulmargw_frontend/src/session/request.rs
@@ -37,7 +37,7 @@
         if self.broken {
             return Ok(Err(Failure::failed_transaction()));
         }
-        metrics::counter!("fulmargw_requests_total").increment(1);
+        metrics::counter!("fulmargw_caller_requests_total").increment(1);
         let part = self.part(work.part);
         let request = self.request(part, work);
         let outcome = self.outcome(request).await?;
