Keep library lines out of the logs; show failover and withdrawal in the demo

Cause: tarpc logs each call between hosts at level info: 399 of about 420 lines in a run of four hosts. A refused patch said twice that it was not applied, and an unknown outcome did not name the patch id that resolves it. Ruled out: a settings key for the level of libraries, because nothing below a warning of theirs helps an operator. Change: lines of libraries below warnings are left out; messages name cause and patch id; the demo kills the primary and withdraws a key. Conclusion: a log line stands for a change of state again.

--- a/fulmargw/src/log.rs
+++ b/fulmargw/src/log.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::{host::Host, log::Format, log::Log},
     ::log::{
-        Record,
+        Level, Record,
         kv::{self, Key, Value, VisitSource},
     },
     fern::{Dispatch, FormatCallback},
@@ -62,6 +62,12 @@
     dispatch.apply().map_err(Error::Install)
 }
 
+/// Reports whether a target belongs to this program. Libraries log each call at level info;
+/// only their warnings are of use.
+fn is_own(target: &str) -> bool {
+    target.starts_with("fulmargw")
+}
+
 /// Returns the formatter of the settings, without a destination.
 pub fn dispatch(log: &Log, host: &Host) -> Dispatch {
     let origin = Origin {
@@ -72,6 +78,7 @@
     let format = log.format;
     Dispatch::new()
         .level(log.level.into())
+        .filter(|metadata| is_own(metadata.target()) || metadata.level() <= Level::Warn)
         .format(move |out, message, record| match format {
             Format::Text => write_text(&origin, out, message, record),
             Format::Json => write_json(&origin, out, message, record),
--- a/fulmargw/src/operator/message.rs
+++ b/fulmargw/src/operator/message.rs
@@ -45,6 +45,8 @@
     },
     /// The patch may be applied; submitting it again with the same identifier tells.
     Unknown {
+        /// Identifier of the patch.
+        patch: String,
         /// What hid the outcome.
         cause: String,
     },
@@ -75,9 +77,9 @@
                 formatter.write_str(cause)
             }
             Self::Unavailable { cause } => write!(formatter, "patch not applied: {cause}"),
-            Self::Unknown { cause } => write!(
+            Self::Unknown { patch, cause } => write!(
                 formatter,
-                "patch outcome unknown, submit the same patch id again: {cause}"
+                "outcome of patch unknown, submit it again with the id {patch:?}: {cause}"
             ),
         }
     }
--- a/fulmargw/src/serve/parts.rs
+++ b/fulmargw/src/serve/parts.rs
@@ -21,6 +21,7 @@
     std::sync::Arc,
     tokio::time::Instant,
     tokio_util::sync::CancellationToken,
+    uuid::Uuid,
 };
 
 /// The engine of a process.
@@ -80,13 +81,17 @@
 
     /// Runs the patch in a task of its own, because an operator who hangs up must not stop
     /// it between the store and the other hosts.
-    async fn patch(&self, patch: Patch) -> Result<Accepted, Rejection> {
-        let agent = self.agent.clone();
+    async fn patch(&self, mut patch: Patch) -> Result<Accepted, Rejection> {
+        if patch.id.is_empty() {
+            patch.id = Uuid::new_v4().to_string();
+        }
+        let (agent, id) = (self.agent.clone(), patch.id.clone());
         let task = tokio::spawn(async move { agent.patch(patch).await });
         match task.await {
             Ok(Ok(accepted)) => Ok(accept(accepted)),
             Ok(Err(error)) => Err(reject(error)),
             Err(failure) => Err(Rejection::Unknown {
+                patch: id,
                 cause: failure.to_string(),
             }),
         }
@@ -119,13 +124,15 @@
 fn reject(error: configuration::Error) -> Rejection {
     match error {
         configuration::Error::Refused(refusal) => refuse(refusal),
-        configuration::Error::Unreadable(_) | configuration::Error::Unnoted { .. } => {
-            Rejection::Unavailable {
-                cause: error.to_string(),
-            }
-        }
-        configuration::Error::Unknown { .. } => Rejection::Unknown {
-            cause: error.to_string(),
+        configuration::Error::Unreadable(cause) => Rejection::Unavailable {
+            cause: cause.to_string(),
+        },
+        configuration::Error::Unnoted { reached, needed } => Rejection::Unavailable {
+            cause: format!("only {reached} of {needed} hosts could be told of the new version"),
+        },
+        configuration::Error::Unknown { patch, cause } => Rejection::Unknown {
+            patch,
+            cause: cause.to_string(),
         },
     }
 }
--- a/fulmargw/tests/log.rs
+++ b/fulmargw/tests/log.rs
@@ -13,6 +13,9 @@
     std::sync::mpsc::channel,
 };
 
+/// Target of a line of this program.
+const OWN: &str = "fulmargw_control::lease";
+
 fn host() -> Host {
     Host {
         name: Name::new("host-a"),
@@ -26,7 +29,7 @@
 }
 
 /// Writes one record at level info and returns the line, if one was written.
-fn line(level: Level, format: Format) -> Option<String> {
+fn line(level: Level, format: Format, target: &str) -> Option<String> {
     let (sender, receiver) = channel();
     let settings = Log {
         level,
@@ -36,7 +39,7 @@
     let (_, logger) = dispatch(&settings, &host()).chain(sender).into_log();
     let record = Record::builder()
         .level(log::Level::Info)
-        .target("test")
+        .target(target)
         .args(format_args!("lease \"lost\""))
         .key_values(&("term", 7))
         .build();
@@ -47,7 +50,7 @@
 /// Guards against JSON lines that a collector cannot read or assign to a host.
 #[test]
 fn json_line_has_host_zone_and_fields() {
-    let line = line(Level::Info, Format::Json).expect("a line");
+    let line = line(Level::Info, Format::Json, OWN).expect("a line");
 
     let value: serde_json::Value = serde_json::from_str(&line).expect("JSON");
     assert_eq!(value["host"], "host-a");
@@ -59,14 +62,20 @@
 /// Guards against text lines that cannot be assigned to a host.
 #[test]
 fn text_line_has_host_zone_and_fields() {
-    let line = line(Level::Info, Format::Text).expect("a line");
+    let line = line(Level::Info, Format::Text, OWN).expect("a line");
 
-    let end = " INFO host-a zone-1 test: lease \"lost\" term=7\n";
+    let end = " INFO host-a zone-1 fulmargw_control::lease: lease \"lost\" term=7\n";
     assert!(line.ends_with(end), "{line:?}");
 }
 
 /// Guards against a level setting without effect.
 #[test]
 fn less_severe_lines_are_left_out() {
-    assert_eq!(line(Level::Warn, Format::Text), None);
+    assert_eq!(line(Level::Warn, Format::Text, OWN), None);
+}
+
+/// Guards against logs that are full of the lines which libraries write for each call.
+#[test]
+fn lines_of_libraries_are_left_out_below_warnings() {
+    assert_eq!(line(Level::Trace, Format::Text, "tarpc::server"), None);
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -91,6 +91,7 @@
     "$lab" platform --listen "127.0.0.1:$PLATFORM_PORT" \
         --admin "127.0.0.1:$PLATFORM_ADMIN_PORT" >"$folder/platform.log" 2>&1 &
     stand_ins+=($!)
+    disown $! # The shell reports nothing when the demo kills it.
 }
 
 start_server() {
@@ -107,6 +108,7 @@
         --admin "127.0.0.1:$(server_port "$own" 2)" \
         >"$folder/server-${SERVERS[own]}.log" 2>&1 &
     stand_ins+=($!)
+    disown $! # The shell reports nothing when the demo kills it.
 }
 
 write_settings() {
@@ -279,7 +281,29 @@
     esac
 done
 
-step "10. stopping gracefully"
+step "10. the primary dies; writes continue and no acknowledged write is lost"
+kill -KILL "${stand_ins[1]}"
+second_write() {
+    output=$(query 0 --route notes-write "${as_tools[@]}" \
+        "INSERT INTO kv VALUES ('farewell', 'good night')" 2>&1)
+}
+await second_write
+expect "$output" "position notes/2/"
+expect_exit 0 query 3 --route notes-public --account anybody "$read_statement"
+expect "$output" "row good morning"
+
+step "11. a withdrawn key is refused on another host"
+cat >"$folder/withdraw.toml" <<EOF
+base = 1
+changes = [{ withdraw_key = { account = "tools", digest = "$account_digest" } }]
+EOF
+# shellcheck disable=SC2046 # The options are separate words.
+expect_exit 0 "$fulmargw" patch --json $(operator_options 2) "$folder/withdraw.toml"
+expect "$output" '"version":2'
+expect_exit 1 query 1 --route notes-write "${as_tools[@]}" "$write_statement"
+expect "$output" "refused 28P01"
+
+step "12. stopping gracefully"
 for pid in "${hosts[@]}"; do kill -TERM "$pid"; done
 for own in "${!hosts[@]}"; do
     tries=$((STOP_TIMEOUT_S * 10))
