Check leases, rates, patches and several agents under faults

Ruled out: a removal checked with single events only; the model check explores all orders of events for 4 members. Own tokens are spent first while the bucket is more than half full, and buckets of an activated host start to fill at once. Conclusion: the bounds hold in the checked orders of events.

--- a/fulmargw_control/src/borrow.rs
+++ b/fulmargw_control/src/borrow.rs
@@ -19,8 +19,8 @@
     tokio::time::{Instant, sleep},
 };
 
-/// Part of the demand below which a lender is not asked.
-const WORTHWHILE: f64 = 0.01;
+/// Part of the next request below which a lender is not asked.
+const WORTHWHILE: f64 = 0.05;
 
 /// One question to one lender.
 #[derive(Debug)]
@@ -151,7 +151,7 @@
         let active = others.iter().filter(|member| member.state == State::Active);
         let expected: Vec<(&Member, f64)> = active
             .map(|member| (member, self.expected(&member.host.name, standing, now)))
-            .filter(|(_, tokens)| *tokens > needed * WORTHWHILE)
+            .filter(|(_, tokens)| *tokens > needed.min(1.0) * WORTHWHILE)
             .collect();
         let total: f64 = expected.iter().map(|(_, tokens)| tokens).sum();
         let scale = if total > needed { needed / total } else { 1.0 };
--- a/fulmargw_control/src/membership.rs
+++ b/fulmargw_control/src/membership.rs
@@ -153,6 +153,9 @@
                 (entry.state == State::Joining).then(|| membership::activate(fleet, own).ok())?
             })
             .await?;
+        // The share begins now, so the buckets start empty now.
+        let now = Instant::now();
+        self.shared.accounts.lock().belong_to(own, now);
         info!(host = own.host.as_str(); "active at generation {}", record.generation.0);
         Ok(())
     }
--- a/fulmargw_control/src/rate.rs
+++ b/fulmargw_control/src/rate.rs
@@ -24,6 +24,9 @@
 const SHORTEST_RETRY: Duration = Duration::from_millis(10);
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
+/// Longest time after which a waiting request looks for lenders again.
+const RETRY: Duration = Duration::from_millis(50);
+
 /// Time for which tokens are fetched ahead of demand.
 pub(crate) const LOOKAHEAD: Duration = Duration::from_millis(20);
 
@@ -85,7 +88,7 @@
                 return Err(self.refuse(account));
             }
             self.start_borrowing(account);
-            let refilled = Instant::now() + shortage.wait;
+            let refilled = Instant::now() + shortage.wait.min(RETRY);
             tokio::select! {
                 () = changed.notified() => {}
                 () = sleep_until(refilled.min(limit)) => {}
--- a/fulmargw_control/tests/fleet.rs
+++ b/fulmargw_control/tests/fleet.rs
@@ -87,6 +87,28 @@
     assert!(admit(&nodes[3], "shop").await);
 }
 
+/// Guards against a paused process that takes late answers for a valid lease.
+#[tokio::test(start_paused = true)]
+async fn a_paused_host_uses_nothing_when_it_resumes() {
+    let world = World::default();
+    let nodes = world.start_fleet(4).await;
+    let patch = put(0, "p1", account("shop", 40.0, 40.0, &[]));
+    nodes[0].patch(patch).await.expect("the patch is valid");
+
+    world.freeze("d", true);
+    until("the others use the share", || nodes[0].divisor() == Some(3)).await;
+    world.freeze("d", false);
+    for _ in 0..50 {
+        let now = Instant::now();
+        let joined_again = nodes[0].divisor() == Some(4);
+        assert!(joined_again || !nodes[3].is_leased(now));
+        assert!(joined_again || !admit(&nodes[3], "shop").await);
+        sleep(Duration::from_millis(2)).await;
+    }
+
+    until("it joins again", || nodes[3].divisor() == Some(4)).await;
+}
+
 /// Guards against a removal that is written twice or given up when its answer is lost.
 #[tokio::test(start_paused = true)]
 async fn lost_answers_of_the_store_do_not_stop_a_removal() {
--- a/fulmargw_decision/src/rate.rs
+++ b/fulmargw_decision/src/rate.rs
@@ -153,8 +153,7 @@
         if missing > TOLERANCE {
             return Err(self.shortage(missing));
         }
-        let rest = self.spend_borrowed(1.0);
-        self.tokens -= rest;
+        self.spend(1.0);
         Ok(())
     }
 
@@ -275,6 +274,14 @@
         self.tokens = full.min(self.capacity());
     }
 
+    /// Spends own tokens first while the bucket is more than half full, because a full bucket
+    /// loses its refill, and otherwise borrowed ones, because they expire.
+    fn spend(&mut self, amount: f64) {
+        let surplus = (self.tokens - self.capacity() / 2.0).clamp(0.0, amount);
+        let rest = self.spend_borrowed(amount - surplus);
+        self.tokens -= surplus + rest;
+    }
+
     /// Spends borrowed tokens, the soonest to expire first, and returns what is left to pay.
     fn spend_borrowed(&mut self, amount: f64) -> f64 {
         let mut rest = amount;
--- /dev/null
+++ b/fulmargw_decision/tests/lease.rs
@@ -0,0 +1,453 @@
+//! Leases, removals and shares, with a model check of removals.
+
+use {
+    fulmargw_decision::{
+        lease::{Confirmation, Evidence, VALIDITY, consents, quorum},
+        membership::{self, Share},
+    },
+    fulmargw_model::{
+        availability_zone::Zone,
+        fleet::{Fleet, Generation, Life, Member, State},
+        host::{Host, Incarnation},
+        name::Name,
+    },
+    quickcheck::quickcheck,
+    std::{
+        collections::{BTreeSet, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+fn host(number: u8) -> Host {
+    let port = |base: u16| SocketAddr::from(([127, 0, 0, 1], base + u16::from(number)));
+    Host {
+        name: Name::new(&format!("h{number}")),
+        zone: Zone(Name::new("z1")),
+        address: port(1_000),
+        document_address: port(2_000),
+    }
+}
+
+fn member(number: u8) -> Member {
+    Member {
+        host: host(number),
+        incarnation: Incarnation(0),
+        state: State::Active,
+    }
+}
+
+fn life(number: u8) -> Life {
+    member(number).life()
+}
+
+fn fleet(generation: u64, members: impl IntoIterator<Item = u8>) -> Fleet {
+    Fleet {
+        generation: Generation(generation),
+        members: members.into_iter().map(member).collect(),
+    }
+}
+
+fn confirmation(witness: u8, generation: u64, sent: Instant) -> Confirmation {
+    Confirmation {
+        witness: life(witness),
+        generation: Generation(generation),
+        sent,
+        refused: Vec::new(),
+    }
+}
+
+quickcheck! {
+    /// Guards against quorum sizes that let a removed host be confirmed.
+    fn quorum_and_consents_intersect(others: u8) -> bool {
+        let others = usize::from(others);
+        quorum(others) + consents(others) > others
+    }
+}
+
+/// Guards against a lease that counts from the answer or from too few witnesses.
+#[test]
+fn the_oldest_confirmation_of_the_quorum_counts() {
+    let (start, record) = (Instant::now(), fleet(3, 0..4));
+    let later = start + Duration::from_millis(400);
+    let mut evidence = Evidence::default();
+    let valid =
+        |evidence: &Evidence| evidence.valid_until(&record, &life(0), &BTreeSet::new(), later);
+
+    evidence.confirm(confirmation(1, 3, start));
+    assert_eq!(valid(&evidence), None);
+    evidence.confirm(confirmation(2, 2, later));
+    assert_eq!(valid(&evidence), None, "another generation does not count");
+    evidence.confirm(confirmation(2, 3, later));
+    assert_eq!(valid(&evidence), Some(start + VALIDITY));
+    evidence.confirm(confirmation(3, 3, later));
+    assert_eq!(valid(&evidence), Some(later + VALIDITY));
+}
+
+/// Guards against a host that is no longer in the record but still sees itself as valid.
+#[test]
+fn only_listed_lives_are_valid() {
+    let now = Instant::now();
+    let mut evidence = Evidence::default();
+    evidence.read(now);
+
+    let listed = evidence.is_valid(&fleet(1, 0..2), &life(0), &BTreeSet::new(), now);
+    let removed = evidence.is_valid(&fleet(2, 1..2), &life(0), &BTreeSet::new(), now);
+
+    assert!(listed);
+    assert!(!removed);
+}
+
+/// Guards against a witness that is itself being removed.
+#[test]
+fn a_refused_witness_does_not_count() {
+    let (now, record) = (Instant::now(), fleet(1, 0..3));
+    let mut evidence = Evidence::default();
+    evidence.confirm(confirmation(1, 1, now));
+
+    let refused = BTreeSet::from([life(1)]);
+
+    assert!(evidence.is_valid(&record, &life(0), &BTreeSet::new(), now));
+    assert!(!evidence.is_valid(&record, &life(0), &refused, now));
+}
+
+/// Guards against a change of the record that takes away every lease for a moment.
+#[test]
+fn a_change_of_the_record_keeps_the_validity() {
+    let (now, none) = (Instant::now(), BTreeSet::new());
+    let mut evidence = Evidence::default();
+    evidence.confirm(confirmation(1, 1, now));
+
+    evidence.carry(&fleet(1, 0..3), &life(0), &none, now);
+
+    let until = evidence.valid_until(&fleet(2, 0..4), &life(0), &none, now);
+    assert_eq!(until, Some(now + VALIDITY));
+}
+
+/// Guards against shares that grow before the removed host's lease has ended.
+#[test]
+fn a_share_shrinks_at_once_and_grows_late() {
+    let now = Instant::now();
+    let mut share = Share::default();
+    let (three, four) = (fleet(1, 0..3), fleet(2, 0..4));
+
+    share.adopt(&three, &four, now);
+    assert_eq!(share.divisor(&four, now), 4);
+    share.adopt(&four, &three, now);
+    let just_before = now
+        + VALIDITY
+            .checked_sub(Duration::from_millis(1))
+            .expect("long enough");
+    assert_eq!(share.divisor(&three, just_before), 4);
+    assert_eq!(share.divisor(&three, now + VALIDITY), 3);
+}
+
+/// Guards against a restart that waits for the removal of its own old life.
+#[test]
+fn a_restart_replaces_the_life_at_its_address() {
+    let before = fleet(5, 0..4);
+
+    let (after, own) = membership::join(&before, &host(2)).expect("the name is free");
+
+    assert_eq!(after.members.len(), 4);
+    assert_eq!(after.generation, Generation(6));
+    assert!(membership::entry(&after, &life(2)).is_none());
+    assert!(membership::entry(&after, &own).is_some_and(|entry| entry.state == State::Joining));
+}
+
+/// Guards against a second host that takes the name of a living one.
+#[test]
+fn a_name_at_another_address_is_refused() {
+    let elsewhere = Host {
+        address: SocketAddr::from(([127, 0, 0, 1], 9_999)),
+        ..host(2)
+    };
+
+    let joined = membership::join(&fleet(5, 0..4), &elsewhere);
+
+    assert_eq!(
+        joined.err(),
+        Some(membership::Error::NameTaken(host(2).name))
+    );
+}
+
+/// Steps of the model in the validity of a lease.
+const STEPS: u8 = 2;
+
+const MEMBERS: u8 = 4;
+
+/// Host whose removal is checked.
+const SUBJECT: usize = 0;
+
+/// What a witness told the subject: steps since then, and whom the witness refused.
+type Told = Option<(u8, u8)>;
+
+/// A state of the model. Messages that are lost and partitions need no states of their own,
+/// because every action is optional. Late messages only shorten what they allow.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Model {
+    /// Removed members in order; the generation of the store is their number.
+    removed: Vec<u8>,
+    /// Steps since the removal of the subject, at most `STEPS`.
+    since: u8,
+    /// Generation that each member has seen.
+    known: [u8; 4],
+    /// Bit set of members to whose removal each member has consented.
+    refused: [u8; 4],
+    /// Steps since each member last confirmed the subject, at most `STEPS`.
+    granted: [u8; 4],
+    told: [Told; 4],
+    /// Steps since the subject read the store, at most `STEPS`.
+    read: u8,
+    /// Steps since the evidence that was carried from an earlier generation.
+    carried: u8,
+}
+
+impl Model {
+    fn new() -> Self {
+        Self {
+            removed: Vec::new(),
+            since: 0,
+            known: [0; 4],
+            refused: [0; 4],
+            granted: [STEPS; 4],
+            told: [None; 4],
+            read: STEPS,
+            carried: STEPS,
+        }
+    }
+
+    fn record(&self, generation: u8) -> Fleet {
+        let removed = &self.removed[..usize::from(generation)];
+        let members = (0..MEMBERS).filter(|number| !removed.contains(number));
+        fleet(u64::from(generation), members)
+    }
+
+    fn generation(&self) -> u8 {
+        u8::try_from(self.removed.len()).expect("few removals")
+    }
+
+    fn is_listed(&self, member: usize, generation: u8) -> bool {
+        let removed = &self.removed[..usize::from(generation)];
+        !removed.iter().any(|number| usize::from(*number) == member)
+    }
+
+    fn evidence(&self, now: Instant) -> Evidence {
+        let step = VALIDITY / u32::from(STEPS);
+        let sent = |age: u8| {
+            now.checked_sub(step * u32::from(age))
+                .expect("after the epoch")
+        };
+        let mut evidence = Evidence::default();
+        for (witness, told) in (0..MEMBERS).zip(self.told) {
+            if let Some((age, refused)) = told {
+                evidence.confirm(Confirmation {
+                    refused: lives(refused).collect(),
+                    ..confirmation(witness, u64::from(self.known[SUBJECT]), sent(age))
+                });
+            }
+        }
+        evidence
+    }
+
+    /// Returns the age of what confirmations alone prove, at most `STEPS`.
+    fn confirmed(&self) -> u8 {
+        let now = Instant::now() + VALIDITY;
+        let record = self.record(self.known[SUBJECT]);
+        let refused = lives(self.refused[SUBJECT]).collect();
+        let until = self
+            .evidence(now)
+            .valid_until(&record, &life(0), &refused, now);
+        let step = VALIDITY / u32::from(STEPS);
+        (0..STEPS)
+            .find(|age| until == Some(now + step * u32::from(STEPS - age)))
+            .unwrap_or(STEPS)
+    }
+
+    fn is_valid(&self) -> bool {
+        self.is_listed(SUBJECT, self.known[SUBJECT])
+            && self.read.min(self.carried).min(self.confirmed()) < STEPS
+    }
+
+    /// Renames the witnesses into an order of their own, because states that differ only in
+    /// the names of the witnesses need to be checked once.
+    fn ordered(self) -> Self {
+        let mut order = [0, 1, 2, 3];
+        order[1..].sort_by_key(|member| {
+            let removed = self.removed.iter().position(|gone| gone == member);
+            let member = usize::from(*member);
+            let told = self.told[member].map(|(age, _)| age);
+            let refuses = self.refused[member] & 1 << SUBJECT;
+            (
+                removed,
+                self.known[member],
+                self.granted[member],
+                told,
+                refuses,
+            )
+        });
+        let place = |member: u8| order.iter().position(|old| *old == member);
+        let renamed = |member: u8| place(member).expect("order holds all members");
+        let set = |set: u8| {
+            let members = (0..MEMBERS).filter(|member| set & 1 << member != 0);
+            members.fold(0_u8, |set, member| set | 1 << renamed(member))
+        };
+        let old = order.map(usize::from);
+        Self {
+            removed: self
+                .removed
+                .iter()
+                .map(|member| u8::try_from(renamed(*member)).expect("few members"))
+                .collect(),
+            known: old.map(|member| self.known[member]),
+            refused: old.map(|member| set(self.refused[member])),
+            granted: old.map(|member| self.granted[member]),
+            told: old.map(|member| self.told[member].map(|(age, refused)| (age, set(refused)))),
+            ..self
+        }
+    }
+
+    fn next(&self) -> Vec<Self> {
+        let mut next = vec![self.pass()];
+        for member in 0..usize::from(MEMBERS) {
+            next.extend(self.confirm(member));
+            next.extend(
+                (self.known[member] + 1..=self.generation()).map(|to| self.adopt(member, to)),
+            );
+        }
+        next.push(self.read_store());
+        if self.is_listed(SUBJECT, self.generation()) {
+            next.extend((0..MEMBERS).flat_map(|member| self.removals(member)));
+        }
+        next
+    }
+
+    fn pass(&self) -> Self {
+        let mut next = self.clone();
+        let older = |age: u8| (age + 1).min(STEPS);
+        next.granted = self.granted.map(older);
+        next.told = self.told.map(|told| {
+            told.map(|(age, refused)| (older(age), refused))
+                .filter(|(age, _)| *age < STEPS)
+        });
+        next.read = older(self.read);
+        next.carried = older(self.carried);
+        if !self.is_listed(SUBJECT, self.generation()) {
+            next.since = older(self.since);
+        }
+        next
+    }
+
+    fn confirm(&self, witness: usize) -> Option<Self> {
+        let generation = self.known[witness];
+        let granted = witness != SUBJECT
+            && generation == self.known[SUBJECT]
+            && self.is_listed(SUBJECT, generation)
+            && self.refused[witness] & 1 << SUBJECT == 0;
+        granted.then(|| {
+            let mut next = self.clone();
+            next.granted[witness] = 0;
+            next.told[witness] = Some((0, self.refused[witness]));
+            next
+        })
+    }
+
+    /// A member gets a newer record from a peer.
+    fn adopt(&self, member: usize, generation: u8) -> Self {
+        let mut next = self.clone();
+        if member == SUBJECT {
+            next.carried = self.carried.min(self.confirmed());
+            next.told = [None; 4];
+        }
+        next.known[member] = generation;
+        next
+    }
+
+    fn read_store(&self) -> Self {
+        let mut next = self.clone();
+        if self.known[SUBJECT] < self.generation() {
+            next = self.adopt(SUBJECT, self.generation());
+        }
+        if self.is_listed(SUBJECT, self.generation()) {
+            next.read = 0;
+        }
+        next
+    }
+
+    /// Every removal of a member with a sufficient set of consents.
+    fn removals(&self, member: u8) -> Vec<Self> {
+        let generation = self.generation();
+        let target = usize::from(member);
+        if !self.is_listed(target, generation) {
+            return Vec::new();
+        }
+        let others: Vec<usize> = (0..usize::from(MEMBERS))
+            .filter(|other| *other != target && self.is_listed(*other, generation))
+            .collect();
+        let able = |other: &usize| {
+            let silent = target != SUBJECT || self.granted[*other] >= STEPS;
+            self.known[*other] == generation && silent
+        };
+        let needed = consents(others.len());
+        let sets = (1_u8..1 << MEMBERS).filter(|set| {
+            let chosen = |other: &usize| set & 1 << other != 0;
+            let count = others
+                .iter()
+                .filter(|other| chosen(other) && able(other))
+                .count();
+            count == needed && usize::try_from(set.count_ones()) == Ok(needed)
+        });
+        sets.map(|set| self.remove(member, set)).collect()
+    }
+
+    fn remove(&self, member: u8, set: u8) -> Self {
+        let mut next = self.clone();
+        for (other, refused) in next.refused.iter_mut().enumerate() {
+            if set & 1 << other != 0 {
+                *refused |= 1 << member;
+            }
+        }
+        next.removed.push(member);
+        next
+    }
+}
+
+fn lives(set: u8) -> impl Iterator<Item = Life> {
+    (0..MEMBERS)
+        .filter(move |number| set & 1 << number != 0)
+        .map(life)
+}
+
+/// Guards against a removed member that is still valid when others use its share.
+#[test]
+fn no_order_of_events_leaves_a_removed_member_valid() {
+    let mut seen = HashSet::from([Model::new()]);
+    let mut open = vec![Model::new()];
+    let mut removals = 0_u32;
+
+    while let Some(model) = open.pop() {
+        // After several removals in a row, evidence from before the first one can last longer.
+        if model.removed == [0] {
+            let confirmed = model.confirmed().min(model.carried);
+            assert_eq!(confirmed, STEPS, "confirmed after its removal: {model:?}");
+        }
+        if model.since >= STEPS {
+            removals += 1;
+            assert!(!model.is_valid(), "valid after its removal: {model:?}");
+            continue;
+        }
+        for next in model.next().into_iter().map(Model::ordered) {
+            if seen.insert(next.clone()) {
+                open.push(next);
+            }
+        }
+    }
+
+    assert!(
+        removals > 1_000,
+        "only {removals} removals in {} states",
+        seen.len()
+    );
+    println!("{} states, {removals} removals", seen.len());
+}
