--- a/fulmargw_control/src/membership.rs
+++ b/fulmargw_control/src/membership.rs
@@ -78,7 +78,8 @@
         }
         match fleet.entry().map(|entry| entry.state) {
             Some(State::Joining) if is_admitted(&mut fleet, &own, now) => Duty::Activate(own),
-            Some(State::Active) if fleet.standing(now).is_some() => {
+            // Consents are for good, so none are collected while no removal can be written.
+            Some(State::Active) if recent && fleet.standing(now).is_some() => {
                 let suspect = self.shared.settings.suspect();
                 find_dead(&fleet, &own, suspect, now).map_or(Duty::Nothing, Duty::Remove)
             }
