Check the peer protocol and the platform client over loopback

Cause: connections go silent, frames are damaged, and hosts restart. Ruled out: an own retry of a call; the caller knows better whether a repeat is useful. Change: a suspected connection is not handed out again until its task has replaced it; without this the call after a timeout failed. Switched off to see a check fail: the check of deadlines in requests. Conclusion: no tested damage stops a host.

--- a/fulmargw_peer/src/link.rs
+++ b/fulmargw_peer/src/link.rs
@@ -79,9 +79,7 @@
     pub(crate) async fn stub(&self) -> Result<Stub, String> {
         self.demand.notify_one();
         let mut state = self.state.clone();
-        let settled = state
-            .wait_for(|state| !matches!(state, State::Connecting))
-            .await;
+        let settled = state.wait_for(|state| self.is_settled(state)).await;
         match settled.as_deref() {
             Ok(State::Up(stub)) => Ok(stub.clone()),
             Ok(State::Down(cause)) => Err(cause.to_string()),
@@ -89,6 +87,15 @@
         }
     }
 
+    /// A suspected connection stays published until its task has dropped it.
+    fn is_settled(&self, state: &State) -> bool {
+        match state {
+            State::Connecting => false,
+            State::Up(stub) => stub.number > *self.suspect.borrow(),
+            State::Down(_) => true,
+        }
+    }
+
     /// Reports that a connection did not answer in time, so that it is replaced.
     pub(crate) fn suspect(&self, stub: &Stub) {
         self.suspect.send_if_modified(|number| {
