Serve agents on listeners and slow down repeated joins

Cause: a host that reaches the store but no peer was removed and joined again without end, and each change moves every host to a new generation. A receiver that holds the published configuration while it asks for the lease could block the agent. Ruled out: no removal of joining members; a dead one would keep its share. Change: the delay of a join doubles from 250 ms to 16 s while lives do not become active; documents are published outside the lock, never an older one; Agent::serve answers peers.

--- a/fulmargw_control/src/agent.rs
+++ b/fulmargw_control/src/agent.rs
@@ -15,11 +15,13 @@
         order::{Mutex, Rank},
         position::Term,
     },
-    fulmargw_peer::message::Announcement,
+    fulmargw_peer::{document, message::Announcement, server},
     fulmargw_platform::store::Store,
     futures::future::join_all,
-    std::{sync::Arc, time::Duration},
+    log::warn,
+    std::{io, sync::Arc, time::Duration},
     tokio::{
+        net::TcpListener,
         sync::{Notify, broadcast, watch},
         time::Instant,
     },
@@ -96,6 +98,13 @@
         agent
     }
 
+    /// Answers other hosts on the listeners of the peer and the document address.
+    pub fn serve(&self, calls: TcpListener, documents: TcpListener) {
+        let stop = self.shared.stop.clone();
+        self.spawn(answer(server::serve(calls, self.clone(), stop.clone())));
+        self.spawn(answer(document::serve(documents, self.clone(), stop)));
+    }
+
     /// Ends all tasks at once, without leaving the fleet.
     pub fn stop(&self) {
         self.shared.stop.cancel();
@@ -185,3 +194,9 @@
             .spawn(stop.run_until_cancelled_owned(task));
     }
 }
+
+async fn answer(server: impl Future<Output = io::Result<()>>) {
+    if let Err(cause) = server.await {
+        warn!("a listener for other hosts has ended: {cause}");
+    }
+}
--- a/fulmargw_control/src/configuration.rs
+++ b/fulmargw_control/src/configuration.rs
@@ -264,14 +264,29 @@
             .heard
             .retain(|version, _| *version > document.version);
         self.shared.accounts.lock().adopt(&document, now);
-        // Sent under the lock, so that receivers see versions in ascending order.
-        self.shared.publish.send_replace(document.clone());
         drop(configuration);
+        self.publish(&document);
         gauge!("fulmargw_configuration_version").set(gauge_value(document.version));
         info!("configuration {} in force", document.version.0);
     }
 }
 
+impl<S, P> Agent<S, P> {
+    /// Publishes a document unless a newer one was published meanwhile.
+    ///
+    /// No lock is held, because a receiver may hold the published value while it asks for
+    /// the lease.
+    fn publish(&self, document: &Arc<Configuration>) {
+        self.shared.publish.send_if_modified(|current| {
+            let newer = document.version >= current.version;
+            if newer {
+                current.clone_from(document);
+            }
+            newer
+        });
+    }
+}
+
 /// Makes the transaction that stores the document, its head and the patch id together.
 fn transaction(
     patch: &Patch,
--- a/fulmargw_control/src/membership.rs
+++ b/fulmargw_control/src/membership.rs
@@ -69,7 +69,8 @@
         let read = self.shared.configuration.lock().read;
         let mut fleet = self.shared.fleet.lock();
         let Some(own) = fleet.own.clone() else {
-            return Duty::Join;
+            let due = now >= fleet.join_at;
+            return if due { Duty::Join } else { Duty::Nothing };
         };
         let recent = read.is_some_and(|sent| now < sent + VALIDITY);
         let expelled = fleet.expelled.is_some_and(|since| now >= since + EXPULSION);
--- a/fulmargw_control/src/table.rs
+++ b/fulmargw_control/src/table.rs
@@ -31,6 +31,10 @@
 /// Age at which a version that nobody has is taken as given up by its host.
 const HEARD_EXPIRY: Duration = Duration::from_secs(10);
 
+/// Delay of a join after a removal, and how often it doubles at most (to 16 s).
+const FIRST_JOIN_DELAY: Duration = Duration::from_millis(250);
+const JOIN_DOUBLINGS: u32 = 6;
+
 /// Rank 1: the document in force and noted versions.
 #[derive(Debug, Default)]
 pub(crate) struct Configuration {
@@ -119,6 +123,10 @@
     /// When a witness first refused the own life.
     pub(crate) expelled: Option<Instant>,
     pub(crate) started: Instant,
+    /// Lives in a row that were removed before they became active.
+    failed_joins: u32,
+    /// When the next life may join.
+    pub(crate) join_at: Instant,
     valid_until: Option<Instant>,
 }
 
@@ -161,6 +169,8 @@
             join: None,
             expelled: None,
             started: now,
+            failed_joins: 0,
+            join_at: now,
             valid_until: None,
         }
     }
@@ -226,12 +236,27 @@
             self.heard.entry(member.host.name.clone()).or_insert(now);
         }
         if self.own.as_ref().is_some_and(|own| !listed(own)) {
+            self.delay_join(now);
             self.suspend();
         }
+        if self
+            .entry()
+            .is_some_and(|entry| entry.state != State::Joining)
+        {
+            self.failed_joins = 0;
+        }
         self.judge(now);
         true
     }
 
+    /// Delays the next join, longer after each life that did not become active. Otherwise a
+    /// host that reaches the store but no peer would change the record all the time.
+    fn delay_join(&mut self, now: Instant) {
+        let delay = FIRST_JOIN_DELAY * (1 << self.failed_joins.min(JOIN_DOUBLINGS));
+        self.join_at = now + delay;
+        self.failed_joins += 1;
+    }
+
     /// Gives up the own life: from now on this host uses no share.
     pub(crate) fn suspend(&mut self) {
         self.own = None;
--- a/fulmargw_control/tests/fleet.rs
+++ b/fulmargw_control/tests/fleet.rs
@@ -241,6 +241,30 @@
     assert!(returned <= Duration::from_millis(2_100), "{returned:?}");
 }
 
+/// Guards against a host without peers that keeps changing the record for all others.
+#[tokio::test(start_paused = true)]
+async fn a_host_that_reaches_only_the_store_does_not_disturb() {
+    let world = World::default();
+    let nodes = world.start_fleet(4).await;
+
+    let before = world.commits();
+    for other in ["a", "b", "c"] {
+        world.cut(other, "d", true);
+    }
+    for _ in 0..600 {
+        sleep(Duration::from_millis(100)).await;
+        let now = Instant::now();
+        assert!(nodes[..3].iter().all(|node| node.is_leased(now)));
+    }
+
+    let changes = world.commits() - before;
+    assert!(changes <= 30, "{changes} changes in a minute");
+    for other in ["a", "b", "c"] {
+        world.cut(other, "d", false);
+    }
+    until("it has a share again", || nodes[3].divisor() == Some(4)).await;
+}
+
 /// Guards against the removal of a host that only one other host cannot reach.
 #[tokio::test(start_paused = true)]
 async fn a_single_broken_way_removes_nobody() {
