Keep connections that were given up in a cut from arriving later

Ruled out: a higher limit in the test, because it would hide real violations. Settings follow `platform.addresses`.

--- a/fulmargw_lab/src/fleet/settings.rs
+++ b/fulmargw_lab/src/fleet/settings.rs
@@ -118,7 +118,7 @@
 credential_digest = "{digest}"
 
 [platform]
-address = "{platform}"
+addresses = ["{platform}"]
 "#
     )
 }
--- a/fulmargw_lab/src/link/relay.rs
+++ b/fulmargw_lab/src/link/relay.rs
@@ -10,7 +10,7 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
         net::{
             TcpListener, TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -102,6 +102,11 @@
     near.set_zero_linger()?;
     near.set_nodelay(true)?;
     flow.pass().await?;
+    // A side that gave up during a cut never got through, so nothing may arrive later.
+    let state = near.ready(Interest::READABLE | Interest::WRITABLE).await?;
+    if state.is_read_closed() {
+        return Ok(());
+    }
     crate::timer::sleep(flow.delay).await;
     let far = TcpStream::connect(target).await?;
     far.set_zero_linger()?;
--- a/fulmargw_lab/tests/link.rs
+++ b/fulmargw_lab/tests/link.rs
@@ -98,6 +98,31 @@
     assert!(stream.read_u8().await.is_err());
 }
 
+/// Guards against a connection that its client gave up in a cut and that arrives afterwards.
+#[tokio::test]
+async fn abandoned_connection_does_not_arrive_after_the_cut() {
+    let target = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let mapping = Mapping {
+        name: "echo".to_owned(),
+        listen: address::free(1).expect("free port"),
+        target: target.local_addr().expect("address"),
+    };
+    let listen = mapping.listen;
+    let admin = address::free(1).expect("free port");
+    let rules = process::start(vec![mapping], Duration::ZERO, admin).await;
+    let rules = rules.expect("start");
+    rules.send_replace(rule(None, Action::Drop));
+
+    let mut abandoned = TcpStream::connect(listen).await.expect("connect");
+    abandoned.write_u8(7).await.expect("write");
+    drop(abandoned);
+    time::sleep(Duration::from_millis(20)).await;
+    rules.send_replace(Table::default());
+    let arrived = time::timeout(Duration::from_millis(100), target.accept()).await;
+
+    assert!(arrived.is_err());
+}
+
 /// Guards against rules that match another source.
 #[test]
 fn rules_match_by_source() {
