--- a/fulmargw_lab/src/load/session.rs
+++ b/fulmargw_lab/src/load/session.rs
@@ -242,7 +242,8 @@
             (None, _) => {}
         }
         if let Err(failure) = &result {
-            if failure.broken {
+            // A balancer sends callers away from a host that cannot serve at present.
+            if failure.broken || failure.error == "57P03" {
                 self.move_on();
             }
             time::sleep(PAUSE).await;
