--- a/fulmargw_lab/src/cli.rs
+++ b/fulmargw_lab/src/cli.rs
@@ -6,6 +6,7 @@
             member::Start,
             process::{self as database, Peer},
         },
+        experiment,
         link::{process as link, relay::Mapping},
         platform::process as platform,
     },
@@ -13,7 +14,7 @@
     std::{future, io, net::SocketAddr, time::Duration},
 };
 
-/// Stand-ins for backend servers, the platform and the network.
+/// Stand-ins for backend servers, the platform and the network, and experiments.
 #[derive(Debug, FromArgs)]
 pub struct Command {
     #[argh(subcommand)]
@@ -26,6 +27,7 @@
     Database(Database),
     Platform(Platform),
     Link(Link),
+    Experiment(experiment::Command),
 }
 
 /// Runs one backend server of a database group.
@@ -120,11 +122,11 @@
 }
 
 impl Command {
-    /// Runs the stand-in until the process is ended.
+    /// Runs a stand-in until the process is ended, or an experiment to its end.
     ///
     /// # Errors
     ///
-    /// If an address cannot be bound.
+    /// If an address cannot be bound, or the experiment cannot be made.
     pub async fn run(self) -> io::Result<()> {
         match self.stand_in {
             StandIn::Database(database) => {
@@ -137,6 +139,7 @@
                 let delay = Duration::from_micros(options.delay_us);
                 link::start(options.map, delay, options.admin).await?;
             }
+            StandIn::Experiment(command) => return command.run().await,
         }
         future::pending().await
     }
--- /dev/null
+++ b/fulmargw_lab/src/experiment/configuration.rs
@@ -0,0 +1,124 @@
+//! Time until a configuration is in force on every host, and racing patches.
+
+use {
+    super::{
+        bench::{Bench, Settings},
+        operator,
+        report::{Goal, Report, float},
+    },
+    fulmargw_model::configuration::{Change, Patch, Version},
+    rand::{SeedableRng as _, rngs::StdRng, seq::SliceRandom as _},
+    reqwest::StatusCode,
+    std::{io, time::Duration},
+    tokio::{
+        task::JoinSet,
+        time::{self, Instant},
+    },
+};
+
+/// Races in each run.
+const RACES: u64 = 6;
+/// Patches that race, each through its own host.
+const RACING: usize = 3;
+/// Bound of one race.
+const LIMIT: Duration = Duration::from_secs(4);
+/// Pause between two races.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Lets patches with the same base race several times in each run, all on one fleet.
+pub async fn run(settings: &Settings, report: &mut Report) -> io::Result<()> {
+    report.note(format!(
+        "{RACING} patches with the same base race through different hosts, {RACES} races a run; \
+         times count from the sending of the patches"
+    ));
+    let bench = settings.fleet().await?;
+    for seed in settings.seeds() {
+        for number in 0..RACES {
+            race(&bench, seed, number, report).await?;
+            time::sleep(PAUSE).await;
+        }
+    }
+    bench.end()
+}
+
+async fn race(bench: &Bench, seed: u64, number: u64, report: &mut Report) -> io::Result<()> {
+    let hosts = bench.layout().hosts.len();
+    let mut order: Vec<usize> = (0..hosts).collect();
+    order.shuffle(&mut StdRng::seed_from_u64(seed << 16 | number));
+    let base = bench.operator.version(0).await?;
+    let begin = Instant::now();
+    let mut submissions = JoinSet::new();
+    for host in order.into_iter().take(RACING) {
+        let patch = patch(base, &format!("race-{seed}-{number}-{host}"), host);
+        let operator = bench.operator.clone();
+        submissions.spawn(async move { operator.submit(host, &patch).await });
+    }
+    let worst = in_force(bench, Version(base.0 + 1), begin).await?;
+    report.judge(
+        "time until in force on the last host",
+        "s",
+        Goal::AtMost(2.0),
+        worst,
+    );
+    let mut statuses = Vec::new();
+    while let Some(answer) = submissions.join_next().await {
+        statuses.push(answer.map_err(io::Error::other)??.status);
+    }
+    let count = |wanted| float(statuses.iter().filter(|status| **status == wanted).count());
+    let winners = count(StatusCode::OK);
+    report.judge(
+        "winners of a race, at least",
+        "count",
+        Goal::AtLeast(1.0),
+        winners,
+    );
+    report.judge(
+        "winners of a race, at most",
+        "count",
+        Goal::AtMost(1.0),
+        winners,
+    );
+    report.add(
+        "patches refused as stale",
+        "count",
+        count(StatusCode::CONFLICT),
+    );
+    let answered = begin.elapsed().as_secs_f64();
+    report.add("time until all patches were answered", "s", answered);
+    let after = bench.operator.version(0).await?;
+    let extra = float(usize::from(after != Version(base.0 + 1)));
+    report.judge(
+        "races that made more than one version",
+        "count",
+        Goal::AtMost(0.0),
+        extra,
+    );
+    Ok(())
+}
+
+fn patch(base: Version, id: &str, host: usize) -> Patch {
+    let rate = 10.0 + float(host);
+    let account = operator::account("race", "race-key", rate, rate);
+    Patch {
+        base,
+        id: id.to_owned(),
+        changes: vec![Change::PutAccount(account)],
+    }
+}
+
+/// Returns the time until the last host has a version in force, in seconds.
+async fn in_force(bench: &Bench, version: Version, begin: Instant) -> io::Result<f64> {
+    let mut hosts = JoinSet::new();
+    for host in 0..bench.layout().hosts.len() {
+        let operator = bench.operator.clone();
+        hosts.spawn(async move {
+            operator.await_version(host, version, begin + LIMIT).await?;
+            Ok::<_, io::Error>(begin.elapsed().as_secs_f64())
+        });
+    }
+    let mut worst: f64 = 0.0;
+    while let Some(time) = hosts.join_next().await {
+        worst = worst.max(time.map_err(io::Error::other)??);
+    }
+    Ok(worst)
+}
--- /dev/null
+++ b/fulmargw_lab/src/experiment/failover.rs
@@ -0,0 +1,235 @@
+//! Time from the failure of a primary to the next acknowledged write.
+
+use {
+    super::{
+        bench::{Bench, Settings, lab},
+        report::{Goal, Report, float},
+        stream::{self, Kind, Record, Stream},
+    },
+    crate::{
+        history::{check, event::Event},
+        platform::fault::Fault,
+    },
+    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
+    std::{io, time::Duration},
+    tokio::time::{self, Instant},
+};
+
+/// Time between two writes, over all hosts.
+const PERIOD: Duration = Duration::from_millis(5);
+/// Load before the failure.
+const BEFORE: Duration = Duration::from_millis(800);
+/// Greatest random time that is added to [`BEFORE`], two probe intervals.
+const JITTER_MS: u64 = 200;
+/// Load after the failure; a gap as long as this counts as no failover.
+const AFTER: Duration = Duration::from_millis(3500);
+/// The same for the baseline.
+const AFTER_BASELINE: Duration = Duration::from_secs(8);
+/// Time without an answer after which the baseline judges.
+const BASELINE_MS: u64 = 3000;
+/// Runs of the baseline.
+const BASELINE_RUNS: u64 = 3;
+/// Longest wait for one write.
+const TIMEOUT: Duration = Duration::from_secs(6);
+
+/// How the primary fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Failure {
+    Kill,
+    Cut,
+}
+
+/// One failure of a primary.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    seed: u64,
+    failure: Failure,
+    store_down: bool,
+    after: Duration,
+}
+
+/// Measures the gap for each seed, and then a baseline with a fixed timeout.
+pub async fn run(settings: &Settings, report: &mut Report) -> io::Result<()> {
+    let goal = Goal::AtMost(if settings.store_down { 2.0 } else { 1.0 });
+    for seed in settings.seeds() {
+        let failure = choose(seed);
+        let run = Run {
+            seed,
+            failure,
+            store_down: settings.store_down,
+            after: AFTER,
+        };
+        let bench = settings.fleet().await?;
+        let gap = run.measure(bench, "", report).await?;
+        let name = match failure {
+            Failure::Kill => "gap after a kill",
+            Failure::Cut => "gap after a cut",
+        };
+        report.judge("gap", "s", goal, gap);
+        report.add(name, "s", gap);
+    }
+    baseline(settings, report).await
+}
+
+fn choose(seed: u64) -> Failure {
+    if seed.is_multiple_of(2) {
+        Failure::Kill
+    } else {
+        Failure::Cut
+    }
+}
+
+async fn baseline(settings: &Settings, report: &mut Report) -> io::Result<()> {
+    report.note(format!(
+        "baseline: probe and connect timeouts of {BASELINE_MS} ms, primary cut off; a killed \
+         primary is judged by refused connections at once, so it has no such baseline"
+    ));
+    for seed in settings
+        .seeds()
+        .take(usize::try_from(BASELINE_RUNS).unwrap_or_default())
+    {
+        let bench = settings.fleet_with(|mut options| {
+            options.settings = format!(
+                "[engine]\nprobe_timeout_ms = {BASELINE_MS}\nconnect_timeout_ms = {BASELINE_MS}\n"
+            );
+            options
+        });
+        let run = Run {
+            seed,
+            failure: Failure::Cut,
+            store_down: settings.store_down,
+            after: AFTER_BASELINE,
+        };
+        let gap = run.measure(bench.await?, "baseline ", report).await?;
+        report.add("baseline gap", "s", gap);
+    }
+    Ok(())
+}
+
+impl Run {
+    async fn measure(self, mut bench: Bench, prefix: &str, report: &mut Report) -> io::Result<f64> {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        let pause = BEFORE + Duration::from_millis(random.random_range(0..JITTER_MS));
+        let epoch = Instant::now();
+        let load = tokio::spawn(stream::run(
+            writers(&bench),
+            epoch + pause + self.after,
+            self.seed,
+        ));
+        if self.store_down {
+            let down = Fault {
+                down: true,
+                ..Fault::default()
+            };
+            bench.set_platform_fault(&down).await?;
+        }
+        time::sleep_until(epoch + pause).await;
+        let (before, after) = self.fail(&mut bench).await?;
+        let records = load.await.map_err(io::Error::other)?;
+        self.check(&bench, &records, epoch, report).await?;
+        let gap = gap(&records, before, after);
+        if gap.is_none() {
+            let seed = self.seed;
+            report.note(format!(
+                "seed {seed}: no write was acknowledged after the failure"
+            ));
+            report.note(format!("logs are in {}", bench.directory().display()));
+        }
+        let gap = gap.unwrap_or(self.after).as_secs_f64();
+        parts(&bench, gap, prefix, report).await?;
+        bench.end()?;
+        Ok(gap)
+    }
+
+    /// Makes the primary fail; returns the times before and after.
+    async fn fail(self, bench: &mut Bench) -> io::Result<(Instant, Instant)> {
+        let primary = bench.primary().await?;
+        let rules = bench.cut(&primary)?;
+        let before = Instant::now();
+        match self.failure {
+            Failure::Kill => bench.kill(&primary)?,
+            Failure::Cut => bench.set_rules(&rules).await?,
+        }
+        Ok((before, Instant::now()))
+    }
+
+    /// Counts what the history checker finds.
+    async fn check(
+        self,
+        bench: &Bench,
+        records: &[Record],
+        epoch: Instant,
+        report: &mut Report,
+    ) -> io::Result<()> {
+        let data = bench.read(bench.frontends()[0]).await?;
+        let events: Vec<Event> = records.iter().map(|record| record.event(epoch)).collect();
+        let violations = check::check(&events, &data);
+        for violation in violations.iter().take(3) {
+            report.note(format!("seed {}: {violation}", self.seed));
+        }
+        report.judge(
+            "violations in the history",
+            "count",
+            Goal::AtMost(0.0),
+            float(violations.len()),
+        );
+        Ok(())
+    }
+}
+
+fn writers(bench: &Bench) -> Vec<Stream> {
+    let account = lab();
+    vec![Stream {
+        account: account.name,
+        key: account.key,
+        hosts: bench.frontends(),
+        rate: 1.0 / PERIOD.as_secs_f64(),
+        kind: Kind::Append,
+        timeout: TIMEOUT,
+    }]
+}
+
+/// Returns the time from the failure to the first acknowledgement of a write that began after
+/// it. The beginning of the failure counts for the gap and its end for the writes, so that the
+/// time that the failure itself takes makes the gap longer.
+fn gap(records: &[Record], before: Instant, after: Instant) -> Option<Duration> {
+    let later = records.iter().filter(|record| record.begin >= after);
+    let ends = later.filter(|record| record.is_answered()).map(|it| it.end);
+    ends.min().map(|end| end.saturating_duration_since(before))
+}
+
+/// Adds the parts of the gap from the metrics of the host that promoted.
+async fn parts(bench: &Bench, gap: f64, prefix: &str, report: &mut Report) -> io::Result<()> {
+    let mut known = 0.0;
+    let mut promotions = 0.0;
+    for step in ["detection", "fence", "promote"] {
+        let label = format!("step=\"{step}\"");
+        let mut longest: f64 = 0.0;
+        for host in 0..bench.layout().hosts.len() {
+            let metrics = bench.operator.metrics(host).await?;
+            let count = |step: &str| {
+                metrics.sum(
+                    "fulmargw_failover_seconds_count",
+                    &[&format!("step=\"{step}\"")],
+                )
+            };
+            if count("promote") > 0.0 {
+                let sum = metrics.sum("fulmargw_failover_seconds_sum", &[&label]);
+                longest = longest.max(sum / count(step).max(1.0));
+            }
+            if step == "promote" {
+                promotions += count(step);
+            }
+        }
+        known += longest;
+        report.add(&format!("{prefix}part: {step}"), "s", longest);
+    }
+    let rest = (gap - known).max(0.0);
+    report.add(
+        &format!("{prefix}part: rest, with the first write"),
+        "s",
+        rest,
+    );
+    report.add(&format!("{prefix}promotions"), "count", promotions);
+    Ok(())
+}
--- /dev/null
+++ b/fulmargw_lab/src/experiment/overhead.rs
@@ -0,0 +1,170 @@
+//! Time and processor time that one host adds to a statement.
+
+use {
+    super::{
+        bench::{Bench, Settings, lab},
+        process,
+        report::{Goal, Report, float, quantile},
+        stream::Kind,
+    },
+    crate::{
+        fleet::layout::Options,
+        load::client::{Caller, Client},
+    },
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{
+        task::JoinSet,
+        time::{self, Instant},
+    },
+    tokio_postgres::{Config, NoTls},
+};
+
+/// Statements of one block; blocks with and without the host take turns.
+const BLOCK: usize = 100;
+/// Blocks of each path and kind.
+const BLOCKS: usize = 10;
+/// Connections that send at the same time while the processor time is measured.
+const CONNECTIONS: usize = 16;
+/// Time for which the processor time is measured.
+const LOAD: Duration = Duration::from_millis(1500);
+
+/// Measures each kind of statement in each run.
+pub async fn run(settings: &Settings, report: &mut Report) -> io::Result<()> {
+    report.note(
+        "no added latency and no relay; the direct write is not confirmed by a replica, the \
+         write through the host is"
+            .to_owned(),
+    );
+    for _ in settings.seeds() {
+        let bench = settings.fleet_with(|options| Options {
+            delay: Duration::ZERO,
+            relay: false,
+            ..options
+        });
+        let bench = bench.await?;
+        // Connections to backend servers are opened in the background.
+        time::sleep(Duration::from_millis(500)).await;
+        let kinds = [(Kind::Aged, "aged read"), (Kind::Current, "current read")];
+        for (kind, name) in kinds.into_iter().chain([(Kind::Append, "write")]) {
+            latency(&bench, kind, name, report).await?;
+            throughput(&bench, kind, name, report).await?;
+        }
+        bench.end()?;
+    }
+    Ok(())
+}
+
+fn statement(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Append => "UPDATE kv SET value = 'v' WHERE key = 'k'",
+        Kind::Current | Kind::Aged => "SELECT value FROM kv WHERE key = 'k'",
+    }
+}
+
+async fn latency(bench: &Bench, kind: Kind, name: &str, report: &mut Report) -> io::Result<()> {
+    let text = statement(kind);
+    let primary = bench.layout().servers[0].direct;
+    let (direct, _connection) = direct(primary).await.map_err(io::Error::other)?;
+    let mut through = through(bench.frontends()[0], kind).await?;
+    let (mut without, mut with) = (Vec::new(), Vec::new());
+    for _ in 0..BLOCKS {
+        for _ in 0..BLOCK {
+            let begin = Instant::now();
+            let answer = direct.simple_query(text).await;
+            answer.map_err(io::Error::other)?;
+            without.push(begin.elapsed().as_secs_f64() * 1e3);
+        }
+        for _ in 0..BLOCK {
+            let begin = Instant::now();
+            let answer = through.query(text).await;
+            answer.map_err(io::Error::other)?;
+            with.push(begin.elapsed().as_secs_f64() * 1e3);
+        }
+    }
+    for (rank, label, goal) in [(0.5, "median", 0.2), (0.99, "p99", 1.0)] {
+        let without = sorted_quantile(&mut without, rank);
+        let with = sorted_quantile(&mut with, rank);
+        report.add(&format!("{name}: {label} direct"), "ms", without);
+        report.add(&format!("{name}: {label} through a host"), "ms", with);
+        let added = format!("{name}: {label} added");
+        report.judge(&added, "ms", Goal::AtMost(goal), with - without);
+    }
+    Ok(())
+}
+
+fn sorted_quantile(values: &mut [f64], rank: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    quantile(values, rank).unwrap_or(f64::NAN)
+}
+
+/// Connects to a backend server in its first term. The task that drives the connection ends
+/// with the returned set.
+async fn direct(
+    server: SocketAddr,
+) -> Result<(tokio_postgres::Client, JoinSet<()>), tokio_postgres::Error> {
+    let mut config = Config::new();
+    config.host(server.ip().to_string()).port(server.port());
+    config.user("lab").options("-c group.term=1");
+    let (client, connection) = config.connect(NoTls).await?;
+    let mut driver = JoinSet::new();
+    driver.spawn(async {
+        // The client sees the end of the connection.
+        let _ = connection.await;
+    });
+    Ok((client, driver))
+}
+
+async fn through(host: SocketAddr, kind: Kind) -> io::Result<Client> {
+    let account = lab();
+    let caller = Caller {
+        account: &account.name,
+        key: &account.key,
+        route: kind.route(),
+    };
+    Client::connect(host, caller)
+        .await
+        .map_err(io::Error::other)
+}
+
+async fn throughput(bench: &Bench, kind: Kind, name: &str, report: &mut Report) -> io::Result<()> {
+    let id = bench.process_id("h1")?;
+    let host = bench.frontends()[0];
+    let used = process::processor_time(id)?;
+    let begin = Instant::now();
+    let mut callers = JoinSet::new();
+    for _ in 0..CONNECTIONS {
+        callers.spawn(repeat(host, kind, begin + LOAD));
+    }
+    let mut statements = 0;
+    while let Some(count) = callers.join_next().await {
+        statements += count.map_err(io::Error::other)??;
+    }
+    let elapsed = begin.elapsed().as_secs_f64();
+    let used = process::processor_time(id)? - used;
+    let statements = float(statements);
+    report.add(
+        &format!("{name}: statements per second"),
+        "1/s",
+        statements / elapsed,
+    );
+    let per_core = statements / used;
+    report.add(
+        &format!("{name}: statements per second and core"),
+        "1/s",
+        per_core,
+    );
+    let each = used * 1e6 / statements;
+    report.add(&format!("{name}: processor time per statement"), "us", each);
+    Ok(())
+}
+
+async fn repeat(host: SocketAddr, kind: Kind, end: Instant) -> io::Result<usize> {
+    let mut client = through(host, kind).await?;
+    let mut count = 0;
+    while Instant::now() < end {
+        let answer = client.query(statement(kind)).await;
+        answer.map_err(io::Error::other)?;
+        count += 1;
+    }
+    Ok(count)
+}
--- /dev/null
+++ b/fulmargw_lab/src/experiment/rates.rs
@@ -0,0 +1,131 @@
+//! Share of its rate that a client account reaches, and admissions above it.
+
+use {
+    super::{
+        bench::{Bench, Settings},
+        operator,
+        report::{Goal, Report, float},
+        stream::{self, Kind, Outcome, Record, Stream},
+        window::{self, Span},
+    },
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::time::{self, Instant},
+};
+
+/// Rates of the accounts, in requests per second; a few are large, as in the deployments.
+const RATES: [f64; 5] = [10.0, 40.0, 100.0, 250.0, 600.0];
+/// Offered load as a multiple of the rate.
+const OFFERED: f64 = 1.5;
+/// Burst, in seconds of the rate.
+const BURST_SECONDS: f64 = 0.5;
+/// Load before the measured time, in which the first burst is used up.
+const WARM_UP: Duration = Duration::from_secs(1);
+/// Measured time.
+const MEASURED: Duration = Duration::from_secs(4);
+/// Longest wait for one request.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Where the callers are and what happens to the hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+enum Case {
+    /// callers on one host
+    OneHost,
+    /// callers on all hosts
+    AllHosts,
+    /// callers on all hosts, one killed
+    Killed,
+}
+
+/// Measures each case in each run, on a fleet of its own.
+pub async fn run(settings: &Settings, report: &mut Report) -> io::Result<()> {
+    report.note(format!(
+        "aged reads of {} accounts at once with rates of {RATES:?} requests/s, each offering \
+         {OFFERED} times its rate, burst {BURST_SECONDS} s of the rate",
+        RATES.len()
+    ));
+    for seed in settings.seeds() {
+        for case in [Case::OneHost, Case::AllHosts, Case::Killed] {
+            let mut bench = settings.fleet().await?;
+            measure(&mut bench, case, seed, report).await?;
+            bench.end()?;
+        }
+    }
+    Ok(())
+}
+
+fn account(rate: f64) -> (String, String) {
+    (format!("rate-{rate}"), format!("key-{rate}"))
+}
+
+async fn measure(bench: &mut Bench, case: Case, seed: u64, report: &mut Report) -> io::Result<()> {
+    let changes = RATES.map(|rate| {
+        let (name, key) = account(rate);
+        operator::account(&name, &key, rate, rate * BURST_SECONDS)
+    });
+    bench.add_accounts(changes.to_vec()).await?;
+    let mut hosts = bench.frontends();
+    if case == Case::OneHost {
+        hosts.truncate(1);
+    }
+    let streams = RATES.iter().map(|rate| stream_of(*rate, &hosts)).collect();
+    let start = Instant::now() + WARM_UP;
+    let end = start + MEASURED;
+    let load = tokio::spawn(stream::run(streams, end, seed));
+    if case == Case::Killed {
+        time::sleep_until(start + MEASURED / 4).await;
+        bench.kill("h3")?;
+    }
+    let records = load.await.map_err(io::Error::other)?;
+    for (number, rate) in RATES.into_iter().enumerate() {
+        let own = records.iter().filter(|record| record.stream == number);
+        let own: Vec<&Record> = own.collect();
+        judge(case, rate, &own, start, end, report);
+    }
+    Ok(())
+}
+
+fn stream_of(rate: f64, hosts: &[SocketAddr]) -> Stream {
+    let (account, key) = account(rate);
+    Stream {
+        account,
+        key,
+        hosts: hosts.to_vec(),
+        rate: rate * OFFERED,
+        kind: Kind::Aged,
+        timeout: TIMEOUT,
+    }
+}
+
+fn judge(
+    case: Case,
+    rate: f64,
+    records: &[&Record],
+    start: Instant,
+    end: Instant,
+    report: &mut Report,
+) {
+    let answered = records.iter().filter(|record| record.is_answered());
+    let spans: Vec<Span> = answered
+        .map(|record| Span {
+            begin: record.begin,
+            end: record.end,
+        })
+        .collect();
+    let reached = spans
+        .iter()
+        .filter(|span| span.end >= start && span.end < end);
+    let reached = float(reached.count()) / (rate * MEASURED.as_secs_f64());
+    let name = format!("{case}: share of {rate}/s reached");
+    match case {
+        Case::OneHost => report.judge(&name, "fraction", Goal::AtLeast(0.95), reached),
+        Case::AllHosts | Case::Killed => report.add(&name, "fraction", reached),
+    }
+    let greatest = window::greatest_share(&spans, rate, rate * BURST_SECONDS);
+    let name = format!("{case}: greatest admitted in any window over rate x window + burst");
+    report.judge(&name, "fraction", Goal::AtMost(1.0), greatest);
+    let unknown = records
+        .iter()
+        .filter(|record| matches!(record.outcome, Outcome::Unknown(_) | Outcome::Unreachable));
+    let name = format!("{case}: requests without an answer or a refusal");
+    report.add(&name, "count", float(unknown.count()));
+}
--- /dev/null
+++ b/fulmargw_lab/src/experiment/sessions.rs
@@ -0,0 +1,97 @@
+//! Memory of idle client connections and processor time of statements.
+
+use {
+    super::{
+        bench::{Bench, Settings, lab},
+        process,
+        report::{Report, float},
+    },
+    crate::load::client::{Caller, Client},
+    std::{io, time::Duration},
+    tokio::time::{self, Instant},
+};
+
+/// Numbers of connections on one host.
+const SIZES: [usize; 4] = [0, 500, 1000, 2000];
+/// Connections that are opened at the same time.
+const BATCH: usize = 50;
+/// Pause before memory is read.
+const SETTLE: Duration = Duration::from_millis(500);
+/// Statements that are sent over the connections, each on the next one.
+const STATEMENTS: usize = 4000;
+
+/// Opens connections in steps and measures the host after each one.
+pub async fn run(settings: &Settings, report: &mut Report) -> io::Result<()> {
+    report.note(format!(
+        "idle connections on one host after one statement each; processor time over \
+         {STATEMENTS} aged reads, one after the other, each on another connection"
+    ));
+    for _ in settings.seeds() {
+        let bench = settings.fleet().await?;
+        measure(&bench, report).await?;
+        bench.end()?;
+    }
+    Ok(())
+}
+
+async fn measure(bench: &Bench, report: &mut Report) -> io::Result<()> {
+    let id = bench.process_id("h1")?;
+    let mut clients = Vec::new();
+    let mut base = 0.0;
+    for size in SIZES {
+        while clients.len() < size {
+            let wanted = BATCH.min(size - clients.len());
+            let opened = (0..wanted).map(|_| open(bench));
+            for client in futures::future::join_all(opened).await {
+                clients.push(client?);
+            }
+        }
+        time::sleep(SETTLE).await;
+        let memory = process::resident_memory(id)?;
+        let name = format!("resident memory with {size} connections");
+        report.add(&name, "MiB", memory / 1024.0);
+        if size == 0 {
+            base = memory;
+            continue;
+        }
+        let each = (memory - base) / float(size);
+        report.add(&format!("memory per connection at {size}"), "KiB", each);
+    }
+    statements(id, &mut clients, report).await
+}
+
+async fn open(bench: &Bench) -> io::Result<Client> {
+    let account = lab();
+    let caller = Caller {
+        account: &account.name,
+        key: &account.key,
+        route: "aged",
+    };
+    let client = Client::connect(bench.frontends()[0], caller).await;
+    let mut client = client.map_err(io::Error::other)?;
+    ask(&mut client).await?;
+    Ok(client)
+}
+
+async fn ask(client: &mut Client) -> io::Result<()> {
+    let answer = client.query("SELECT value FROM kv WHERE key = 'k'").await;
+    answer.map(|_| ()).map_err(io::Error::other)
+}
+
+async fn statements(id: u32, clients: &mut [Client], report: &mut Report) -> io::Result<()> {
+    let before = process::processor_time(id)?;
+    let begin = Instant::now();
+    let count = clients.len();
+    for number in 0..STATEMENTS {
+        ask(&mut clients[number % count]).await?;
+    }
+    let elapsed = begin.elapsed().as_secs_f64();
+    let used = process::processor_time(id)? - before;
+    report.add(
+        "processor time per statement",
+        "us",
+        used * 1e6 / float(STATEMENTS),
+    );
+    report.add("statements per second", "1/s", float(STATEMENTS) / elapsed);
+    Ok(())
+}
--- a/fulmargw_lab/src/fleet/child.rs
+++ b/fulmargw_lab/src/fleet/child.rs
@@ -30,6 +30,11 @@
         Ok(Self(child))
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     /// Sends a signal, unless the process has ended.
     pub fn signal(&mut self, signal: Signal) -> io::Result<()> {
         // An ended child is reaped here, so its id cannot belong to another process below.
--- a/fulmargw_lab/src/fleet/configuration.rs
+++ b/fulmargw_lab/src/fleet/configuration.rs
@@ -32,24 +32,29 @@
     changes.extend(accounts.map(Change::PutAccount));
     let names = options.accounts.iter();
     let names: Vec<Name> = names.map(|account| Name::new(&account.name)).collect();
+    changes.extend(routes(&names).map(Change::PutRoute));
+    Patch {
+        base: Version(0),
+        id: "lab-initial".to_owned(),
+        changes,
+    }
+}
+
+/// Returns the routes, which the given accounts may use.
+#[must_use]
+pub fn routes(accounts: &[Name]) -> [Route; 3] {
     let routes = [
         ("write", Class::Write, Repeat::Once),
         ("current", Class::Current, Repeat::Idempotent),
         ("aged", Class::Aged(MAX_AGE), Repeat::Idempotent),
     ];
-    let route = |(name, class, repeat)| Route {
+    routes.map(|(name, class, repeat)| Route {
         name: Name::new(name),
         service: Name::new(SERVICE),
         class,
         repeat,
-        access: Access::Accounts(names.clone()),
-    };
-    changes.extend(routes.into_iter().map(route).map(Change::PutRoute));
-    Patch {
-        base: Version(0),
-        id: "lab-initial".to_owned(),
-        changes,
-    }
+        access: Access::Accounts(accounts.to_vec()),
+    })
 }
 
 fn service(options: &Options, layout: &Layout) -> Service {
--- a/fulmargw_lab/src/fleet/control.rs
+++ b/fulmargw_lab/src/fleet/control.rs
@@ -179,6 +179,17 @@
         self.layout.hosts.iter().map(|host| host.frontend).collect()
     }
 
+    /// Returns the id of a process.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such process.
+    pub fn process_id(&self, name: &str) -> io::Result<u32> {
+        let missing = || io::Error::other(format!("there is no process {name}"));
+        let child = self.children.get(name).ok_or_else(missing)?;
+        Ok(child.id())
+    }
+
     fn child(&mut self, name: &str) -> io::Result<&mut Child> {
         let missing = || io::Error::other(format!("there is no process {name}"));
         self.children.get_mut(name).ok_or_else(missing)
--- a/fulmargw_lab/src/fleet/layout.rs
+++ b/fulmargw_lab/src/fleet/layout.rs
@@ -26,6 +26,10 @@
     pub statement_time: Duration,
     /// One-way delay between hosts, backend servers and the platform.
     pub delay: Duration,
+    /// Whether traffic to backend servers and the platform passes the relay.
+    pub relay: bool,
+    /// Further sections of the settings file of each host.
+    pub settings: String,
     /// Client accounts; each may use all routes, at twice its rate of the load.
     pub accounts: Vec<Account>,
 }
@@ -50,6 +54,8 @@
             connect_time: Duration::from_millis(10),
             statement_time: Duration::from_micros(200),
             delay: Duration::from_micros(1500),
+            relay: true,
+            settings: String::new(),
             accounts,
         })
     }
@@ -120,17 +126,31 @@
     ///
     /// If no port is free.
     pub fn new(options: &Options) -> io::Result<Self> {
-        Ok(Self {
+        let mut layout = Self {
             servers: (0..options.servers).map(server).collect::<Result<_, _>>()?,
             hosts: (0..options.hosts).map(host).collect::<Result<_, _>>()?,
             platform: address::free(PLATFORM)?,
             platform_relayed: address::free(LINK)?,
             platform_admin: address::free(PLATFORM)?,
             link_admin: address::free(LINK)?,
-        })
+        };
+        if !options.relay {
+            layout.bypass();
+        }
+        Ok(layout)
+    }
+
+    /// Leads all traffic past the relay.
+    fn bypass(&mut self) {
+        self.platform_relayed = self.platform;
+        for server in &mut self.servers {
+            server.relayed = server.direct;
+            server.replication_relayed = server.replication;
+        }
     }
 
     /// Returns the mappings of the relay: one for the platform, and two for each server.
+    /// Traffic that bypasses the relay has none.
     #[must_use]
     pub fn mappings(&self) -> Vec<Mapping> {
         let mapping = |name: String, listen, target| Mapping {
@@ -146,6 +166,7 @@
             mappings.push(mapping(server.name.clone(), server.relayed, server.direct));
             mappings.push(mapping(replication, server.replication_relayed, target));
         }
+        mappings.retain(|mapping| mapping.listen != mapping.target);
         mappings
     }
 }
--- a/fulmargw_lab/src/fleet/settings.rs
+++ b/fulmargw_lab/src/fleet/settings.rs
@@ -86,12 +86,12 @@
 /// If the file cannot be written.
 pub fn host(options: &Options, layout: &Layout, host: &Host) -> io::Result<Vec<String>> {
     let file: PathBuf = options.directory.join(format!("{}.toml", host.name));
-    fs::write(&file, toml(layout, host))?;
+    fs::write(&file, toml(options, layout, host))?;
     let settings = file.display().to_string();
     Ok(vec!["serve".to_owned(), "--settings".to_owned(), settings])
 }
 
-fn toml(layout: &Layout, host: &Host) -> String {
+fn toml(options: &Options, layout: &Layout, host: &Host) -> String {
     let Host {
         name,
         frontend,
@@ -101,6 +101,7 @@
     } = host;
     let source = peer.ip();
     let platform = layout.platform_relayed;
+    let extra = &options.settings;
     let digest = Digest::of(CREDENTIAL.as_bytes());
     format!(
         r#"[host]
@@ -118,7 +119,7 @@
 credential_digest = "{digest}"
 
 [platform]
-address = "{platform}"
-"#
+addresses = ["{platform}"]
+{extra}"#
     )
 }
--- a/fulmargw_lab/src/lib.rs
+++ b/fulmargw_lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod address;
 pub mod cli;
 pub mod database;
+pub mod experiment;
 pub mod fleet;
 pub mod history;
 pub mod link;
