End a query of the load generator with its connection

Cause: after the host was killed, a query waited for its timeout of 2.5 s, because the client kept the ended connection and with it the pending answer. Ruled out: spawning the connection, because its reported position is then seen too late. Change: a query fails when the connection ends; output files start empty in each run.

--- a/fulmargw_lab/src/fleet/control.rs
+++ b/fulmargw_lab/src/fleet/control.rs
@@ -72,6 +72,10 @@
     fn spawn(&mut self, name: &str, program: &str, arguments: &[String]) -> io::Result<()> {
         let program = self.options.programs.join(program);
         let output = self.options.directory.join(format!("{name}.out"));
+        if !self.children.contains_key(name) {
+            // The output of an earlier run would be mixed with that of this one.
+            fs::write(&output, "")?;
+        }
         let child = Child::start(&program, arguments, &output)?;
         self.children.insert(name.to_owned(), child);
         Ok(())
--- a/fulmargw_lab/src/load/client.rs
+++ b/fulmargw_lab/src/load/client.rs
@@ -2,13 +2,31 @@
 
 use {
     crate::history::{check::Data, event},
+    futures::FutureExt as _,
     std::{future::poll_fn, net::SocketAddr, task::Poll},
-    tokio_postgres::{Config, Connection, Error, NoTls, SimpleQueryMessage, Socket, tls},
+    tokio_postgres::{Config, Connection, NoTls, SimpleQueryMessage, Socket, tls},
 };
 
 /// Name of the reported parameter that holds the positions of a session.
 pub const POSITION: &str = "fulmar.position";
 
+/// A failed query.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// {0}
+    Database(tokio_postgres::Error),
+    /// the connection ended without an answer
+    Closed,
+}
+
+impl std::error::Error for Error {}
+
+impl From<tokio_postgres::Error> for Error {
+    fn from(error: tokio_postgres::Error) -> Self {
+        Self::Database(error)
+    }
+}
+
 /// Who connects.
 #[derive(Debug, Clone, Copy)]
 pub struct Caller<'a> {
@@ -25,7 +43,6 @@
     queries: tokio_postgres::Client,
     connection: Connection<Socket, tls::NoTlsStream>,
     position: String,
-    ended: bool,
 }
 
 impl Client {
@@ -44,7 +61,6 @@
             queries,
             connection,
             position: String::new(),
-            ended: false,
         })
     }
 
@@ -77,7 +93,6 @@
             queries,
             connection,
             position,
-            ended,
         } = self;
         let query = queries.simple_query(text);
         tokio::pin!(query);
@@ -97,7 +112,10 @@
             });
             tokio::select! {
                 biased;
-                end = drive, if !*ended => *ended = end,
+                ended = drive => if ended {
+                    // The answer may have arrived together with the end.
+                    break query.now_or_never().ok_or(Error::Closed)??;
+                },
                 result = &mut query => break result?,
             }
         };
--- a/fulmargw_lab/src/load/session.rs
+++ b/fulmargw_lab/src/load/session.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        client::{Caller, Client},
+        client::{Caller, Client, Error},
         plan::{Account, Plan},
     },
     crate::history::event::{Event, Operation, Outcome, Write, split, value},
@@ -56,8 +56,11 @@
     }
 }
 
-impl From<tokio_postgres::Error> for Failure {
-    fn from(error: tokio_postgres::Error) -> Self {
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        let Error::Database(error) = error else {
+            return Self::unknown("connection ended");
+        };
         let Some(report) = error.as_db_error() else {
             return Self::unknown(&error.to_string());
         };
@@ -309,12 +312,7 @@
 }
 
 /// Classifies a failed query; a transaction that was not asked to commit did not run.
-async fn fail(
-    client: &mut Client,
-    error: tokio_postgres::Error,
-    number: usize,
-    count: usize,
-) -> Failure {
+async fn fail(client: &mut Client, error: Error, number: usize, count: usize) -> Failure {
     let mut failure = Failure::from(error);
     if number + 1 < count {
         failure = failure.before_effect();
