--- a/fulmargw_lab/src/fleet/control.rs
+++ b/fulmargw_lab/src/fleet/control.rs
@@ -72,6 +72,10 @@
     fn spawn(&mut self, name: &str, program: &str, arguments: &[String]) -> io::Result<()> {
         let program = self.options.programs.join(program);
         let output = self.options.directory.join(format!("{name}.out"));
+        if !self.children.contains_key(name) {
+            // The output of an earlier run would be mixed with that of this one.
+            fs::write(&output, "")?;
+        }
         let child = Child::start(&program, arguments, &output)?;
         self.children.insert(name.to_owned(), child);
         Ok(())
@@ -179,6 +183,17 @@
         self.layout.hosts.iter().map(|host| host.frontend).collect()
     }
 
+    /// Returns the id of a process.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such process.
+    pub fn process_id(&self, name: &str) -> io::Result<u32> {
+        let missing = || io::Error::other(format!("there is no process {name}"));
+        let child = self.children.get(name).ok_or_else(missing)?;
+        Ok(child.id())
+    }
+
     fn child(&mut self, name: &str) -> io::Result<&mut Child> {
         let missing = || io::Error::other(format!("there is no process {name}"));
         self.children.get_mut(name).ok_or_else(missing)
