--- a/fulmargw_lab/src/experiment/overhead.rs
+++ b/fulmargw_lab/src/experiment/overhead.rs
@@ -25,6 +25,9 @@
 const BLOCKS: usize = 10;
 /// Connections that send at the same time while the processor time is measured.
 const CONNECTIONS: usize = 16;
+/// Connections that the limit of a backend server leaves over for the direct path. It is less
+/// than the number of hosts, which would share it otherwise.
+const SPARE: u32 = 3;
 /// Time for which the processor time is measured.
 const LOAD: Duration = Duration::from_millis(1500);
 
@@ -39,6 +42,7 @@
         let bench = settings.fleet_with(|options| Options {
             delay: Duration::ZERO,
             relay: false,
+            connections: options.connections + SPARE,
             ..options
         });
         let bench = bench.await?;
--- a/fulmargw_lab/src/experiment/stream.rs
+++ b/fulmargw_lab/src/experiment/stream.rs
@@ -8,7 +8,7 @@
     },
     rand::{Rng as _, SeedableRng as _, rngs::StdRng},
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
@@ -135,6 +135,33 @@
     }
 }
 
+/// Counts refused records by SQLSTATE.
+#[must_use]
+pub fn refused<'a>(records: impl IntoIterator<Item = &'a Record>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        if let Outcome::Refused(code) = &record.outcome {
+            *counts.entry(code.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// Counts the records that are neither answered nor refused, by what happened.
+#[must_use]
+pub fn lost<'a>(records: impl IntoIterator<Item = &'a Record>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        let what = match &record.outcome {
+            Outcome::Answered(_) | Outcome::Refused(_) => continue,
+            Outcome::Unreachable => "unreachable",
+            Outcome::Unknown(error) => error.as_str(),
+        };
+        *counts.entry(what.to_owned()).or_default() += 1;
+    }
+    counts
+}
+
 /// Idle connections of a stream by host.
 type Pool = Mutex<HashMap<SocketAddr, Vec<Client>>>;
 
