--- a/fulmargw_control/src/membership.rs
+++ b/fulmargw_control/src/membership.rs
@@ -69,7 +69,8 @@
         let read = self.shared.configuration.lock().read;
         let mut fleet = self.shared.fleet.lock();
         let Some(own) = fleet.own.clone() else {
-            return Duty::Join;
+            let due = now >= fleet.join_at;
+            return if due { Duty::Join } else { Duty::Nothing };
         };
         let recent = read.is_some_and(|sent| now < sent + VALIDITY);
         let expelled = fleet.expelled.is_some_and(|since| now >= since + EXPULSION);
@@ -78,7 +79,8 @@
         }
         match fleet.entry().map(|entry| entry.state) {
             Some(State::Joining) if is_admitted(&mut fleet, &own, now) => Duty::Activate(own),
-            Some(State::Active) if fleet.standing(now).is_some() => {
+            // Consents are for good, so none are collected while no removal can be written.
+            Some(State::Active) if recent && fleet.standing(now).is_some() => {
                 let suspect = self.shared.settings.suspect();
                 find_dead(&fleet, &own, suspect, now).map_or(Duty::Nothing, Duty::Remove)
             }
--- a/fulmargw_lab/src/load/client.rs
+++ b/fulmargw_lab/src/load/client.rs
@@ -2,13 +2,31 @@
 
 use {
     crate::history::{check::Data, event},
+    futures::FutureExt as _,
     std::{future::poll_fn, net::SocketAddr, task::Poll},
-    tokio_postgres::{Config, Connection, Error, NoTls, SimpleQueryMessage, Socket, tls},
+    tokio_postgres::{Config, Connection, NoTls, SimpleQueryMessage, Socket, tls},
 };
 
 /// Name of the reported parameter that holds the positions of a session.
 pub const POSITION: &str = "fulmar.position";
 
+/// A failed query.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// {0}
+    Database(tokio_postgres::Error),
+    /// the connection ended without an answer
+    Closed,
+}
+
+impl std::error::Error for Error {}
+
+impl From<tokio_postgres::Error> for Error {
+    fn from(error: tokio_postgres::Error) -> Self {
+        Self::Database(error)
+    }
+}
+
 /// Who connects.
 #[derive(Debug, Clone, Copy)]
 pub struct Caller<'a> {
@@ -23,8 +41,7 @@
 /// A connection to one host on one route.
 pub struct Client {
     queries: tokio_postgres::Client,
-    /// `None` after its end. Dropping it ends the queries that wait for an answer.
-    connection: Option<Connection<Socket, tls::NoTlsStream>>,
+    connection: Connection<Socket, tls::NoTlsStream>,
     position: String,
 }
 
@@ -42,7 +59,7 @@
         let (queries, connection) = config.connect(NoTls).await?;
         Ok(Self {
             queries,
-            connection: Some(connection),
+            connection,
             position: String::new(),
         })
     }
@@ -83,9 +100,6 @@
         // before the query sees the end of its answer.
         let messages = loop {
             let drive = poll_fn(|context| {
-                let Some(connection) = connection else {
-                    return Poll::Pending;
-                };
                 let state = connection.poll_message(context);
                 if let Some(reported) = connection.parameter(POSITION) {
                     reported.clone_into(position);
@@ -98,11 +112,10 @@
             });
             tokio::select! {
                 biased;
-                ended = drive => {
-                    if ended {
-                        *connection = None;
-                    }
-                }
+                ended = drive => if ended {
+                    // The answer may have arrived together with the end.
+                    break query.now_or_never().ok_or(Error::Closed)??;
+                },
                 result = &mut query => break result?,
             }
         };
