--- a/fulmargw_lab/src/experiment/stream.rs
+++ b/fulmargw_lab/src/experiment/stream.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         history::event::{self, Event, Operation, Write},
-        load::client::{Caller, Client},
+        load::client::{Caller, Client, Error},
         timer,
     },
     rand::{Rng as _, SeedableRng as _, rngs::StdRng},
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
@@ -17,6 +17,7 @@
         task::JoinSet,
         time::{self, Instant},
     },
+    tokio_postgres::error::DbError,
 };
 
 /// Keys of one stream.
@@ -135,6 +136,33 @@
     }
 }
 
+/// Counts refused records by SQLSTATE.
+#[must_use]
+pub fn refused<'a>(records: impl IntoIterator<Item = &'a Record>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        if let Outcome::Refused(code) = &record.outcome {
+            *counts.entry(code.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// Counts the records that are neither answered nor refused, by what happened.
+#[must_use]
+pub fn lost<'a>(records: impl IntoIterator<Item = &'a Record>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        let what = match &record.outcome {
+            Outcome::Answered(_) | Outcome::Refused(_) => continue,
+            Outcome::Unreachable => "unreachable",
+            Outcome::Unknown(error) => error.as_str(),
+        };
+        *counts.entry(what.to_owned()).or_default() += 1;
+    }
+    counts
+}
+
 /// Idle connections of a stream by host.
 type Pool = Mutex<HashMap<SocketAddr, Vec<Client>>>;
 
@@ -190,7 +218,7 @@
 }
 
 impl Stream {
-    async fn connect(&self, host: SocketAddr) -> Result<Client, tokio_postgres::Error> {
+    async fn connect(&self, host: SocketAddr) -> Result<Client, Error> {
         let caller = Caller {
             account: &self.account,
             key: &self.key,
@@ -265,14 +293,14 @@
                 self.lock().entry(host).or_default().push(client);
                 Outcome::Answered(event::split(&rows.concat().concat()))
             }
-            Err(error) if error.is_closed() => {
+            Err(error) if is_closed(&error) => {
                 // The other idle connections to the host broke with this one.
                 self.lock().remove(&host);
                 refusal(&error).unwrap_or_else(|| Outcome::Unknown(error.to_string()))
             }
             Err(error) => {
                 let outcome = refusal(&error);
-                if error.as_db_error().is_some() {
+                if report(&error).is_some() {
                     self.lock().entry(host).or_default().push(client);
                 }
                 outcome.unwrap_or_else(|| Outcome::Unknown(error.to_string()))
@@ -285,9 +313,27 @@
     }
 }
 
+/// Returns the error that the host sent.
+#[must_use]
+pub fn report(error: &Error) -> Option<&DbError> {
+    match error {
+        Error::Database(error) => error.as_db_error(),
+        Error::Closed => None,
+    }
+}
+
+/// Reports whether a connection cannot be used after an error.
+#[must_use]
+pub fn is_closed(error: &Error) -> bool {
+    match error {
+        Error::Database(error) => error.is_closed(),
+        Error::Closed => true,
+    }
+}
+
 /// Returns the outcome of a request that the host answered with an error.
-fn refusal(error: &tokio_postgres::Error) -> Option<Outcome> {
-    let report = error.as_db_error()?;
+fn refusal(error: &Error) -> Option<Outcome> {
+    let report = report(error)?;
     let code = report.code().code().to_owned();
     let detail = report.detail().unwrap_or_default();
     Some(if detail.starts_with("not run") || code == "40001" {
