Promote the member with the longest log in the fleet test

It promoted s2 although the write may only have reached s3 before the exit, so the write was rightly lost. Ruled out: a longer wait before the exit; the stand-in already waits for one replica, which is what the fault promises. Change: the test fences both members and promotes the one with the greatest received index, as hosts do. Conclusion: a fault of the test, not of the stand-in.

--- a/fulmargw_lab/tests/fleet.rs
+++ b/fulmargw_lab/tests/fleet.rs
@@ -52,14 +52,30 @@
     })
 }
 
-async fn promote(fleet: &Fleet, candidate: &str, members: &[&str], term: u64) {
+/// Fences the members, promotes the one with the longest log and returns its name.
+async fn promote<'a>(fleet: &Fleet, members: &[&'a str], term: u64) -> &'a str {
+    let mut longest = None;
     for member in members {
         let control = connect(fleet, member, 0).await;
-        first(&control, &format!("SELECT * FROM group_fence({term})")).await;
+        let fence = format!("SELECT * FROM group_fence({term})");
+        let received = column(&control, &fence, "received_index").await;
+        longest = longest.max(Some((received, *member)));
     }
+    let (_, candidate) = longest.expect("there is a member");
     let control = connect(fleet, candidate, 0).await;
     let promote = format!("SELECT * FROM group_promote({term})");
     assert_eq!(first(&control, &promote).await.as_deref(), Some("primary"));
+    candidate
+}
+
+/// Returns a number in the first row.
+async fn column(client: &Client, query: &str, name: &str) -> u64 {
+    let messages = client.simple_query(query).await.expect(query);
+    let value = messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(name)?.parse().ok(),
+        _ => None,
+    });
+    value.expect(name)
 }
 
 /// Guards against a write that is lost with its answer, and a restart that does not recover.
@@ -74,8 +90,8 @@
     fleet.set_server_fault("s1", &exit).await.expect("fault");
 
     let lost = old.simple_query("INSERT INTO kv VALUES ('k', '1')").await;
-    promote(&fleet, "s2", &["s2", "s3"], 2).await;
-    let new = connect(&fleet, "s2", 2).await;
+    let primary = promote(&fleet, &["s2", "s3"], 2).await;
+    let new = connect(&fleet, primary, 2).await;
     let kept = first(&new, "SELECT value FROM kv WHERE key = 'k'").await;
     fleet.start_server("s1", Start::Again).expect("restart");
     let begin = Instant::now();
@@ -93,7 +109,7 @@
     let recovered = connect(&fleet, "s1", 2).await;
     let value = first(&recovered, "SELECT value FROM kv WHERE key = 'k'").await;
     assert_eq!(value.as_deref(), Some("1"));
-    assert_eq!(fleet.primary().await.expect("primary"), "s2");
+    assert_eq!(fleet.primary().await.expect("primary"), primary);
 }
 
 /// Guards against a cut that lets replication through, or lasts after its end.
