Refuse statements that leave state on a shared connection

Cause: connections are shared per transaction, so a SET, LISTEN, temporary table or session lock of one caller reached the next one, and a caller could call the group functions that fence a primary. Ruled out: DISCARD ALL after each transaction, which costs a round trip and drops the term of the connection; parsing SQL fully, which the design excludes. Change: the first keywords and the identifiers of a query are checked; quoted identifiers and strings are different tokens now. The test that expected SET of another setting to be relayed now expects its refusal, which is stricter.

--- a/fulmargw_frontend/src/lexer.rs
+++ b/fulmargw_frontend/src/lexer.rs
@@ -7,7 +7,9 @@
 pub enum Token<'a> {
     /// A keyword, an identifier without quotes or a number.
     Word(&'a str),
-    /// A quoted string or identifier without its quotes.
+    /// A quoted identifier without its quotes.
+    Identifier(Cow<'a, str>),
+    /// A quoted string without its quotes.
     Text(Cow<'a, str>),
     /// The end of a statement.
     Semicolon,
@@ -112,7 +114,11 @@
         } else {
             Cow::Borrowed(raw)
         };
-        Token::Text(text)
+        if quote == b'"' {
+            Token::Identifier(text)
+        } else {
+            Token::Text(text)
+        }
     }
 
     /// Reads an escape string with its continuations on later lines, which escape as well.
--- a/fulmargw_frontend/src/lib.rs
+++ b/fulmargw_frontend/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod response;
 pub mod session;
 pub mod settings;
+pub mod shared;
 pub mod startup;
 pub mod statement;
 pub mod variable;
--- a/fulmargw_frontend/src/session/local.rs
+++ b/fulmargw_frontend/src/session/local.rs
@@ -50,6 +50,7 @@
                 self.variables.set(*variable, value)?;
                 self.channel.output.complete("SET");
             }
+            Kind::Ignored => self.channel.output.complete("SET"),
             Kind::Show(variable) => {
                 let value = self.variables.show(*variable);
                 self.channel.output.row(&value);
--- a/fulmargw_frontend/src/statement.rs
+++ b/fulmargw_frontend/src/statement.rs
@@ -3,6 +3,7 @@
 use crate::{
     error::Failure,
     lexer::{Lexer, Token},
+    shared,
     variable::Variable,
 };
 
@@ -22,6 +23,8 @@
     Rollback,
     /// Changes a session setting.
     Set(Variable, String),
+    /// Changes a setting of the driver, which has no effect.
+    Ignored,
     /// Shows a session setting.
     Show(Variable),
     /// Anything else, which the backend server runs.
@@ -38,7 +41,7 @@
     /// Reports whether the front end always answers the statement.
     #[must_use]
     pub fn is_setting(&self) -> bool {
-        matches!(self, Self::Set(..) | Self::Show(_))
+        matches!(self, Self::Set(..) | Self::Ignored | Self::Show(_))
     }
 
     /// Reports whether the statement must be alone in a query.
@@ -60,8 +63,13 @@
     let mut alone = false;
     while lexer.peek().is_some() {
         let kind = kind(&mut lexer)?;
-        // The rest of the statement is skipped, so quotes in it hide no boundary.
-        lexer.by_ref().find(|token| *token == Token::Semicolon);
+        // The rest of the statement is read as tokens, so quotes in it hide no boundary.
+        for token in lexer.by_ref() {
+            if token == Token::Semicolon {
+                break;
+            }
+            shared::check_token(&token)?;
+        }
         if kind == Kind::Empty {
             continue;
         }
@@ -89,6 +97,7 @@
             None => break,
         }
     }
+    tokens.iter().try_for_each(shared::check_token)?;
     let words: Vec<String> = tokens.iter().map(upper).collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words.as_slice() {
@@ -104,7 +113,8 @@
             Err(Failure::unsupported("SET LOCAL of a fulmar setting"))
         }
         ["SHOW", "FULMAR", ".", ..] => show(&tokens[3..]),
-        _ => Ok(Kind::Other),
+        words if shared::is_ignored_setting(words) => Ok(Kind::Ignored),
+        words => shared::check_statement(words).map(|()| Kind::Other),
     }
 }
 
@@ -113,7 +123,7 @@
     match token {
         Token::Word(word) => word.to_ascii_uppercase(),
         Token::Other(b'.') => ".".into(),
-        Token::Text(_) | Token::Semicolon | Token::Other(_) => String::new(),
+        Token::Identifier(_) | Token::Text(_) | Token::Semicolon | Token::Other(_) => String::new(),
     }
 }
 
@@ -144,7 +154,7 @@
         _ => false,
     };
     let value = match (assigned, &tokens.get(2..)) {
-        (true, Some([Token::Text(text)])) => text.to_string(),
+        (true, Some([Token::Text(text) | Token::Identifier(text)])) => text.to_string(),
         (true, Some([Token::Word(word)])) if word.eq_ignore_ascii_case("default") => String::new(),
         (true, Some([Token::Word(word)])) => (*word).into(),
         _ => return Err(Failure::malformed_value(variable.name())),
--- a/fulmargw_frontend/tests/frontend/lexer.rs
+++ b/fulmargw_frontend/tests/frontend/lexer.rs
@@ -85,11 +85,12 @@
         ("set session Fulmar.Request_ID to 'it''s';", id("it's")),
         ("SET fulmar.request_id TO DEFAULT", id("")),
         ("SHOW fulmar.position", Kind::Show(Variable::Position)),
-        ("SET other.request_id = 'a'", Kind::Other),
     ];
     for (query, expected) in cases {
         assert_eq!(recognise(query), Ok(expected), "{query}");
     }
+    let other = recognise("SET other.request_id = 'a'").unwrap_err();
+    assert_eq!(other.code, "0A000");
     let unknown = recognise("SET fulmar.unknown = 1").unwrap_err();
     assert_eq!(unknown.code, "42704");
 }
@@ -106,3 +107,55 @@
         recognise(&query) == Ok(Kind::Other)
     }
 }
+
+/// Guards `no-interleaving` of session state: what one caller sets on a shared connection must
+/// not reach the next caller.
+#[test]
+fn session_state_of_shared_connections_is_refused() {
+    let cases = [
+        "SET search_path = other",
+        "set session role admin",
+        "RESET ALL",
+        "DISCARD ALL",
+        "LISTEN jobs",
+        "PREPARE p AS SELECT 1",
+        "EXECUTE p",
+        "CREATE TEMP TABLE t (k text)",
+        "create local temporary table t (k text)",
+        "SELECT 1; SET search_path = other",
+        "SELECT pg_advisory_lock(1)",
+        "SELECT \"set_config\"('a', 'b', false)",
+    ];
+    for query in cases {
+        assert!(recognise(query).is_err(), "{query} was accepted");
+    }
+}
+
+/// Guards against a caller that fences a primary or cancels the request of another caller.
+#[test]
+fn functions_of_the_group_are_refused() {
+    let cases = [
+        "SELECT * FROM group_fence(9)",
+        "SELECT 1; select * from GROUP_CANCEL('id', 1)",
+        "SELECT * FROM public.\"group_record\"('id', 1)",
+    ];
+    for query in cases {
+        assert!(recognise(query).is_err(), "{query} was accepted");
+    }
+}
+
+/// Guards against a refusal of statements that are safe on a shared connection.
+#[test]
+fn local_settings_and_text_are_accepted() {
+    let cases = [
+        ("SET LOCAL search_path = other", Kind::Other),
+        ("SET TRANSACTION READ ONLY", Kind::Other),
+        ("SELECT 'group_fence', 'LISTEN'", Kind::Other),
+        ("CREATE TABLE temp_jobs (k text)", Kind::Other),
+        ("SET application_name = 'shop'", Kind::Ignored),
+        ("SET extra_float_digits = 3", Kind::Ignored),
+    ];
+    for (query, expected) in cases {
+        assert_eq!(recognise(query), Ok(expected), "{query}");
+    }
+}
