Prove the age of data at the primary and leave time to other promotions

Cause: a read of aged data could run on a primary that had been replaced; a replica's promise to another host's running promotion led to a competing one at once; single silent connections were found only by requests; current reads of an empty log were refused. Ruled out: a promise check after each aged read on the primary (one more round trip per read). Change: an aged read uses a primary only while samples prove that it was not replaced, and ages below 300 ms are carried out as current reads. Idle connections are checked each second and closed with a failed control connection. A replica keeps slots + 1 work connections, so that the reserve for urgent requests costs no slot. Gauges for connections and slots.

--- a/fulmargw_decision/src/promotion.rs
+++ b/fulmargw_decision/src/promotion.rs
@@ -54,7 +54,7 @@
     Isolated,
     /// the group has no primary
     Missing,
-    /// the primary promised a greater term that has no primary
+    /// a greater term was promised that has no primary
     Fenced,
     /// a replica promised a term greater than that of the primary
     Split,
@@ -102,6 +102,14 @@
         return judge_missing(members, majority);
     };
     let term = members[leader].status?.term;
+    let later = others(members, leader)
+        .filter_map(answer)
+        .filter(|status| status.promised > term)
+        .count();
+    let answering = members[leader].reach == Reach::Answering;
+    if later >= majority || (later > 0 && !answering) {
+        return Some(Cause::Fenced);
+    }
     match members[leader].reach {
         Reach::Unknown => None,
         Reach::Refused => Some(Cause::Refused),
@@ -128,9 +136,7 @@
         return Some(Cause::Fenced);
     }
     let others = || others(members, leader).filter_map(answer);
-    let deaf = others()
-        .filter(|other| other.silence >= ISOLATION || other.promised > status.term)
-        .count();
+    let deaf = others().filter(|other| other.silence >= ISOLATION).count();
     if members.len() - deaf < majority {
         return Some(Cause::Isolated);
     }
--- a/fulmargw_decision/src/routing.rs
+++ b/fulmargw_decision/src/routing.rs
@@ -14,6 +14,20 @@
 /// Age above which a status no longer proves that a replica can be used.
 pub const STATUS_AGE: Duration = Duration::from_millis(500);
 
+/// Least age that samples can prove: two probes of 100 ms, their answers, and a reserve.
+pub const PROVABLE_AGE: Duration = Duration::from_millis(300);
+
+/// Returns the class as which a request is carried out.
+///
+/// A read that accepts less than [`PROVABLE_AGE`] is confirmed like a current read.
+#[must_use]
+pub fn provable(class: Class) -> Class {
+    match class {
+        Class::Aged(age) if age < PROVABLE_AGE => Class::Current,
+        class => class,
+    }
+}
+
 /// What this host knows about a backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -21,13 +35,14 @@
     pub zone: &'a Zone,
     /// Whether the server is to leave.
     pub leaving: bool,
-    /// Whether the server answers the probes of this host.
+    /// Whether the server answers the probes of this host and is not a replaced primary.
     pub answering: bool,
     /// Last status.
     pub status: Option<Status>,
     /// Age of the last status.
     pub age: Duration,
-    /// Upper bound of the age of the data; `None` if unknown.
+    /// Upper bound of the age of the data, and on a primary the age of the last proof that it
+    /// was not replaced; `None` if unknown.
     pub bound: Option<Duration>,
     /// Expected time until the server has applied what the primary has now.
     pub wait: Duration,
@@ -121,7 +136,8 @@
             .collect();
     }
     let mut choices = replicas(need, views);
-    if primary.is_some() {
+    let proven = primary.is_some_and(|server| is_fresh(need, &views[server]));
+    if proven {
         if choices.is_empty() {
             choices.push(by_primary(Why::NoReplica));
         } else if need.waited > need.patience {
@@ -131,6 +147,14 @@
     choices
 }
 
+/// Reports whether the data is proven to be within the age that the request accepts.
+fn is_fresh(need: &Need<'_>, view: &View<'_>) -> bool {
+    match need.class {
+        Class::Aged(age) => view.bound.is_some_and(|bound| bound <= age),
+        Class::Current | Class::Write => true,
+    }
+}
+
 fn replicas(need: &Need<'_>, views: &[View<'_>]) -> Vec<Choice> {
     let choice = |server| {
         let why = qualifies(need, &views[server])?;
@@ -157,9 +181,7 @@
     if !usable || status.role != Role::Replica {
         return None;
     }
-    if let Class::Aged(age) = need.class
-        && view.bound.is_none_or(|bound| bound > age)
-    {
+    if !is_fresh(need, view) {
         return None;
     }
     if status.applied.satisfies(need.required) {
--- a/fulmargw_decision/src/staleness.rs
+++ b/fulmargw_decision/src/staleness.rs
@@ -88,6 +88,16 @@
             .map(|sample| now.saturating_duration_since(sample.asked))
     }
 
+    /// Returns the age at `now` of the last proof that the primary of `term` was not replaced.
+    #[must_use]
+    pub fn proof(&self, term: Term, now: Instant) -> Option<Duration> {
+        self.samples
+            .iter()
+            .rev()
+            .find(|sample| self.is_confirmed(sample) && sample.position.term == term)
+            .map(|sample| now.saturating_duration_since(sample.asked))
+    }
+
     /// Estimates how far a replica at `applied` was behind the primary at `at`.
     ///
     /// The estimate counts from the first sample that the replica lacked and is therefore low;
--- a/fulmargw_decision/tests/promotion.rs
+++ b/fulmargw_decision/tests/promotion.rs
@@ -102,6 +102,19 @@
     assert_eq!((one, both), (None, Some(Cause::Isolated)));
 }
 
+/// Guards against a promotion that undoes the one that another host has begun.
+#[test]
+fn a_promotion_of_another_host_is_given_time() {
+    let mut members = group();
+    members[0].reach = Reach::Refused;
+    members[1].status.as_mut().unwrap().promised = Term(2);
+
+    let cause = promotion::judge(&members, 2);
+
+    assert_eq!(cause, Some(Cause::Fenced));
+    assert!(Cause::Fenced.patience() > promotion::RANK_DELAY);
+}
+
 /// Guards against a group that stays without a primary after a promotion was broken off.
 #[test]
 fn a_primary_that_promised_a_greater_term_is_fenced() {
--- a/fulmargw_decision/tests/routing.rs
+++ b/fulmargw_decision/tests/routing.rs
@@ -194,7 +194,7 @@
             let fresh = current || view.bound.is_some_and(|bound| bound.as_millis() <= 1_000);
             let reaches = applied.satisfies(need.required) || choice.why == Why::Approaching;
             let usable = view.answering && view.age.as_millis() <= 500;
-            !view.leaving && (choice.by == By::Primary || (fresh && reaches && usable))
+            !view.leaving && fresh && (choice.by == By::Primary || (reaches && usable))
         })
     }
 
--- a/fulmargw_engine/src/execute/read.rs
+++ b/fulmargw_engine/src/execute/read.rs
@@ -8,7 +8,7 @@
         job::{Done, Failure, Work},
     },
     fulmargw_backend::connection::{Connector, Error, Kind},
-    fulmargw_decision::routing::By,
+    fulmargw_decision::routing::{self, By},
     fulmargw_model::{
         outcome::{Outcome, Reason},
         position::Position,
@@ -38,7 +38,7 @@
     ) -> Outcome<Answer<C>> {
         let mut retries = 0;
         loop {
-            let read = match request.class {
+            let read = match routing::provable(request.class) {
                 Class::Current => self.read_current(request, trace).await,
                 _ => self.run_read(request, request.required, trace).await,
             };
--- a/fulmargw_engine/src/execute/transaction.rs
+++ b/fulmargw_engine/src/execute/transaction.rs
@@ -19,7 +19,8 @@
 impl<C: Connector, G: Gate> Core<C, G> {
     /// Begins a transaction that writes.
     ///
-    /// Nothing has run before the caller's next statement, so a failure is simply retried.
+    /// A failed begin committed nothing, but its transaction may still hold the record, so it is
+    /// cancelled before the next attempt.
     pub async fn begin(
         &self,
         request: &Arc<Request<Body<C>>>,
@@ -34,7 +35,7 @@
                 Err(Failure::Refused(refusal)) => return Outcome::Refused(refusal),
                 Err(Failure::Failed(error, place)) => (error, place.term),
             };
-            if let Kind::Duplicate(_) | Kind::Cancelled(_) = error.kind {
+            if !is_not_run(&error) {
                 let met = match error.kind {
                     Kind::Cancelled(number) => number.max(attempt),
                     _ => attempt,
@@ -42,6 +43,9 @@
                 match self.settle(request, met, term).await {
                     Settled::Committed(position) => return Outcome::AlreadyRan(position),
                     Settled::Cancelled => attempt = met + 1,
+                    Settled::Unknown if matches!(error.kind, Kind::Duplicate(_)) => {
+                        return Outcome::Unknown(Step::Resolve);
+                    }
                     Settled::Unknown => return refused(Reason::NoPrimary),
                 }
             }
--- a/fulmargw_engine/src/monitor.rs
+++ b/fulmargw_engine/src/monitor.rs
@@ -5,7 +5,7 @@
         core::{Connection, Core},
         gate::Gate,
         table::{
-            member::{Order, Seen},
+            member::{Member, Order, Seen},
             server::Key,
         },
     },
@@ -37,7 +37,7 @@
 const PAUSE: Duration = Duration::from_millis(5);
 /// Greatest pause between attempts to reach a server.
 const GREATEST_PAUSE: Duration = Duration::from_millis(200);
-/// Pause after the server refused a connection because of its limit.
+/// Pause while the limit of connections leaves none for this host.
 const LIMIT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Watches one backend server until it leaves the configuration.
@@ -113,7 +113,7 @@
             if cap > 0 {
                 return Some(server);
             }
-            self.refuse_orders(Duration::from_millis(10)).await;
+            self.refuse_orders(LIMIT_PAUSE).await;
         }
     }
 
@@ -147,6 +147,10 @@
             member.failing.get_or_insert(now);
             member.reach
         });
+        // Other idle connections probably share the fault, and opening new ones takes less time
+        // than a request that finds out.
+        let closed = self.core.with_member(&self.key, Member::close_idle);
+        self.core.close(&self.key, closed.unwrap_or_default());
         // One failure can be that of a single connection; a second one is of the server.
         if self.failures >= 2 && known != Some(reach) {
             log::warn!("backend server {} is not reachable: {error}", self.key);
--- a/fulmargw_engine/src/pool.rs
+++ b/fulmargw_engine/src/pool.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        core::Core,
+        core::{self, Core, Release},
         gate::Gate,
         table::{member::Idle, server::Key},
     },
-    fulmargw_backend::connection::Connector,
+    fulmargw_backend::connection::{Connection as _, Connector},
     fulmargw_model::{backend_server::Server, position::Term},
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, interval, sleep, timeout},
@@ -14,6 +14,8 @@
 
 /// Time between two checks of the share of this host.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without an answer after which an idle connection is checked.
+const IDLE_TIME: Duration = Duration::from_secs(1);
 /// Pause after a connection could not be opened.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,6 +50,7 @@
         loop {
             self.check_share();
             self.follow_plan();
+            self.check_idle();
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = core.stop.cancelled() => return,
@@ -76,6 +79,39 @@
         }
     }
 
+    fn measure(&self, server: &Server) {
+        let Some(load) = self
+            .core
+            .with_member(&self.key, |it| (it.open(), it.load.running))
+        else {
+            return;
+        };
+        let labels = [
+            ("service", self.key.service.as_str().to_owned()),
+            ("server", server.name.as_str().to_owned()),
+        ];
+        metrics::gauge!("fulmargw_connections", &labels).set(load.0);
+        metrics::gauge!("fulmargw_slots_in_use", &labels).set(load.1);
+        metrics::gauge!("fulmargw_slots", &labels).set(server.slots);
+    }
+
+    /// Asks one idle connection for an answer, so that a silent one is found before a request
+    /// needs it.
+    fn check_idle(&self) {
+        let Some(since) = Instant::now().checked_sub(IDLE_TIME) else {
+            return;
+        };
+        let lent = self.core.with_member(&self.key, |member| {
+            // The last idle connection is left for requests.
+            let spare = member.idle.len() > 1;
+            spare.then(|| member.lend_for_check(since)).flatten()
+        });
+        if let Some(Some(idle)) = lent {
+            let checked = check(Arc::clone(&self.core), self.key.clone(), idle);
+            self.core.tasks.spawn(checked);
+        }
+    }
+
     fn stop_work(&self) {
         self.core.with_member(&self.key, |member| {
             if member.load.lent > 0 {
@@ -95,6 +131,7 @@
         let Some((plan, within, server)) = planned else {
             return;
         };
+        self.measure(&server);
         self.core.check("connection-cap", within);
         self.core.close(&self.key, plan.close);
         for _ in 0..plan.open {
@@ -105,6 +142,25 @@
     }
 }
 
+/// Asks a lent connection for its status and gives it back.
+async fn check<C: Connector, G: Gate>(
+    core: Arc<Core<C, G>>,
+    key: Key,
+    mut idle: Idle<core::Connection<C>>,
+) {
+    let limit = core.settings.probe_timeout();
+    let status = tokio::select! {
+        () = core.stop.cancelled() => return,
+        status = timeout(limit, idle.connection.status()) => status,
+    };
+    let release = Release {
+        term: idle.term,
+        pinned: false,
+        usable: matches!(status, Ok(Ok(_))),
+    };
+    core.give_back(&key, idle.connection, &release);
+}
+
 /// Opens one connection that is already counted as opening.
 async fn open<C: Connector, G: Gate>(core: Arc<Core<C, G>>, key: Key, server: Server, term: Term) {
     let limit = core.settings.connect_timeout();
@@ -122,7 +178,11 @@
     };
     let stored = core.with_member(&key, |member| {
         member.load.opening = member.load.opening.saturating_sub(1);
-        member.idle.push(Idle { connection, term });
+        member.idle.push(Idle {
+            connection,
+            term,
+            answered: Instant::now(),
+        });
         member.refill.notify_one();
     });
     if stored.is_some() {
--- a/fulmargw_engine/src/state.rs
+++ b/fulmargw_engine/src/state.rs
@@ -144,8 +144,8 @@
             .members
             .iter()
             .map(|member| {
-                let applied = member.status().map(|status| status.applied);
-                let bound = applied.and_then(|applied| group.history.bound(applied, now));
+                let status = member.status();
+                let bound = status.and_then(|status| group.bound(&status, now));
                 server(member, bound.map(milliseconds), now)
             })
             .collect(),
--- a/fulmargw_engine/src/table/group.rs
+++ b/fulmargw_engine/src/table/group.rs
@@ -57,6 +57,8 @@
     pub members: Vec<Member<K>>,
     /// Number of members that make a majority.
     pub majority: usize,
+    /// Greatest term of a primary that was seen; primaries of earlier terms are replaced.
+    pub reign: Term,
     /// Positions of the primary over time.
     pub history: History,
     /// Positions that wait for a majority.
@@ -71,6 +73,7 @@
         Self {
             members: Vec::new(),
             majority: 1,
+            reign: Term(0),
             history: History::new(1),
             pending: Vec::new(),
             changed: Arc::new(Notify::new()),
@@ -139,6 +142,9 @@
 
     fn view<'a>(&'a self, member: &'a Member<K>, now: Instant) -> View<'a> {
         let applied = member.status().map(|status| status.applied);
+        let replaced = member
+            .status()
+            .is_some_and(|status| status.role == Role::Primary && status.term < self.reign);
         let hopeless = member
             .behind
             .is_some_and(|behind| now.saturating_duration_since(behind) < BEHIND);
@@ -149,18 +155,26 @@
         View {
             zone: &member.server.zone,
             leaving: member.server.leaving,
-            answering: member.reach == Reach::Answering,
+            answering: member.reach == Reach::Answering && !replaced,
             status: member.status(),
             age: member.seen.map_or(Duration::MAX, |seen| {
                 now.saturating_duration_since(seen.asked)
             }),
-            bound: applied.and_then(|applied| self.history.bound(applied, now)),
+            bound: member.status().and_then(|status| self.bound(&status, now)),
             wait,
             running: member.load.running,
             free: member.server.slots.saturating_sub(member.load.running),
         }
     }
 
+    /// Returns an upper bound of the age of a server's data.
+    pub fn bound(&self, status: &Status, now: Instant) -> Option<Duration> {
+        match status.role {
+            Role::Primary => self.history.proof(status.term, now),
+            Role::Replica => self.history.bound(status.applied, now),
+        }
+    }
+
     /// Returns the primary that accepts writes.
     pub fn primary(&self) -> Option<Primary> {
         let views = self.views(Instant::now());
@@ -181,8 +195,14 @@
             return;
         }
         member.seen = Some(seen);
+        if member.reach != Reach::Answering {
+            member.refill.notify_one();
+        }
         member.reach = Reach::Answering;
         member.failing = None;
+        if seen.status.role == Role::Primary {
+            self.reign = self.reign.max(seen.status.term);
+        }
         self.sample(index, seen);
         self.assign();
         self.resolve();
--- a/fulmargw_engine/src/table/member.rs
+++ b/fulmargw_engine/src/table/member.rs
@@ -51,6 +51,8 @@
     pub connection: K,
     /// Its term; 0 only allows reads.
     pub term: Term,
+    /// Time of its last answer.
+    pub answered: Instant,
 }
 
 /// Connections and slots in use.
@@ -230,6 +232,17 @@
         self.load.running = self.load.running.saturating_sub(1);
     }
 
+    /// Takes the idle connection that answered least recently, if that was before `since`.
+    pub fn lend_for_check(&mut self, since: Instant) -> Option<Idle<K>> {
+        let places = 0..self.idle.len();
+        let oldest = places.min_by_key(|place| self.idle[*place].answered)?;
+        if self.idle[oldest].answered > since {
+            return None;
+        }
+        self.load.lent += 1;
+        Some(self.idle.remove(oldest))
+    }
+
     /// Takes back a connection that is in order; returns it if it must be closed.
     pub fn restore(&mut self, connection: K, term: Term) -> Option<K> {
         self.load.lent = self.load.lent.saturating_sub(1);
@@ -239,7 +252,11 @@
             self.load.closing += 1;
             return Some(connection);
         }
-        self.idle.push(Idle { connection, term });
+        self.idle.push(Idle {
+            connection,
+            term,
+            answered: Instant::now(),
+        });
         None
     }
 
@@ -265,7 +282,8 @@
         close.extend(self.close_where(|idle| idle != term, surplus));
         let surplus = self.surplus();
         close.extend(self.close_where(|_| true, surplus));
-        let missing = self.missing();
+        let usable = self.reach == Reach::Answering;
+        let missing = if usable { self.missing() } else { 0 };
         let room = self.cap.saturating_sub(self.open());
         let open = missing.min(room);
         if missing > 0 && room == 0 && self.load.closing == 0 && term != Term(0) {
@@ -277,12 +295,17 @@
 
     /// Returns how many connections of the present term are missing.
     ///
-    /// A replica leaves room for one more connection, so that after its promotion the first
-    /// connection of the new term can be opened before one of the old ones is closed.
+    /// A replica leaves room for one more connection if one is left above those that its slots
+    /// and a transaction use. After its promotion the first connection of the new term is then
+    /// opened before one of the old ones is closed.
     fn missing(&self) -> u32 {
         let primary = self.term != Term(0);
-        let spare = if primary { 1 } else { 2 };
-        let wanted = self.cap.saturating_sub(spare).max(1).min(self.cap - 1);
+        let most = self.cap - 1;
+        let wanted = if primary {
+            most
+        } else {
+            most.min(self.cap.saturating_sub(2).max(self.server.slots + 1))
+        };
         let fits = |idle: &&Idle<K>| !primary || idle.term == self.term;
         let ready = self.idle.iter().filter(fits).count();
         let ready = u32::try_from(ready).unwrap_or(u32::MAX);
--- a/fulmargw_engine/src/table/pin.rs
+++ b/fulmargw_engine/src/table/pin.rs
@@ -102,11 +102,17 @@
         held(mem::replace(state, State::Busy(hold)))
     }
 
-    /// Puts a connection with an open transaction; returns it if the caller has gone.
-    pub fn put(&mut self, caller: u64, hold: Hold, connection: K) -> Option<K> {
+    /// Puts a connection with an open transaction, which is `known` from its begin on.
+    ///
+    /// Returns the connection if the caller has gone or ended the transaction meanwhile.
+    pub fn put(&mut self, caller: u64, hold: Hold, connection: K, known: bool) -> Option<K> {
         let Some(state) = self.callers.get_mut(&caller) else {
             return Some(connection);
         };
+        let busy = matches!(state, State::Busy(_));
+        if busy != known || matches!(state, State::Held(..)) {
+            return Some(connection);
+        }
         *state = State::Held(hold, connection);
         None
     }
--- a/fulmargw_engine/src/worker.rs
+++ b/fulmargw_engine/src/worker.rs
@@ -10,7 +10,7 @@
     fulmargw_backend::connection::{
         Connection as _, Connector, Error, Kind, Reply, Task, Transaction,
     },
-    fulmargw_decision::routing::{Choice, Need, Why},
+    fulmargw_decision::routing::{self, By, Choice, Need, Why},
     fulmargw_model::{
         backend_server::Status,
         name::Name,
@@ -67,7 +67,7 @@
         let views = group.views(now);
         let choose = |job: &Waiting<C>| {
             let need = need(core, job, now);
-            let choices = fulmargw_decision::routing::choose(&need, &views);
+            let choices = routing::choose(&need, &views);
             let mut choices = choices.into_iter();
             choices.find_map(|choice| {
                 let member = &group.members[choice.server];
@@ -76,7 +76,7 @@
                 let begins = job.work.begins();
                 let idle = member.lendable(term, urgency, begins)?;
                 let status = member.status()?;
-                let after = condition(&status, &choice, &need);
+                let after = condition(&status, &choice, &need, job.request.required);
                 Some((choice, idle, after))
             })
         };
@@ -109,7 +109,7 @@
     now: Instant,
 ) -> Need<'a> {
     Need {
-        class: job.request.class,
+        class: routing::provable(job.request.class),
         required: job.work.required(),
         zone: &core.zone,
         // The begin of a transaction cannot wait for a position on the server.
@@ -125,18 +125,28 @@
 ///
 /// The check fails on a server that promised a term greater than that of the position, so the
 /// term is raised where the server is known to satisfy that too.
-fn condition(status: &Status, choice: &Choice, need: &Need<'_>) -> Option<(Position, Duration)> {
+fn condition(
+    status: &Status,
+    choice: &Choice,
+    need: &Need<'_>,
+    session: Position,
+) -> Option<(Position, Duration)> {
     if need.required == Position::default() || need.class == Class::Write {
         return None;
     }
+    // The primary has every acknowledged write, so it need not reach a read index.
+    let required = match choice.by {
+        By::Primary => session,
+        By::Replica => need.required,
+    };
     let raised = Position {
-        term: need.required.term.max(status.promised),
-        index: need.required.index,
+        term: required.term.max(status.promised),
+        index: required.index,
     };
-    let satisfied = status.applied.satisfies(need.required);
+    let satisfied = status.applied.satisfies(required);
     let check = match choice.why {
-        Why::Approaching => Some(need.required),
-        _ if status.applied.satisfies(raised) => Some(raised),
+        Why::Approaching => Some(required),
+        _ if choice.by == By::Replica && status.applied.satisfies(raised) => Some(raised),
         _ if satisfied => None,
         _ => Some(raised),
     };
@@ -256,7 +266,7 @@
     let open = matches!(&result, Ok(reply) if reply.transaction != Transaction::Idle);
     if open && (pinned || job.work.begins()) {
         let hold = hold.unwrap_or_else(|| begin(&job, &place));
-        keep(core, caller, hold, connection);
+        keep(core, caller, hold, connection, pinned);
     } else {
         if pinned {
             core.pins.lock().release(caller);
@@ -302,6 +312,7 @@
     caller: u64,
     hold: Hold,
     connection: Connection<C>,
+    pinned: bool,
 ) {
     let key = hold.key.clone();
     let release = Release {
@@ -309,7 +320,7 @@
         pinned: true,
         usable: false,
     };
-    let refused = core.pins.lock().put(caller, hold, connection);
+    let refused = core.pins.lock().put(caller, hold, connection, pinned);
     if let Some(connection) = refused {
         // The caller has gone; closing the connection rolls its transaction back.
         core.give_back(&key, connection, &release);
--- a/fulmargw_engine/tests/common/group.rs
+++ b/fulmargw_engine/tests/common/group.rs
@@ -10,7 +10,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::time::Instant,
@@ -59,6 +59,8 @@
     pub reachable: bool,
     /// Counts the lives of the process.
     pub life: u32,
+    /// Numbers of all connections that were opened to the node.
+    pub numbers: Vec<u64>,
     pub connections: u32,
     pub most_connections: u32,
     pub running: u32,
@@ -107,7 +109,9 @@
 
     /// Locks the group after replication has caught up with the time.
     pub fn lock(&self) -> MutexGuard<'_, Group> {
-        let mut group = self.0.lock().unwrap();
+        // A failed assertion may hold the lock while connections are dropped.
+        let group = self.0.lock();
+        let mut group = group.unwrap_or_else(PoisonError::into_inner);
         group.replicate();
         group
     }
@@ -133,6 +137,44 @@
         });
     }
 
+    /// Ends every fault; a process that was killed starts again as a replica.
+    pub fn heal(&self) {
+        let mut group = self.lock();
+        for node in group.nodes.values_mut() {
+            if !node.alive {
+                node.alive = true;
+                node.role = Role::Replica;
+            }
+            node.linked = true;
+            node.reachable = true;
+            node.lag = Duration::ZERO;
+        }
+    }
+
+    /// Makes all but the first connection to a server silent; the first is the control
+    /// connection.
+    pub fn silence_work(&self, server: &str) {
+        let mut group = self.lock();
+        let numbers = group.nodes[server].numbers.clone();
+        group.silent.extend(numbers.into_iter().skip(1));
+    }
+
+    /// Promotes a server as another host would, with a commit of `value` right afterwards.
+    pub fn promote(&self, server: &str, term: Term, value: u64) {
+        let mut group = self.lock();
+        for (name, node) in &mut group.nodes {
+            if name.as_str() == server {
+                node.role = Role::Primary;
+                node.term = term;
+                node.append(Content::Promotion);
+                node.append(Content::Commit(Id::random(), 1, vec![value]));
+            }
+            if node.linked {
+                node.promised = term;
+            }
+        }
+    }
+
     /// Returns the primary of the greatest term.
     pub fn primary(&self) -> Name {
         let group = self.lock();
@@ -198,6 +240,7 @@
             linked: true,
             reachable: true,
             life: 0,
+            numbers: Vec::new(),
             connections: 0,
             most_connections: 0,
             running: 0,
@@ -213,10 +256,12 @@
             return;
         }
         let arrived = |entry: &&Entry| entry.at + REPLICATION <= now;
-        let arrived: Vec<_> = log.iter().take_while(arrived).cloned().collect();
-        // A log that only lacks the latest entries is kept; another one is replaced.
-        if !self.log.starts_with(&arrived) || !log.starts_with(&self.log) {
-            self.log = arrived;
+        let arrived = log.iter().take_while(arrived).count();
+        let pairs = self.log.iter().zip(log);
+        let common = pairs.take_while(|(own, new)| own == new).count();
+        // Entries that the node has are kept, so that it never loses what it confirmed.
+        if common < self.log.len() || arrived > common {
+            self.log = log[..arrived.max(common)].to_vec();
         }
         self.role = Role::Replica;
         self.term = term;
--- a/fulmargw_engine/tests/common/link.rs
+++ b/fulmargw_engine/tests/common/link.rs
@@ -61,6 +61,7 @@
             return Err(failed(Kind::TooManyConnections));
         }
         node.connections += 1;
+        node.numbers.push(number);
         node.most_connections = node.most_connections.max(node.connections);
         Ok(Link {
             world: self.0.clone(),
@@ -300,6 +301,8 @@
         );
         self.busy = true;
         let writes = matches!(task, Task::Write { .. } | Task::End { .. });
+        let inside = matches!(task, Task::Inside { .. } | Task::End { .. });
+        assert_eq!(inside, self.open.is_some(), "no-interleaving is violated");
         self.pass().await?;
         if writes && self.take_fault(|group| &mut group.lost_requests) {
             return Err(self.error(Kind::Closed("request lost".to_owned())));
--- a/fulmargw_engine/tests/failover.rs
+++ b/fulmargw_engine/tests/failover.rs
@@ -95,12 +95,16 @@
 #[tokio::test(start_paused = true)]
 async fn a_current_read_ignores_a_replaced_primary() {
     let bench = bench().await;
-    let other = bench_on(bench.world.clone(), 1).await;
+    for server in ["b", "c"] {
+        bench
+            .world
+            .change(server, |node| node.lag = Duration::from_secs(10));
+    }
     bench.put(1).await;
-    // Only this host still reaches the old primary, which others have replaced.
+    sleep(Duration::from_secs(1)).await;
+    // This host still takes the old primary for the present one until its next probe.
     bench.world.change("a", |node| node.linked = false);
-    sleep(Duration::from_millis(700)).await;
-    other.put(2).await;
+    bench.world.promote("b", Term(2), 2);
 
     let read = bench.get(Class::Current, Position::default()).await;
 
@@ -204,6 +208,31 @@
     bench.engine.submit(request).await
 }
 
+/// Guards against a write of an earlier term that is never settled, because the new primary has
+/// it but has not written an entry of its own.
+#[tokio::test(start_paused = true)]
+async fn a_write_of_an_earlier_term_is_settled() {
+    let bench = bench().await;
+    bench.world.lock().promotion_entry = false;
+    bench
+        .world
+        .change("a", |node| node.work = Duration::from_millis(20));
+    let fault = async {
+        while commits(&bench.world, 1) == 0 {
+            sleep(Duration::from_micros(100)).await;
+        }
+        bench.world.change("a", |node| node.reachable = false);
+        sleep(Duration::from_millis(10)).await;
+        bench.world.kill("a");
+    };
+
+    let write = bench.statement(Class::Write, Body::Put(1));
+    let (outcome, ()) = futures::future::join(write, fault).await;
+
+    assert!(matches!(outcome, Outcome::AlreadyRan(_)), "{outcome:?}");
+    assert_eq!(kept(&bench.world, 1), 1);
+}
+
 /// Guards against a transaction that is committed although it was reported as not run.
 #[tokio::test(start_paused = true)]
 async fn a_transaction_on_a_killed_primary_did_not_run() {
--- a/fulmargw_engine/tests/limits.rs
+++ b/fulmargw_engine/tests/limits.rs
@@ -155,7 +155,10 @@
             .iter()
             .all(|server| server.pinned == 0 && server.running == 0)
     );
-    assert_eq!(connections(&bench), [4, 3, 3]);
+    assert_eq!(connections(&bench), [4, 4, 4]);
+    for value in 0..6 {
+        bench.put(value).await;
+    }
 }
 
 /// Guards against transactions that take every connection of the primary.
@@ -215,15 +218,74 @@
 
     silence(&bench);
     sleep(Duration::from_millis(700)).await;
-    let outcome = bench.statement(SECOND, Body::Get).await;
-    let write = bench.statement(Class::Write, Body::Put(2)).await;
+    let began = Instant::now();
+    let read = bench.get(SECOND, Position::default()).await;
+    let server = bench.last_server();
+    bench.put(2).await;
 
-    assert_eq!(answer(outcome).body, [1]);
-    assert!(!is_refused(&write), "{write:?}");
-    assert_eq!(
-        bench.world.lock().nodes["a"].term.0,
-        1,
-        "the primary was replaced"
+    assert_eq!((read, server.as_str()), (vec![1], "b"));
+    assert!(began.elapsed() < Duration::from_millis(100));
+    let term = bench.world.lock().nodes["a"].term.0;
+    assert_eq!(term, 1, "the primary was replaced");
+}
+
+/// Guards against a single silent connection that a request finds before the engine does.
+#[tokio::test(start_paused = true)]
+async fn a_silent_idle_connection_is_found_by_a_check() {
+    let bench = bench().await;
+    bench.put(1).await;
+    bench.world.silence_work("a");
+    sleep(Duration::from_secs(3)).await;
+
+    let began = Instant::now();
+    bench.put(2).await;
+
+    assert!(began.elapsed() < Duration::from_millis(100));
+}
+
+/// Guards against browse requests that leave nothing for urgent ones.
+#[tokio::test(start_paused = true)]
+async fn urgent_requests_find_a_connection_under_browse_load() {
+    let bench = bench().await;
+    bench.gate.set_divisor(5);
+    sleep(Duration::from_millis(300)).await;
+    for server in SERVERS {
+        bench
+            .world
+            .change(server, |node| node.work = Duration::from_millis(100));
+    }
+    let browse = (0..10).map(|_| bench.statement(SECOND, Body::Get));
+    let urgent = async {
+        sleep(Duration::from_millis(5)).await;
+        let began = Instant::now();
+        bench.get(Class::Current, Position::default()).await;
+        began.elapsed()
+    };
+
+    let (_, took) = futures::future::join(futures::future::join_all(browse), urgent).await;
+
+    assert!(took < Duration::from_millis(140), "{took:?}");
+}
+
+/// Guards against a failed begin that counts against the transactions for good.
+#[tokio::test(start_paused = true)]
+async fn a_begin_that_ran_before_holds_no_connection() {
+    let bench = bench().await;
+    let write = bench.request(Class::Write, Body::Put(1));
+    let mut begin = bench.request(Class::Write, Body::Nothing);
+    begin.id = write.id.clone();
+    begin.part = Part::Begin;
+    answer(bench.engine.submit(write).await);
+
+    let outcome = bench.engine.submit(begin).await;
+
+    assert!(matches!(outcome, Outcome::AlreadyRan(_)), "{outcome:?}");
+    let state = bench.engine.dump();
+    assert!(
+        state.services[0]
+            .servers
+            .iter()
+            .all(|server| server.pinned == 0)
     );
 }
 
--- a/fulmargw_engine/tests/serve.rs
+++ b/fulmargw_engine/tests/serve.rs
@@ -57,6 +57,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_current_read_sees_every_acknowledged_write() {
     let bench = bench().await;
+    for server in ["b", "c"] {
+        bench
+            .world
+            .change(server, |node| node.lag = Duration::from_millis(30));
+    }
 
     for value in 0..20 {
         bench.put(value).await;
@@ -66,6 +71,16 @@
     }
 }
 
+/// Guards against a read index that no server reaches while the log is empty.
+#[tokio::test(start_paused = true)]
+async fn a_current_read_of_an_empty_log_is_answered() {
+    let bench = bench().await;
+
+    let read = bench.get(Class::Current, Position::default()).await;
+
+    assert!(read.is_empty());
+}
+
 /// Guards against an aged read of data that is older than stated.
 #[tokio::test(start_paused = true)]
 async fn an_aged_read_is_within_its_age() {
@@ -112,9 +127,12 @@
     }
 
     let reads = (0..30).map(|_| bench.statement(SECOND, Body::Get));
-    let outcomes = futures::future::join_all(reads).await;
+    let writes = (0..30).map(|value| bench.statement(Class::Write, Body::Put(value)));
+    let reads = futures::future::join_all(reads);
+    let writes = futures::future::join_all(writes);
+    let (read, written) = futures::future::join(reads, writes).await;
 
-    for outcome in outcomes {
+    for outcome in read.into_iter().chain(written) {
         answer(outcome);
     }
     let group = bench.world.lock();
