--- a/fulmargw_engine/tests/common/group.rs
+++ b/fulmargw_engine/tests/common/group.rs
@@ -10,6 +10,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        mem,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -209,16 +210,19 @@
     /// Copies the log of each primary to the members that accept it.
     fn replicate(&mut self) {
         let now = Instant::now();
-        let primaries: Vec<_> = self
-            .nodes
-            .values()
-            .filter(|node| node.role == Role::Primary && node.alive && node.linked)
-            .map(|node| (node.term, node.log.clone()))
+        let leads = |node: &Node| node.role == Role::Primary && node.alive && node.linked;
+        let nodes = self.nodes.iter().filter(|(_, node)| leads(node));
+        let primaries: Vec<_> = nodes
+            .map(|(name, node)| (name.clone(), node.term))
             .collect();
-        for (term, log) in primaries {
-            for node in self.nodes.values_mut() {
-                node.receive(term, &log, now);
+        for (name, term) in primaries {
+            // The log is moved out for the copy because a clone for each call is slow.
+            let primary = self.nodes.get_mut(&name).unwrap();
+            let log = mem::take(&mut primary.log);
+            for node in self.nodes.iter_mut().filter(|(other, _)| **other != name) {
+                node.1.receive(term, &log, now);
             }
+            self.nodes.get_mut(&name).unwrap().log = log;
         }
         for node in self.nodes.values_mut() {
             node.apply(now);
@@ -256,13 +260,14 @@
             return;
         }
         let arrived = |entry: &&Entry| entry.at + REPLICATION <= now;
-        let arrived = log.iter().take_while(arrived).count();
-        let pairs = self.log.iter().zip(log);
-        let common = pairs.take_while(|(own, new)| own == new).count();
+        // Logs with an equal entry are equal up to it.
+        let shorter = self.log.len().min(log.len());
+        let same = |length: &usize| *length == 0 || self.log[length - 1] == log[length - 1];
+        let common = (0..=shorter).rev().find(same).unwrap_or_default();
         // Entries that the node has are kept, so that it never loses what it confirmed.
-        if common < self.log.len() || arrived > common {
-            self.log = log[..arrived.max(common)].to_vec();
-        }
+        let new = log[common..].iter().take_while(arrived).cloned();
+        self.log.truncate(common);
+        self.log.extend(new);
         self.role = Role::Replica;
         self.term = term;
         self.promised = term;
@@ -275,9 +280,9 @@
         } else {
             REPLICATION + self.lag
         };
-        let due = self.log.iter().take_while(|entry| entry.at + lag <= now);
-        let due = due.count();
-        self.applied = self.applied.min(self.log.len()).max(due);
+        let kept = self.applied.min(self.log.len());
+        let due = self.log[kept..].iter();
+        self.applied = kept + due.take_while(|entry| entry.at + lag <= now).count();
     }
 
     /// Reports whether the node is the primary of `term` and may write.
