Wait for a primary without polling

Ruled out: a longer pause (adds to the failover gap). Change: the wait for a change begins before the look. Reasons in metrics are in snake case. Conclusion: no polling while a service has no primary.

--- a/fulmargw_engine/src/confirm.rs
+++ b/fulmargw_engine/src/confirm.rs
@@ -17,7 +17,7 @@
         position::{Position, Term},
     },
     futures::{StreamExt, stream::FuturesUnordered},
-    std::{sync::Arc, time::Duration},
+    std::{pin::pin, sync::Arc, time::Duration},
     tokio::{
         sync::oneshot,
         time::{Instant, sleep, timeout_at},
@@ -30,21 +30,19 @@
 impl<C: Connector, G: Gate> Core<C, G> {
     /// Waits for a primary of at least this term.
     pub async fn primary(&self, service: &Name, least: Term, deadline: Instant) -> Option<Primary> {
+        let changed = {
+            let servers = self.servers.lock();
+            Arc::clone(&servers.groups.get(service)?.changed)
+        };
         loop {
-            let (primary, changed) = {
-                let servers = self.servers.lock();
-                let group = servers.groups.get(service)?;
-                (group.primary(), Arc::clone(&group.changed))
-            };
+            // The wait begins before the look, so that no change between them is missed.
+            let mut change = pin!(changed.notified());
+            change.as_mut().enable();
+            let primary = self.servers.lock().groups.get(service)?.primary();
             if let Some(primary) = primary.filter(|primary| primary.term >= least) {
                 return Some(primary);
             }
-            // A change between the lock and the wait is noticed after the pause at the latest.
-            let soon = deadline.min(Instant::now() + PAUSE);
-            let _ = timeout_at(soon, changed.notified()).await;
-            if Instant::now() >= deadline {
-                return None;
-            }
+            timeout_at(deadline, change).await.ok()?;
         }
     }
 
--- a/fulmargw_engine/src/execute/trace.rs
+++ b/fulmargw_engine/src/execute/trace.rs
@@ -10,7 +10,7 @@
     fulmargw_backend::connection::Connector,
     fulmargw_decision::routing::By,
     fulmargw_model::{
-        outcome::Outcome,
+        outcome::{Outcome, Reason},
         request::{Class, Request},
     },
     tokio::time::Instant,
@@ -48,7 +48,7 @@
         .increment(1);
         if let Label::Refused(reason) = label {
             metrics::counter!(
-                "fulmargw_refused_total", "account" => account, "reason" => format!("{reason:?}")
+                "fulmargw_refused_total", "account" => account, "reason" => label_of(reason)
             )
             .increment(1);
         }
@@ -75,6 +75,23 @@
     }
 }
 
+/// Returns the value of the metrics label, which is the serialised name.
+fn label_of(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Key => "key",
+        Reason::Route => "route",
+        Reason::Rate => "rate",
+        Reason::QueueFull => "queue_full",
+        Reason::Deadline => "deadline",
+        Reason::NoPrimary => "no_primary",
+        Reason::Position => "position",
+        Reason::Lease => "lease",
+        Reason::Leaving => "leaving",
+        Reason::Unsupported => "unsupported",
+        Reason::Connection => "connection",
+    }
+}
+
 fn count_read(trace: &Trace) {
     let choice = trace.place.as_ref().and_then(|place| place.choice);
     let Some(choice) = choice else {
