--- a/fulmargw_engine/tests/common/group.rs
+++ b/fulmargw_engine/tests/common/group.rs
@@ -10,7 +10,8 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        sync::{Arc, Mutex, MutexGuard},
+        mem,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::time::Instant,
@@ -59,6 +60,8 @@
     pub reachable: bool,
     /// Counts the lives of the process.
     pub life: u32,
+    /// Numbers of all connections that were opened to the node.
+    pub numbers: Vec<u64>,
     pub connections: u32,
     pub most_connections: u32,
     pub running: u32,
@@ -107,7 +110,9 @@
 
     /// Locks the group after replication has caught up with the time.
     pub fn lock(&self) -> MutexGuard<'_, Group> {
-        let mut group = self.0.lock().unwrap();
+        // A failed assertion may hold the lock while connections are dropped.
+        let group = self.0.lock();
+        let mut group = group.unwrap_or_else(PoisonError::into_inner);
         group.replicate();
         group
     }
@@ -133,6 +138,44 @@
         });
     }
 
+    /// Ends every fault; a process that was killed starts again as a replica.
+    pub fn heal(&self) {
+        let mut group = self.lock();
+        for node in group.nodes.values_mut() {
+            if !node.alive {
+                node.alive = true;
+                node.role = Role::Replica;
+            }
+            node.linked = true;
+            node.reachable = true;
+            node.lag = Duration::ZERO;
+        }
+    }
+
+    /// Makes all but the first connection to a server silent; the first is the control
+    /// connection.
+    pub fn silence_work(&self, server: &str) {
+        let mut group = self.lock();
+        let numbers = group.nodes[server].numbers.clone();
+        group.silent.extend(numbers.into_iter().skip(1));
+    }
+
+    /// Promotes a server as another host would, with a commit of `value` right afterwards.
+    pub fn promote(&self, server: &str, term: Term, value: u64) {
+        let mut group = self.lock();
+        for (name, node) in &mut group.nodes {
+            if name.as_str() == server {
+                node.role = Role::Primary;
+                node.term = term;
+                node.append(Content::Promotion);
+                node.append(Content::Commit(Id::random(), 1, vec![value]));
+            }
+            if node.linked {
+                node.promised = term;
+            }
+        }
+    }
+
     /// Returns the primary of the greatest term.
     pub fn primary(&self) -> Name {
         let group = self.lock();
@@ -167,16 +210,19 @@
     /// Copies the log of each primary to the members that accept it.
     fn replicate(&mut self) {
         let now = Instant::now();
-        let primaries: Vec<_> = self
-            .nodes
-            .values()
-            .filter(|node| node.role == Role::Primary && node.alive && node.linked)
-            .map(|node| (node.term, node.log.clone()))
+        let leads = |node: &Node| node.role == Role::Primary && node.alive && node.linked;
+        let nodes = self.nodes.iter().filter(|(_, node)| leads(node));
+        let primaries: Vec<_> = nodes
+            .map(|(name, node)| (name.clone(), node.term))
             .collect();
-        for (term, log) in primaries {
-            for node in self.nodes.values_mut() {
-                node.receive(term, &log, now);
+        for (name, term) in primaries {
+            // The log is moved out for the copy because a clone for each call is slow.
+            let primary = self.nodes.get_mut(&name).unwrap();
+            let log = mem::take(&mut primary.log);
+            for node in self.nodes.iter_mut().filter(|(other, _)| **other != name) {
+                node.1.receive(term, &log, now);
             }
+            self.nodes.get_mut(&name).unwrap().log = log;
         }
         for node in self.nodes.values_mut() {
             node.apply(now);
@@ -198,6 +244,7 @@
             linked: true,
             reachable: true,
             life: 0,
+            numbers: Vec::new(),
             connections: 0,
             most_connections: 0,
             running: 0,
@@ -213,11 +260,14 @@
             return;
         }
         let arrived = |entry: &&Entry| entry.at + REPLICATION <= now;
-        let arrived: Vec<_> = log.iter().take_while(arrived).cloned().collect();
-        // A log that only lacks the latest entries is kept; another one is replaced.
-        if !self.log.starts_with(&arrived) || !log.starts_with(&self.log) {
-            self.log = arrived;
-        }
+        // Logs with an equal entry are equal up to it.
+        let shorter = self.log.len().min(log.len());
+        let same = |length: &usize| *length == 0 || self.log[length - 1] == log[length - 1];
+        let common = (0..=shorter).rev().find(same).unwrap_or_default();
+        // Entries that the node has are kept, so that it never loses what it confirmed.
+        let new = log[common..].iter().take_while(arrived).cloned();
+        self.log.truncate(common);
+        self.log.extend(new);
         self.role = Role::Replica;
         self.term = term;
         self.promised = term;
@@ -230,9 +280,9 @@
         } else {
             REPLICATION + self.lag
         };
-        let due = self.log.iter().take_while(|entry| entry.at + lag <= now);
-        let due = due.count();
-        self.applied = self.applied.min(self.log.len()).max(due);
+        let kept = self.applied.min(self.log.len());
+        let due = self.log[kept..].iter();
+        self.applied = kept + due.take_while(|entry| entry.at + lag <= now).count();
     }
 
     /// Reports whether the node is the primary of `term` and may write.
