Record promotions with evidence and select parts of the state dump

Cause: the state dump did not say why a replica was promoted, an entry did not name its service, and one request had to be searched among 1,024. Ruled out: promotions in the ring of requests, which at 1,000 requests/s forgets them within a second; a selection on the host, because one dump is small and the client needs no further interface. Conclusion: promotions can be explained from the dump of the host that made them.

--- a/extra/fulmargw.bash
+++ b/extra/fulmargw.bash
@@ -15,14 +15,15 @@
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
         return
         ;;
-    --operator)
+    --operator | --request | --service)
         return
         ;;
     esac
     case ${COMP_WORDS[1]} in
     serve) options="--settings --help" ;;
     check) options="--settings --json --help" ;;
-    patch | config | state) options="--operator --credential-file --json --help" ;;
+    patch | config) options="--operator --credential-file --json --help" ;;
+    state) options="--operator --credential-file --request --service --json --help" ;;
     key) options="--stdin --json --help" ;;
     version) options="--json --help" ;;
     *) return ;;
--- a/extra/fulmargw.fish
+++ b/extra/fulmargw.fish
@@ -15,5 +15,7 @@
 complete -c fulmargw -n "__fish_seen_subcommand_from $operator" -l operator -x -d 'URL of the operator interface'
 complete -c fulmargw -n "__fish_seen_subcommand_from $operator" -l credential-file -r -F -d 'File with the operator credential'
 complete -c fulmargw -n "__fish_seen_subcommand_from check key version $operator" -l json -d 'Print JSON on one line'
+complete -c fulmargw -n "__fish_seen_subcommand_from state" -l request -x -d 'Print only decisions on this request'
+complete -c fulmargw -n "__fish_seen_subcommand_from state" -l service -x -d 'Print only this service'
 complete -c fulmargw -n "__fish_seen_subcommand_from key" -l stdin -d 'Read the key from standard input'
 complete -c fulmargw -n "__fish_seen_subcommand_from patch" -F
--- a/fulmargw/src/cli.rs
+++ b/fulmargw/src/cli.rs
@@ -118,7 +118,9 @@
 #[argh(
     subcommand,
     name = "state",
-    example = "fulmargw state --operator http://10.0.0.1:9100 --credential-file credential"
+    example = "fulmargw state --operator http://10.0.0.1:9100 --credential-file credential \
+               --service notes",
+    note = "A host keeps its last 1024 decisions on requests and its last 64 promotions."
 )]
 pub struct State {
     /// URL of the operator interface
@@ -127,6 +129,12 @@
     /// file with the operator credential
     #[argh(option)]
     pub credential_file: PathBuf,
+    /// print only the decisions on the request with this identifier
+    #[argh(option)]
+    pub request: Option<String>,
+    /// print only this service, its decisions and its promotions
+    #[argh(option)]
+    pub service: Option<String>,
     /// print JSON on one line
     #[argh(switch)]
     pub json: bool,
--- a/fulmargw/src/command/inspect.rs
+++ b/fulmargw/src/command/inspect.rs
@@ -5,8 +5,12 @@
         cli::{Config, State},
         command::{block_on, fail, print_json},
         exit::Exit,
-        operator::client::{Client, Error},
+        operator::{
+            client::{Client, Error},
+            selection::Selection,
+        },
     },
+    serde_json::Value,
     std::path::Path,
 };
 
@@ -17,34 +21,49 @@
         credential_file,
         json,
     } = arguments;
-    block_on(show(operator, credential_file, "/configuration", *json))
+    block_on(async {
+        match get(operator, credential_file, "/configuration").await {
+            Ok(value) => print(&value, *json),
+            Err(error) => fail(&error),
+        }
+    })
 }
 
-/// Prints the state dump of a host.
+/// Prints the state dump of a host, or the part that was asked for.
 pub(super) fn state(arguments: &State) -> Exit {
     let State {
         operator,
         credential_file,
+        request,
+        service,
         json,
     } = arguments;
-    block_on(show(operator, credential_file, "/state", *json))
+    let selection = Selection {
+        request: request.clone(),
+        service: service.clone(),
+    };
+    block_on(async {
+        match get(operator, credential_file, "/state").await {
+            Ok(whole) => match selection.apply(whole) {
+                Ok(part) => print(&part, *json),
+                Err(missing) => {
+                    eprintln!("fulmargw: /state at {operator}: {missing}");
+                    Exit::Failed
+                }
+            },
+            Err(error) => fail(&error),
+        }
+    })
 }
 
-async fn show(peer: &str, credential_file: &Path, path: &'static str, json: bool) -> Exit {
-    match get(peer, credential_file, path).await {
-        Ok(value) if json => print_json(&value),
-        Ok(value) => {
-            println!("{value:#}");
-            Exit::Done
-        }
-        Err(error) => fail(&error),
+fn print(value: &Value, json: bool) -> Exit {
+    if json {
+        return print_json(value);
     }
+    println!("{value:#}");
+    Exit::Done
 }
 
-async fn get(
-    peer: &str,
-    credential_file: &Path,
-    path: &'static str,
-) -> Result<serde_json::Value, Error> {
+async fn get(peer: &str, credential_file: &Path, path: &'static str) -> Result<Value, Error> {
     Client::new(peer, credential_file)?.get(path).await
 }
--- a/fulmargw/src/operator/mod.rs
+++ b/fulmargw/src/operator/mod.rs
@@ -5,5 +5,6 @@
 pub mod client;
 pub mod message;
 pub mod router;
+pub mod selection;
 pub mod subject;
 pub mod view;
--- a/fulmargw/tests/cli.rs
+++ b/fulmargw/tests/cli.rs
@@ -170,6 +170,66 @@
     assert!(!stderr(&output).contains("guess"));
 }
 
+/// Runs `fulmargw state --json` with further options against a fake host.
+async fn state(name: &str, options: &[&str]) -> Output {
+    let url = operator(Fake::default()).await;
+    let credential = file(&format!("cli-state-{name}"), CREDENTIAL);
+    let common = ["state", "--json", "--operator", &url, "--credential-file"];
+    let arguments = [&common[..], &[credential.as_str()], options].concat();
+    run_beside(arguments.into_iter().map(str::to_owned).collect()).await
+}
+
+/// Guards against an explanation of a request that is lost among those of others.
+#[tokio::test(flavor = "multi_thread")]
+async fn state_of_a_request_has_its_decisions_only() {
+    let first = state("first", &["--request", "first"]).await;
+    let open = state("open", &["--request", "open"]).await;
+
+    let entry = serde_json::json!([{"request": "first", "service": "notes"}]);
+    let shown: serde_json::Value = serde_json::from_slice(&first.stdout).expect("JSON");
+    assert_eq!(
+        shown,
+        serde_json::json!({"journal": entry, "transactions": []})
+    );
+    let shown: serde_json::Value = serde_json::from_slice(&open.stdout).expect("JSON");
+    assert_eq!(shown["transactions"][0]["request"], "open");
+}
+
+/// Guards against decisions of another service in an answer about one service.
+#[tokio::test(flavor = "multi_thread")]
+async fn state_of_a_service_has_its_decisions_only() {
+    let output = state("ledger", &["--service", "ledger"]).await;
+
+    let shown: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let expected = serde_json::json!({
+        "services": [{"name": "ledger"}],
+        "lanes": [{"service": "ledger"}],
+        "transactions": [],
+        "journal": [{"request": "second", "service": "ledger"}],
+        "promotions": [{"service": "ledger"}],
+    });
+    assert_eq!(shown, expected);
+}
+
+/// Guards against an empty answer that looks like a request without a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn state_without_a_match_fails_and_names_it() {
+    for (option, value, text) in [
+        (
+            "--request",
+            "third",
+            "no recent decision on request \"third\"",
+        ),
+        ("--service", "archive", "no service \"archive\""),
+    ] {
+        let output = state(value, &[option, value]).await;
+
+        assert_eq!(output.status.code(), Some(1), "{option}");
+        assert!(output.stdout.is_empty(), "{option}");
+        assert!(stderr(&output).contains(text), "{}", stderr(&output));
+    }
+}
+
 /// Options that the help of a command names.
 fn options(command: &str) -> Vec<String> {
     stdout(&run(&[command, "--help"]))
--- a/fulmargw_engine/src/execute/trace.rs
+++ b/fulmargw_engine/src/execute/trace.rs
@@ -62,8 +62,10 @@
         let entry = Entry {
             offset_ms: journal.offset_ms(now),
             request: request.id.clone(),
+            service: request.service.clone(),
             route: request.route.clone(),
             account: request.account.clone(),
+            class: request.class,
             server: trace.place.as_ref().map(|place| place.key.server.clone()),
             by: choice.map(|choice| choice.by),
             why: choice.map(|choice| choice.why),
--- a/fulmargw_engine/src/failover.rs
+++ b/fulmargw_engine/src/failover.rs
@@ -4,6 +4,7 @@
     crate::{
         core::Core,
         gate::Gate,
+        journal::promotion::{End, Evidence, Promotion},
         table::{
             self,
             member::{Order, Seen},
@@ -157,6 +158,7 @@
                 self.service,
                 finding.term.0
             );
+            self.note(finding, &promises, None, End::NoMajority);
             return None;
         };
         record("fence", began.elapsed());
@@ -173,6 +175,7 @@
                 self.service,
                 term.0
             );
+            self.note(finding, &promises, Some(key), End::NotConfirmed);
             return None;
         };
         record("promote", promoting.elapsed());
@@ -181,11 +184,32 @@
             self.service,
             term.0
         );
+        self.note(finding, &promises, Some(key), End::Promoted);
         self.core.gate.announce(&self.service, term, &key.server);
         self.probe_all(finding);
         Some(())
     }
 
+    /// Adds a promotion to the journal.
+    fn note(&self, finding: &Finding, promises: &[Promise], chosen: Option<&Key>, end: End) {
+        let members = finding.keys.iter().zip(&finding.members).enumerate();
+        let evidence = members
+            .map(|(place, (key, member))| Evidence::of(&key.server, place, member, promises));
+        let evidence = evidence.collect();
+        let mut journal = self.core.journal.lock();
+        let promotion = Promotion {
+            offset_ms: journal.offset_ms(Instant::now()),
+            service: self.service.clone(),
+            cause: finding.cause,
+            term: finding.term,
+            end,
+            server: chosen.map(|key| key.server.clone()),
+            majority: finding.majority,
+            evidence,
+        };
+        journal.add_promotion(promotion);
+    }
+
     /// Asks the members for their promises until a majority has given them.
     async fn fence(&self, finding: &Finding) -> Vec<Promise> {
         let deadline = Instant::now() + self.core.settings.probe_timeout();
--- a/fulmargw_engine/src/journal.rs
+++ b/fulmargw_engine/src/journal.rs
@@ -1,12 +1,15 @@
 //! Bounded record of recent decisions.
 
+pub mod promotion;
+
 use {
     fulmargw_decision::routing::{By, Why},
     fulmargw_model::{
         name::Name,
         outcome::{Outcome, Reason, Step},
-        request::Id,
+        request::{Class, Id},
     },
+    promotion::Promotion,
     serde::Serialize,
     std::{collections::VecDeque, time::Duration},
     tokio::time::Instant,
@@ -15,11 +18,16 @@
 /// Decisions that are kept.
 pub const CAPACITY: usize = 1_024;
 
+/// Promotions that are kept. They have a ring of their own, so that requests do not push them
+/// out.
+pub const PROMOTION_CAPACITY: usize = 64;
+
 /// Recent decisions, the oldest first.
 #[derive(Debug)]
 pub struct Journal {
     began: Instant,
     entries: VecDeque<Entry>,
+    promotions: VecDeque<Promotion>,
 }
 
 /// What became of one request.
@@ -29,10 +37,14 @@
     pub offset_ms: u64,
     /// Identifier of the request.
     pub request: Id,
+    /// Service that it is for.
+    pub service: Name,
     /// Route by which it came.
     pub route: Name,
     /// Client account that it counted against.
     pub account: Name,
+    /// Consistency that it needed.
+    pub class: Class,
     /// Server that ran it last.
     pub server: Option<Name>,
     /// Part of that server.
@@ -92,6 +104,7 @@
         Self {
             began: now,
             entries: VecDeque::with_capacity(CAPACITY),
+            promotions: VecDeque::new(),
         }
     }
 
@@ -103,16 +116,30 @@
 
     /// Adds an entry and forgets the oldest one if the journal is full.
     pub fn add(&mut self, entry: Entry) {
-        if self.entries.len() == CAPACITY {
-            self.entries.pop_front();
-        }
-        self.entries.push_back(entry);
+        push(&mut self.entries, entry, CAPACITY);
+    }
+
+    /// Adds a promotion and forgets the oldest one if there are too many.
+    pub fn add_promotion(&mut self, promotion: Promotion) {
+        push(&mut self.promotions, promotion, PROMOTION_CAPACITY);
     }
 
     /// Returns the entries, the oldest first.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.iter()
     }
+
+    /// Returns the promotions, the oldest first.
+    pub fn promotions(&self) -> impl Iterator<Item = &Promotion> {
+        self.promotions.iter()
+    }
+}
+
+fn push<T>(ring: &mut VecDeque<T>, item: T, capacity: usize) {
+    if ring.len() == capacity {
+        ring.pop_front();
+    }
+    ring.push_back(item);
 }
 
 /// Returns whole milliseconds.
--- a/fulmargw_engine/src/state.rs
+++ b/fulmargw_engine/src/state.rs
@@ -4,7 +4,7 @@
     crate::{
         core::Core,
         gate::Gate,
-        journal::{Entry, milliseconds},
+        journal::{Entry, milliseconds, promotion::Promotion},
         table::member::Member,
     },
     fulmargw_backend::connection::Connector,
@@ -28,8 +28,10 @@
     pub lanes: Vec<Lane>,
     /// Open transactions.
     pub transactions: Vec<Transaction>,
-    /// Recent decisions, the oldest first.
+    /// Recent requests, the oldest first.
     pub journal: Vec<Entry>,
+    /// Recent promotions, the oldest first.
+    pub promotions: Vec<Promotion>,
 }
 
 /// State of one service.
@@ -102,6 +104,8 @@
     pub caller: u64,
     /// Client account.
     pub account: Name,
+    /// Service of the server.
+    pub service: Name,
     /// Server on which it is open.
     pub server: Name,
     /// Identifier of the request that began it.
@@ -124,11 +128,15 @@
                 waiting,
             }));
         }
+        let services = services(core, now);
+        let transactions = transactions(core, now);
+        let journal = core.journal.lock();
         Self {
-            services: services(core, now),
+            services,
             lanes,
-            transactions: transactions(core, now),
-            journal: core.journal.lock().entries().cloned().collect(),
+            transactions,
+            journal: journal.entries().cloned().collect(),
+            promotions: journal.promotions().cloned().collect(),
         }
     }
 }
@@ -183,6 +191,7 @@
     let open = pins.iter().map(|(caller, hold)| Transaction {
         caller,
         account: hold.account.clone(),
+        service: hold.key.service.clone(),
         server: hold.key.server.clone(),
         request: hold.id.clone(),
         age_ms: milliseconds(now.saturating_duration_since(hold.began)),
