--- a/fulmargw_lab/src/experiment/withdrawal.rs
+++ b/fulmargw_lab/src/experiment/withdrawal.rs
@@ -5,10 +5,11 @@
         bench::{Bench, Settings},
         operator,
         report::{Goal, Report, float},
+        stream,
     },
     crate::{
         link::rule::{Action, Rule, Table},
-        load::client::{Caller, Client},
+        load::client::{Caller, Client, Error},
     },
     fulmargw_model::{
         client_account::Digest,
@@ -228,14 +229,14 @@
 }
 
 impl Seen {
-    fn note<T>(&mut self, result: &Result<T, tokio_postgres::Error>) {
+    fn note<T>(&mut self, result: &Result<T, Error>) {
         match result {
             Ok(_) => {
                 self.last = Some(Instant::now());
                 self.refused = false;
             }
             Err(error) => {
-                let code = error.code().map(tokio_postgres::error::SqlState::code);
+                let code = stream::report(error).map(|report| report.code().code());
                 self.refused |= code == Some("28P01");
             }
         }
@@ -257,15 +258,16 @@
     let mut seen = Seen::default();
     let uses = async {
         while Instant::now() < end && !seen.refused {
-            if let Ok(mut client) = Client::connect(host, caller(key)).await {
-                loop {
+            match Client::connect(host, caller(key)).await {
+                Err(error) => seen.note::<()>(&Err(error)),
+                Ok(mut client) => loop {
                     let result = client.query(QUERY).await;
                     seen.note(&result);
-                    if result.is_err_and(|error| error.is_closed()) || seen.refused {
+                    if result.is_err_and(|error| stream::is_closed(&error)) || seen.refused {
                         break;
                     }
                     time::sleep(PAUSE).await;
-                }
+                },
             }
             time::sleep(PAUSE).await;
         }
