--- a/fulmargw_backend/src/connection.rs
+++ b/fulmargw_backend/src/connection.rs
@@ -173,7 +173,7 @@
     pub fn is_not_run(&self) -> bool {
         !matches!(
             self.kind,
-            Kind::Timeout | Kind::Closed(_) | Kind::Protocol(_)
+            Kind::Timeout | Kind::Closed(_) | Kind::Protocol(_) | Kind::TooLarge(_)
         ) || self.step == Step::Connect
     }
 }
--- a/fulmargw_engine/src/execute/write.rs
+++ b/fulmargw_engine/src/execute/write.rs
@@ -124,12 +124,9 @@
 
 /// Reports whether a task certainly ran nothing and left nothing to settle.
 ///
-/// Unlike [`Error::is_not_run`] it is false for a too large answer, because the body ran, and
-/// for a record that was met, because that must be held by a majority first.
+/// Unlike [`Error::is_not_run`] it is false for a record that was met, because that must be
+/// held by a majority first.
 pub fn is_not_run(error: &Error) -> bool {
-    let met = matches!(
-        error.kind,
-        Kind::TooLarge(_) | Kind::Duplicate(_) | Kind::Cancelled(_)
-    );
+    let met = matches!(error.kind, Kind::Duplicate(_) | Kind::Cancelled(_));
     error.is_not_run() && !met
 }
--- a/fulmargw_engine/src/pool.rs
+++ b/fulmargw_engine/src/pool.rs
@@ -86,13 +86,17 @@
         else {
             return;
         };
-        let labels = [
-            ("service", self.key.service.as_str().to_owned()),
-            ("server", server.name.as_str().to_owned()),
-        ];
-        metrics::gauge!("fulmargw_connections", &labels).set(load.0);
-        metrics::gauge!("fulmargw_slots_in_use", &labels).set(load.1);
-        metrics::gauge!("fulmargw_slots", &labels).set(server.slots);
+        let service = self.key.service.as_str().to_owned();
+        let name = server.name.as_str().to_owned();
+        metrics::gauge!(
+            "fulmargw_connections", "service" => service.clone(), "server" => name.clone()
+        )
+        .set(load.0);
+        metrics::gauge!(
+            "fulmargw_slots_in_use", "service" => service.clone(), "server" => name.clone()
+        )
+        .set(load.1);
+        metrics::gauge!("fulmargw_slots", "service" => service, "server" => name).set(server.slots);
     }
 
     /// Asks one idle connection for an answer, so that a silent one is found before a request
--- a/fulmargw_lab/src/fleet/child.rs
+++ b/fulmargw_lab/src/fleet/child.rs
@@ -2,7 +2,10 @@
 
 use {
     nix::{
-        sys::signal::{self, Signal},
+        sys::{
+            signal::{self, Signal},
+            wait::{self, Id, WaitPidFlag},
+        },
         unistd::Pid,
     },
     std::{
@@ -45,6 +48,21 @@
         signal::kill(Pid::from_raw(id), signal).map_err(io::Error::from)
     }
 
+    /// Stops the process until it gets `SIGCONT`, and returns when all its threads have stopped.
+    ///
+    /// The signal alone takes effect later: on a busy machine the process could still answer.
+    pub fn stop(&mut self) -> io::Result<()> {
+        if self.has_ended()? {
+            return Ok(());
+        }
+        self.signal(Signal::SIGSTOP)?;
+        let id = i32::try_from(self.0.id()).map_err(io::Error::other)?;
+        // Without WNOWAIT an ended child would be reaped here and be unknown to `try_wait`.
+        let flags = WaitPidFlag::WSTOPPED | WaitPidFlag::WEXITED | WaitPidFlag::WNOWAIT;
+        wait::waitid(Id::Pid(Pid::from_raw(id)), flags)?;
+        Ok(())
+    }
+
     /// Reports whether the process has ended.
     pub fn has_ended(&mut self) -> io::Result<bool> {
         self.0.try_wait().map(|status| status.is_some())
--- a/fulmargw_lab/src/fleet/control.rs
+++ b/fulmargw_lab/src/fleet/control.rs
@@ -214,7 +214,7 @@
     ///
     /// If there is no such process.
     pub fn pause(&mut self, name: &str) -> io::Result<()> {
-        self.child(name)?.signal(Signal::SIGSTOP)
+        self.child(name)?.stop()
     }
 
     /// Resumes a paused process.
