--- a/fulmargw_lab/src/history/check.rs
+++ b/fulmargw_lab/src/history/check.rs
@@ -26,6 +26,8 @@
     WholeAnswer,
     /// a current read misses a write that was acknowledged before it began
     CurrentRead,
+    /// a value that was read is lost, because it was never on a majority
+    LostRead,
     /// only a part of a transaction is there
     Atomic,
 }
@@ -154,6 +156,7 @@
     fn check_read(&mut self, event: &Event, key: &str, values: &[String], current: bool) {
         let place = format!("session {} on {}", event.session, event.host);
         self.check_values(key, values, &place);
+        self.check_kept(key, values, &place);
         let seen: HashSet<&str> = values.iter().map(String::as_str).collect();
         let mut missing = Vec::new();
         for write in self.acknowledged.get(key).into_iter().flatten() {
@@ -183,8 +186,16 @@
             if !belongs || !self.issued.contains(value.as_str()) {
                 self.report(Rule::WholeAnswer, value, place);
             }
-            if self.refused.contains(value.as_str()) {
-                self.report(Rule::NotRun, value, place);
+        }
+    }
+
+    /// Checks that values that were read are still there.
+    fn check_kept(&mut self, key: &str, values: &[String], place: &str) {
+        let kept = self.data.get(key);
+        for value in values {
+            let own = self.issued.contains(value.as_str()) && value.split(':').next() == Some(key);
+            if own && !kept.is_some_and(|kept| kept.contains(value)) {
+                self.report(Rule::LostRead, value, place);
             }
         }
     }
@@ -192,6 +203,11 @@
     fn check_data(&mut self) {
         for (key, values) in self.data {
             self.check_values(key, values, "the final data");
+            for value in values {
+                if self.refused.contains(value.as_str()) {
+                    self.report(Rule::NotRun, value, "the final data");
+                }
+            }
         }
     }
 }
--- a/fulmargw_lab/tests/history.rs
+++ b/fulmargw_lab/tests/history.rs
@@ -148,6 +148,19 @@
     assert_eq!(rules(&events, &data), []);
 }
 
+/// Guards against a missed read of data that a failover removes.
+#[test]
+fn read_of_a_lost_value_is_found() {
+    let events = [
+        append(1, 0, &["k:1"], Outcome::NotRun),
+        append(1, 10, &["k:2"], Outcome::Unknown),
+        aged(2, 5, &["k:1"]),
+        current(2, 20, &["k:2"]),
+    ];
+
+    assert_eq!(rules(&events, &data(&[])), [Rule::LostRead, Rule::LostRead]);
+}
+
 /// Guards against a missed partial commit.
 #[test]
 fn partial_transaction_is_found() {
