Name the request in errors, and mistakes in operator URLs and patches

Cause: a trial as a new user. Ruled out: the id in the detail, because callers and the load generator compare the detail's text. Conclusion: each mistake of the trial now names its place.

--- a/fulmargw/examples/query.rs
+++ b/fulmargw/examples/query.rs
@@ -1,11 +1,15 @@
 //! An ordinary PostgreSQL client: runs one statement and prints its rows and the position.
 //!
 //! Prints `row VALUE...` per row and `position TEXT` at the end. A refusal is printed as
-//! `refused SQLSTATE: MESSAGE (DETAIL)` on standard error and exits with 1.
+//! `refused SQLSTATE: MESSAGE (DETAIL)` on standard error, followed by a line `hint: ...` if the
+//! host names the request, and exits with 1.
 
 use {
     argh::FromArgs,
-    std::{future::poll_fn, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration},
+    std::{
+        error::Error as _, future::poll_fn, net::SocketAddr, path::PathBuf, process::ExitCode,
+        time::Duration,
+    },
     tokio::{sync::watch, task::JoinHandle},
     tokio_postgres::{
         Client, Config, Connection, Error, NoTls, SimpleQueryMessage, Socket, tls::NoTlsStream,
@@ -47,7 +51,7 @@
     match run(&arguments).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{}", describe(&error));
+            eprintln!("{}", describe(&error, arguments.address));
             ExitCode::FAILURE
         }
     }
@@ -113,14 +117,20 @@
     Ok(())
 }
 
-fn describe(error: &Error) -> String {
-    match error.as_db_error() {
-        Some(refusal) => format!(
-            "refused {}: {} ({})",
-            refusal.code().code(),
-            refusal.message(),
-            refusal.detail().unwrap_or("no detail"),
-        ),
-        None => format!("failed: {error}"),
+fn describe(error: &Error, host: SocketAddr) -> String {
+    let Some(refusal) = error.as_db_error() else {
+        let cause = error.source().map(ToString::to_string);
+        return format!("failed at {host}: {error}: {}", cause.unwrap_or_default());
+    };
+    let mut text = format!(
+        "refused {}: {} ({})",
+        refusal.code().code(),
+        refusal.message(),
+        refusal.detail().unwrap_or("no detail"),
+    );
+    if let Some(hint) = refusal.hint() {
+        text.push_str("\nhint: ");
+        text.push_str(hint);
     }
+    text
 }
--- a/fulmargw/src/command/mod.rs
+++ b/fulmargw/src/command/mod.rs
@@ -31,6 +31,7 @@
     use crate::operator::message::Rejection;
     eprintln!("fulmargw: {error}");
     match error {
+        client::Error::Url(_) => Exit::Usage,
         client::Error::Credential(..) | client::Error::Status { .. } => Exit::Failed,
         client::Error::Unreachable { .. } => Exit::Unreachable,
         client::Error::Rejected(rejection) => match rejection {
--- a/fulmargw/src/operator/body.rs
+++ b/fulmargw/src/operator/body.rs
@@ -42,7 +42,7 @@
             Self::Json => decode(&mut serde_json::Deserializer::from_str(text)),
             Self::Toml => {
                 let document = toml::Deserializer::parse(text)
-                    .map_err(|error| invalid("", error.message().to_owned()))?;
+                    .map_err(|error| invalid("", error.to_string().trim().to_owned()))?;
                 decode(document)
             }
         }
--- a/fulmargw/src/operator/client.rs
+++ b/fulmargw/src/operator/client.rs
@@ -16,11 +16,16 @@
 /// Bound for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Scheme of the operator interface; encryption is left to the operators' network.
+const SCHEME: &str = "http://";
+
 /// Failures of a call.
 #[derive(Debug, displaydoc::Display)]
 pub enum Error {
     /// read credential file {0}: {1}
     Credential(String, String),
+    /// URL of the operator interface {0:?} does not begin with http://
+    Url(String),
     /// {step} at {peer}: {cause}
     Unreachable {
         /// Operation that failed.
@@ -60,8 +65,11 @@
     ///
     /// # Errors
     ///
-    /// The file cannot be read, or the HTTP client cannot be made.
+    /// The URL has another scheme, the file cannot be read, or the HTTP client cannot be made.
     pub fn new(peer: &str, credential_file: &Path) -> Result<Self, Error> {
+        if !peer.starts_with(SCHEME) {
+            return Err(Error::Url(peer.to_owned()));
+        }
         let credential = std::fs::read_to_string(credential_file).map_err(|cause| {
             Error::Credential(credential_file.display().to_string(), cause.to_string())
         })?;
--- a/fulmargw/tests/cli.rs
+++ b/fulmargw/tests/cli.rs
@@ -230,6 +230,25 @@
     }
 }
 
+/// Guards against an address without scheme, which was reported as a relative URL.
+#[test]
+fn operator_url_without_scheme_is_a_usage_error() {
+    let credential = file("cli-scheme", CREDENTIAL);
+    let operator = "10.0.0.1:9100";
+
+    let output = run(&[
+        "state",
+        "--operator",
+        operator,
+        "--credential-file",
+        &credential,
+    ]);
+
+    assert_eq!(output.status.code(), Some(2));
+    let expected = "\"10.0.0.1:9100\" does not begin with http://";
+    assert!(stderr(&output).contains(expected), "{}", stderr(&output));
+}
+
 /// Options that the help of a command names.
 fn options(command: &str) -> Vec<String> {
     stdout(&run(&[command, "--help"]))
--- a/fulmargw/tests/operator.rs
+++ b/fulmargw/tests/operator.rs
@@ -142,6 +142,18 @@
     assert_eq!(answer["path"], "changes[1].put_account.rate");
 }
 
+/// Guards against a syntax error in a long patch file without its line.
+#[tokio::test]
+async fn syntax_error_names_the_line() {
+    let url = operator(Fake::default()).await;
+
+    let (status, answer) = post(&url, "application/toml", "base = 7\nchanges = [\n").await;
+
+    assert_eq!(status, 422);
+    let cause = answer["cause"].as_str().expect("cause");
+    assert!(cause.contains("line 2"), "{cause}");
+}
+
 /// Guards against a body of another type that is read as a patch.
 #[tokio::test]
 async fn other_content_types_are_refused() {
--- a/fulmargw_frontend/src/error.rs
+++ b/fulmargw_frontend/src/error.rs
@@ -2,8 +2,10 @@
 
 use {
     fulmargw_model::{
+        name::Name,
         outcome::{Reason, Refusal, Step},
         position::Position,
+        request::Id,
     },
     pgwire::messages::response::ErrorResponse,
     std::time::Duration,
@@ -19,6 +21,8 @@
     pub message: String,
     /// Detail text, which says `not run` where that is certain.
     pub detail: String,
+    /// Hint text, which names the request in the state dump; empty without a request.
+    pub hint: String,
 }
 
 impl std::error::Error for Failure {}
@@ -32,9 +36,17 @@
             code,
             message: message.into(),
             detail: "not run".into(),
+            hint: String::new(),
         }
     }
 
+    /// Names the request, so that operators find its decisions in the state dump.
+    #[must_use]
+    pub fn about(mut self, request: &Id, service: &Name) -> Self {
+        self.hint = format!("request {}, service {service}", request.0);
+        self
+    }
+
     /// A refusal of a request or of a caller.
     #[must_use]
     pub fn refused(refusal: &Refusal) -> Self {
@@ -53,6 +65,7 @@
             code: "08007",
             message: format!("it is not known whether the request ran; failed step: {step}"),
             detail: String::new(),
+            hint: String::new(),
         }
     }
 
@@ -72,6 +85,7 @@
             code: "FG001",
             message: "a request with this id already ran".into(),
             detail: format!("committed at {}/{}", position.term.0, position.index),
+            hint: String::new(),
         }
     }
 
@@ -186,6 +200,9 @@
         if !self.detail.is_empty() {
             fields.push((b'D', self.detail.clone()));
         }
+        if !self.hint.is_empty() {
+            fields.push((b'H', self.hint.clone()));
+        }
         ErrorResponse::new(fields)
     }
 }
--- a/fulmargw_frontend/src/session/request.rs
+++ b/fulmargw_frontend/src/session/request.rs
@@ -40,8 +40,11 @@
         metrics::counter!("fulmargw_caller_requests_total").increment(1);
         let part = self.part(work.part);
         let request = self.request(part, work);
+        let id = request.id.clone();
         let outcome = self.outcome(request).await?;
-        Ok(self.conclude(part, outcome))
+        let service = self.grant.service.clone();
+        let concluded = self.conclude(part, outcome);
+        Ok(concluded.map_err(|failure| failure.about(&id, &service)))
     }
 
     /// A `BEGIN` in a transaction is a statement, which the server answers with a warning.
@@ -79,6 +82,7 @@
     /// session adopts a new configuration after the request.
     async fn outcome(&mut self, request: Request<Batch>) -> Result<Outcome<Answer>, End> {
         let submit = self.host.submit.clone();
+        let id = request.id.clone();
         let mut outcome = pin!(submit.submit(request));
         let mut changed = false;
         loop {
@@ -100,6 +104,7 @@
                     let ended = time::timeout(grace, &mut outcome).await;
                     self.configuration.mark_changed();
                     let failure = Failure::withdrawn_while_running(&refusal);
+                    let failure = failure.about(&id, &self.grant.service);
                     return ended.map_err(|_| failure.into());
                 }
             }
--- a/fulmargw_frontend/tests/frontend/session.rs
+++ b/fulmargw_frontend/tests/frontend/session.rs
@@ -210,6 +210,21 @@
     assert_eq!(shown, ["ledger/4/44"]);
 }
 
+/// Guards against a refusal that operators cannot find in the state dump.
+#[tokio::test]
+async fn refusal_names_the_request() {
+    let front = start(settings()).await;
+    let client = front.connect("write").await;
+    let set = "SET fulmar.request_id = 'order-17'";
+    client.simple_query(set).await.unwrap();
+    front.engine.push(refused(Reason::Rate));
+
+    let error = client.simple_query("INSERT").await.unwrap_err();
+
+    let hint = error.as_db_error().unwrap().hint();
+    assert_eq!(hint, Some("request order-17, service ledger"));
+}
+
 /// Guards against a commit without a statement that was refused in its transaction.
 #[tokio::test]
 async fn refusal_fails_the_open_transaction() {
