Release a read on the primary only when a majority holds what it saw

Cause: a primary whose replication is cut shows commits that no replica holds. Ruled out: asking the control connection for the position after the read, which costs one more round trip; the promise check alone, which says nothing about replication. Change: a read on the primary is followed by group_status in the same pipeline, and its answer is released when a majority holds that position in the primary's term. A primary without an entry of its term gets one. Conclusion: what a read outside of a transaction returns cannot be lost by a failover. Statements inside a transaction that only reads are not covered yet.

--- a/fulmargw_backend/src/connection.rs
+++ b/fulmargw_backend/src/connection.rs
@@ -82,6 +82,8 @@
     Read {
         /// Position that must be applied first; `None` asks for no check.
         after: Option<(Position, Duration)>,
+        /// Whether the reply has the state of the server after the body.
+        report: bool,
         /// Body to run.
         body: &'a B,
     },
@@ -122,6 +124,9 @@
     pub transaction: Transaction,
     /// Position of the commit, if the task committed a transaction with a record.
     pub committed: Option<Position>,
+    /// State of the server after a read that asked for it; its log includes all that the
+    /// read has seen.
+    pub status: Option<Status>,
 }
 
 /// State of the transaction on a connection.
--- a/fulmargw_backend/src/postgres/task.rs
+++ b/fulmargw_backend/src/postgres/task.rs
@@ -21,23 +21,35 @@
     async fn read(
         &mut self,
         after: Option<(Position, Duration)>,
+        report: bool,
         body: &Batch,
     ) -> Result<Reply<Answer>, Error> {
-        let Some((position, timeout)) = after else {
-            return self.inside(body).await;
-        };
         let mut request = BytesMut::new();
-        let wait = group::wait(Level::Applied, position, timeout);
-        self.put_query(&mut request, &wait)?;
+        let mut segments = Vec::with_capacity(3);
+        if let Some((position, timeout)) = after {
+            let wait = group::wait(Level::Applied, position, timeout);
+            self.put_query(&mut request, &wait)?;
+            segments.push(Segment::wrapping(Step::Execute));
+        }
         request.extend_from_slice(&body.messages);
-        let mut segments = [
-            Segment::wrapping(Step::Execute),
-            self.segment(Step::Execute, body),
-        ];
+        segments.push(self.segment(Step::Execute, body));
+        if report {
+            self.put_query(&mut request, group::STATUS)?;
+            segments.push(Segment::wrapping(Step::Execute));
+        }
         self.exchange(&request, &mut segments).await?;
-        let [wait, body] = segments;
-        self.accept(&wait)?;
-        self.reply(body, None)
+        let mut segments = segments.into_iter();
+        if let Some(wait) = after.and_then(|_| segments.next()) {
+            self.accept(&wait)?;
+        }
+        let body = segments
+            .next()
+            .ok_or_else(|| self.malformed(Step::Execute))?;
+        let mut reply = self.reply(body, None)?;
+        // A body that left a failed transaction open makes the question fail, too.
+        let row = segments.next().and_then(|mut status| status.take_row());
+        reply.status = row.and_then(|mut row| row.status());
+        Ok(reply)
     }
 
     async fn write(&mut self, id: &Id, attempt: u64, body: &Batch) -> Result<Reply<Answer>, Error> {
@@ -160,6 +172,7 @@
             answer: segment.into_answer(transaction),
             transaction,
             committed,
+            status: None,
         })
     }
 
@@ -190,7 +203,11 @@
     async fn run(&mut self, task: Task<'_, Batch>) -> Result<Reply<Answer>, Error> {
         let alone = matches!(task, Task::Read { .. } | Task::Write { .. });
         let result = match task {
-            Task::Read { after, body } => self.read(after, body).await,
+            Task::Read {
+                after,
+                report,
+                body,
+            } => self.read(after, report, body).await,
             Task::Write { id, attempt, body } => self.write(id, attempt, body).await,
             Task::Begin { record, body } => self.begin(record, body).await,
             Task::Inside { body } => self.inside(body).await,
--- a/fulmargw_backend/tests/connector.rs
+++ b/fulmargw_backend/tests/connector.rs
@@ -57,6 +57,7 @@
     let body = query(text);
     let task = Task::Read {
         after: None,
+        report: false,
         body: &body,
     };
     connection.run(task).await
@@ -206,6 +207,7 @@
         let body = query("SELECT");
         let task = Task::Read {
             after: Some((position(3, 17), Duration::from_millis(250))),
+            report: false,
             body: &body,
         };
 
@@ -254,6 +256,7 @@
     };
     let task = Task::Read {
         after: None,
+        report: false,
         body: &body,
     };
 
--- a/fulmargw_engine/src/execute/read.rs
+++ b/fulmargw_engine/src/execute/read.rs
@@ -5,14 +5,15 @@
     crate::{
         core::{Answer, Body, Core},
         gate::Gate,
-        job::{Done, Failure, Work},
+        job::{Done, Failure, Place, Work},
     },
     fulmargw_backend::connection::{Connector, Error, Kind},
     fulmargw_decision::routing::{self, By},
     fulmargw_model::{
+        backend_server::{Role, Status},
         outcome::{Outcome, Reason},
-        position::Position,
-        request::{Class, Part, Request},
+        position::{Position, Term},
+        request::{Class, Id, Part, Request},
     },
     futures::future,
     std::sync::Arc,
@@ -104,9 +105,65 @@
             _ => Work::Read(required),
         };
         match self.dispatch(request, work, trace).await {
-            Ok(done) => Read::Done(done),
+            Ok(done) => {
+                let place = done.place.clone();
+                if self.is_held(request, &place, done.reply.status).await {
+                    return Read::Done(done);
+                }
+                self.abandon(request.caller);
+                Read::Again(None, Some(place.by()))
+            }
             Err(Failure::Refused(refusal)) => Read::Refused(Outcome::Refused(refusal)),
             Err(Failure::Failed(error, place)) => Read::Again(Some(error), Some(place.by())),
         }
     }
+
+    /// Waits until a majority holds everything that a read on the primary can have seen.
+    ///
+    /// The primary shows commits that no replica holds yet, and a failover can remove them.
+    async fn is_held(
+        &self,
+        request: &Request<Body<C>>,
+        place: &Place,
+        status: Option<Status>,
+    ) -> bool {
+        if place.by() == By::Replica {
+            return true;
+        }
+        let status = if status.is_some() {
+            status
+        } else {
+            let seen = self.status(&place.key, request.deadline).await;
+            seen.map(|seen| seen.status)
+        };
+        let leads = |status: &Status| {
+            status.role == Role::Primary
+                && status.promised == status.term
+                && (place.term == Term(0) || place.term == status.term)
+        };
+        let Some(status) = status.filter(leads) else {
+            return false;
+        };
+        let Some(position) = self.visible(place, &status, request.deadline).await else {
+            return false;
+        };
+        let held = self.confirm(&request.service, position, request.deadline);
+        position.index == 0 || held.await.is_ok()
+    }
+
+    /// Returns a position of the primary's own term that includes its whole log.
+    ///
+    /// A majority that holds entries of earlier terms can still lose them, so an entry of the
+    /// present term is added if there is none.
+    async fn visible(&self, place: &Place, status: &Status, deadline: Instant) -> Option<Position> {
+        let received = status.received;
+        if received.term == status.term || received.index == 0 {
+            return Some(Position {
+                term: status.term,
+                index: received.index,
+            });
+        }
+        let marker = self.cancel(&place.key, &Id::random(), 1, deadline).await?;
+        Some(marker.position)
+    }
 }
--- a/fulmargw_engine/src/execute/settle.rs
+++ b/fulmargw_engine/src/execute/settle.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    async fn cancel(
+    /// Cancels an attempt at a server; `None` if there is no answer before the deadline.
+    pub(super) async fn cancel(
         &self,
         key: &Key,
         id: &Id,
--- a/fulmargw_engine/src/worker.rs
+++ b/fulmargw_engine/src/worker.rs
@@ -200,6 +200,7 @@
     let task = match ready.job.work {
         Work::Read(_) => Task::Read {
             after: ready.after,
+            report: ready.place.by() == By::Primary,
             body,
         },
         Work::Write(attempt) => Task::Write {
--- a/fulmargw_engine/tests/common/link.rs
+++ b/fulmargw_engine/tests/common/link.rs
@@ -250,6 +250,7 @@
         }
         self.check_term(&self.world.lock())?;
         let mut committed = None;
+        let report = matches!(task, Task::Read { report: true, .. });
         let answer = match task {
             Task::Read { body, .. } | Task::Inside { body } => self.act(*body),
             Task::Write { id, attempt, body } => {
@@ -274,10 +275,13 @@
             Some(_) => Transaction::Open,
             None => Transaction::Idle,
         };
+        let group = self.world.lock();
+        let status = report.then(|| group.nodes[&self.server].status());
         Ok(Reply {
             answer,
             transaction,
             committed,
+            status,
         })
     }
 
