--- a/fulmargw_control/src/answer.rs
+++ b/fulmargw_control/src/answer.rs
@@ -108,7 +108,8 @@
 
 fn is_confirmed(fleet: &table::Fleet, question: &Question) -> bool {
     fleet.record.as_ref().is_some_and(|record| {
-        record.generation == question.generation
+        !fleet.leaving
+            && record.generation == question.generation
             && membership::entry(record, &question.asker).is_some()
             && !fleet.refused.contains(&question.asker)
     })
@@ -125,7 +126,7 @@
             && membership::entry(record, &removal.life).is_some()
     });
     let own = fleet.own.as_ref() == Some(&removal.life);
-    active && listed && !own && fleet.is_silent_to(&removal.life, now)
+    active && listed && !own && !fleet.leaving && fleet.is_silent_to(&removal.life, now)
 }
 
 impl<S: Store, P: Peers> Agent<S, P> {
--- a/fulmargw_control/src/membership.rs
+++ b/fulmargw_control/src/membership.rs
@@ -211,8 +211,9 @@
     ///
     /// If the store is not reachable.
     pub async fn drain(&self) -> Result<(), Error> {
-        let own = self.shared.fleet.lock().own.clone();
-        let Some(own) = own else { return Ok(()) };
+        let Some(own) = self.stop_witnessing() else {
+            return Ok(());
+        };
         self.change(|fleet| {
             let entry = membership::entry(fleet, &own)?;
             (entry.state != State::Leaving).then(|| membership::leave(fleet, &own).ok())?
@@ -228,7 +229,7 @@
     /// If the store is not reachable. The tasks end nevertheless, and the other members
     /// remove this host.
     pub async fn leave(&self) -> Result<(), Error> {
-        let own = self.shared.fleet.lock().own.clone();
+        let own = self.stop_witnessing();
         self.return_grants().await;
         self.shared.stop.cancel();
         self.shared.tasks.close();
@@ -239,6 +240,12 @@
             .map(drop)
     }
 
+    fn stop_witnessing(&self) -> Option<Life> {
+        let mut fleet = self.shared.fleet.lock();
+        fleet.leaving = true;
+        fleet.own.clone()
+    }
+
     /// Changes the record with a conditional write and returns the record then in force.
     ///
     /// `decide` returns `None` when nothing has to be changed, in particular when an earlier
--- a/fulmargw_control/src/rate.rs
+++ b/fulmargw_control/src/rate.rs
@@ -24,6 +24,10 @@
 const SHORTEST_RETRY: Duration = Duration::from_millis(10);
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 
+/// Shortest wait for a token, the resolution of the timer. A billionth of a missing token
+/// would otherwise round to no wait at all, and the task would spin.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// Longest time after which a waiting request looks for lenders again.
 const RETRY: Duration = Duration::from_millis(50);
 
@@ -88,7 +92,7 @@
                 return Err(self.refuse(account));
             }
             self.start_borrowing(account);
-            let refilled = Instant::now() + shortage.wait.min(RETRY);
+            let refilled = Instant::now() + shortage.wait.clamp(SHORTEST_WAIT, RETRY);
             tokio::select! {
                 () = changed.notified() => {}
                 () = sleep_until(refilled.min(limit)) => {}
--- a/fulmargw_control/src/table.rs
+++ b/fulmargw_control/src/table.rs
@@ -123,6 +123,9 @@
     /// When a witness first refused the own life.
     pub(crate) expelled: Option<Instant>,
     pub(crate) started: Instant,
+    /// Whether this host leaves and is no witness any more. It stops before the record says
+    /// so, because the answer to that write can be lost.
+    pub(crate) leaving: bool,
     /// Lives in a row that were removed before they became active.
     failed_joins: u32,
     /// When the next life may join.
@@ -169,6 +172,7 @@
             join: None,
             expelled: None,
             started: now,
+            leaving: false,
             failed_joins: 0,
             join_at: now,
             valid_until: None,
--- a/fulmargw_control/tests/rate.rs
+++ b/fulmargw_control/tests/rate.rs
@@ -1,62 +1,19 @@
 //! Rates over several hosts.
 
+#[path = "fixture/bound.rs"]
+mod bound;
 mod fixture;
 
 use {
+    bound::{Log, excess},
     fixture::{Node, World, account, admit, put, until},
-    std::{
-        sync::{Arc, Mutex},
-        time::Duration,
-    },
+    std::time::Duration,
     tokio::{
         task::JoinSet,
         time::{Instant, sleep},
     },
 };
 
-/// Rounding errors of the check itself; a token too many would exceed it by far.
-const ROUNDING: f64 = 1e-6;
-
-/// Times of admissions on all hosts.
-#[derive(Debug, Clone, Default)]
-struct Log(Arc<Mutex<Vec<Instant>>>);
-
-impl Log {
-    fn add(&self) {
-        self.0.lock().expect("not poisoned").push(Instant::now());
-    }
-
-    fn times(&self) -> Vec<Instant> {
-        let mut times = self.0.lock().expect("not poisoned").clone();
-        times.sort_unstable();
-        times
-    }
-
-    fn since(&self, start: Instant) -> usize {
-        self.times().iter().filter(|time| **time >= start).count()
-    }
-}
-
-/// Reports the greatest excess over `rate * window + burst` of all windows.
-///
-/// Between two admissions, a window is tightest when it begins and ends with one. The
-/// excess is the greatest drawdown of a line that falls with the rate.
-fn excess(times: &[Instant], rate: f64, burst: f64) -> f64 {
-    let Some(first) = times.first() else {
-        return 0.0;
-    };
-    let mut least = f64::INFINITY;
-    let mut worst = f64::NEG_INFINITY;
-    let mut count = 0.0;
-    for time in times {
-        let refilled = (*time - *first).as_secs_f64() * rate;
-        least = least.min(count - refilled);
-        count += 1.0;
-        worst = worst.max(count - refilled - least);
-    }
-    worst - burst - ROUNDING
-}
-
 async fn configured(world: &World, rate: f64, burst: f64) -> Vec<Node> {
     let nodes = world.start_fleet(4).await;
     let patch = put(0, "p1", account("shop", rate, burst, &[]));
@@ -72,11 +29,7 @@
         let mut requests = JoinSet::new();
         while Instant::now() < end {
             let (node, log) = (node.clone(), log.clone());
-            requests.spawn(async move {
-                if admit(&node, "shop").await {
-                    log.add();
-                }
-            });
+            requests.spawn(async move { log.admit(&node, "shop").await });
             sleep(Duration::from_secs_f64(1.0 / per_second)).await;
         }
         requests.join_all().await;
@@ -217,7 +170,7 @@
         .filter(|time| *time > changed)
         .collect();
     assert!(excess(&late, 40.0, 20.0) <= 0.0);
-    assert!(log.since(changed) >= 190, "{}", log.since(changed));
+    assert!(late.len() >= 190, "{}", late.len());
 }
 
 /// Guards against a refusal that tells nothing, or comes later than the bound.
--- a/fulmargw_decision/src/lease.rs
+++ b/fulmargw_decision/src/lease.rs
@@ -38,6 +38,14 @@
         .filter(|member| member.state == State::Active && member.host.name != life.host)
 }
 
+fn joiners(fleet: &Fleet, life: &Life) -> usize {
+    let joining = |member: &&Member| member.state == State::Joining;
+    let others = fleet.members.iter().filter(joining);
+    others
+        .filter(|member| member.host.name != life.host)
+        .count()
+}
+
 /// A confirmation that a witness gave.
 #[derive(Debug, Clone)]
 pub struct Confirmation {
@@ -125,6 +133,10 @@
 
     /// Returns until when confirmations alone keep the lease valid.
     ///
+    /// Joining members are no witnesses yet, but they already raise the quorum. They become
+    /// active without a confirmation of that generation, and a host that missed it must not
+    /// be valid with the smaller quorum of the members before.
+    ///
     /// A witness to whose removal this host or another counted witness has consented does
     /// not count. Otherwise a host that missed two removals in a row could still form a
     /// quorum with a removed member.
@@ -135,7 +147,8 @@
         refused: &BTreeSet<Life>,
         now: Instant,
     ) -> Option<Instant> {
-        let needed = quorum(witnesses(fleet, own).count());
+        let active = witnesses(fleet, own).count();
+        let needed = quorum(active).max(quorum(active + joiners(fleet, own)));
         if needed == 0 {
             return Some(now + VALIDITY);
         }
--- a/fulmargw_decision/tests/lease.rs
+++ b/fulmargw_decision/tests/lease.rs
@@ -180,6 +180,22 @@
 /// Host whose removal is checked.
 const SUBJECT: usize = 0;
 
+/// Host that joins in some of the runs.
+const JOINER: u8 = 3;
+
+/// First numbers of members and the most changes of the record in a run from there.
+///
+/// Longer runs take minutes in a debug build.
+const RUNS: [(u8, u8); 4] = [(1, 4), (2, 4), (3, 2), (4, 3)];
+
+/// A change of the record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Change {
+    Remove(u8),
+    Join,
+    Activate,
+}
+
 /// What a witness told the subject: steps since then, and whom the witness refused.
 type Told = Option<(u8, u8)>;
 
@@ -187,8 +203,12 @@
 /// because every action is optional. Late messages only shorten what they allow.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Model {
-    /// Removed members in order; the generation of the store is their number.
-    removed: Vec<u8>,
+    /// Active members of the first record.
+    first: u8,
+    /// Most changes in this run.
+    most: u8,
+    /// Changes in order; the generation of the store is their number.
+    changes: Vec<Change>,
     /// Steps since the removal of the subject, at most `STEPS`.
     since: u8,
     /// Generation that each member has seen.
@@ -205,9 +225,11 @@
 }
 
 impl Model {
-    fn new() -> Self {
+    fn new((first, most): (u8, u8)) -> Self {
         Self {
-            removed: Vec::new(),
+            first,
+            most,
+            changes: Vec::new(),
             since: 0,
             known: [0; 4],
             refused: [0; 4],
@@ -219,18 +241,61 @@
     }
 
     fn record(&self, generation: u8) -> Fleet {
-        let removed = &self.removed[..usize::from(generation)];
-        let members = (0..MEMBERS).filter(|number| !removed.contains(number));
-        fleet(u64::from(generation), members)
+        let mut record = fleet(u64::from(generation), 0..self.first);
+        for change in &self.changes[..usize::from(generation)] {
+            match change {
+                Change::Remove(gone) => record
+                    .members
+                    .retain(|member| member.host.name != host(*gone).name),
+                Change::Join => record.members.push(Member {
+                    state: State::Joining,
+                    ..member(JOINER)
+                }),
+                Change::Activate => {
+                    let joiner = record.members.last_mut().expect("it has joined");
+                    joiner.state = State::Active;
+                }
+            }
+        }
+        record
     }
 
     fn generation(&self) -> u8 {
-        u8::try_from(self.removed.len()).expect("few removals")
+        u8::try_from(self.changes.len()).expect("few changes")
     }
 
     fn is_listed(&self, member: usize, generation: u8) -> bool {
-        let removed = &self.removed[..usize::from(generation)];
-        !removed.iter().any(|number| usize::from(*number) == member)
+        let mut changes = self.changes[..usize::from(generation)].iter();
+        let removed = changes
+            .any(|change| matches!(change, Change::Remove(gone) if usize::from(*gone) == member));
+        let late =
+            member == usize::from(JOINER) && self.joined().is_some_and(|at| at <= generation);
+        let joined = late || member < usize::from(self.first);
+        joined && !removed
+    }
+
+    fn is_active(&self, member: usize, generation: u8) -> bool {
+        let changes = &self.changes[..usize::from(generation)];
+        let active = member < usize::from(self.first) || changes.contains(&Change::Activate);
+        active && self.is_listed(member, generation)
+    }
+
+    /// Returns the members that are or were listed.
+    fn existing(&self) -> impl Iterator<Item = usize> {
+        let joined = self.joined().is_some();
+        let first = self.first;
+        (0..MEMBERS)
+            .filter(move |member| *member < first || (joined && *member == JOINER))
+            .map(usize::from)
+    }
+
+    /// Returns the generation in which the joiner is first listed.
+    fn joined(&self) -> Option<u8> {
+        let place = self
+            .changes
+            .iter()
+            .position(|change| *change == Change::Join);
+        place.map(|place| u8::try_from(place + 1).expect("few changes"))
     }
 
     fn evidence(&self, now: Instant) -> Evidence {
@@ -271,11 +336,12 @@
     }
 
     /// Renames the witnesses into an order of their own, because states that differ only in
-    /// the names of the witnesses need to be checked once.
+    /// the names of the witnesses need to be checked once. The joiner keeps its name.
     fn ordered(self) -> Self {
         let mut order = [0, 1, 2, 3];
-        order[1..].sort_by_key(|member| {
-            let removed = self.removed.iter().position(|gone| gone == member);
+        order[1..usize::from(self.first)].sort_by_key(|member| {
+            let gone = Change::Remove(*member);
+            let removed = self.changes.iter().position(|change| *change == gone);
             let member = usize::from(*member);
             let told = self.told[member].map(|(age, _)| age);
             let refuses = self.refused[member] & 1 << SUBJECT;
@@ -288,18 +354,18 @@
             )
         });
         let place = |member: u8| order.iter().position(|old| *old == member);
-        let renamed = |member: u8| place(member).expect("order holds all members");
+        let renamed = |member: u8| u8::try_from(place(member).expect("listed")).expect("few");
         let set = |set: u8| {
             let members = (0..MEMBERS).filter(|member| set & 1 << member != 0);
             members.fold(0_u8, |set, member| set | 1 << renamed(member))
         };
+        let changes = self.changes.iter().map(|change| match change {
+            Change::Remove(member) => Change::Remove(renamed(*member)),
+            other => *other,
+        });
         let old = order.map(usize::from);
         Self {
-            removed: self
-                .removed
-                .iter()
-                .map(|member| u8::try_from(renamed(*member)).expect("few members"))
-                .collect(),
+            changes: changes.collect(),
             known: old.map(|member| self.known[member]),
             refused: old.map(|member| set(self.refused[member])),
             granted: old.map(|member| self.granted[member]),
@@ -310,19 +376,44 @@
 
     fn next(&self) -> Vec<Self> {
         let mut next = vec![self.pass()];
-        for member in 0..usize::from(MEMBERS) {
+        for member in self.existing() {
             next.extend(self.confirm(member));
             next.extend(
                 (self.known[member] + 1..=self.generation()).map(|to| self.adopt(member, to)),
             );
         }
         next.push(self.read_store());
-        if self.is_listed(SUBJECT, self.generation()) {
+        if self.generation() < self.most && self.is_listed(SUBJECT, self.generation()) {
             next.extend((0..MEMBERS).flat_map(|member| self.removals(member)));
+            next.extend(self.join());
+            next.extend(self.activate());
         }
         next
     }
 
+    fn join(&self) -> Option<Self> {
+        let can = self.first <= JOINER && self.joined().is_none();
+        can.then(|| self.change(Change::Join))
+    }
+
+    /// The joiner becomes active when every active member has seen its join.
+    fn activate(&self) -> Option<Self> {
+        let joined = self.joined()?;
+        let generation = self.generation();
+        let seen = (0..usize::from(MEMBERS))
+            .filter(|member| self.is_active(*member, generation))
+            .all(|member| self.known[member] >= joined);
+        let again = self.changes.contains(&Change::Activate);
+        let listed = self.is_listed(usize::from(JOINER), generation);
+        (seen && listed && !again).then(|| self.change(Change::Activate))
+    }
+
+    fn change(&self, change: Change) -> Self {
+        let mut next = self.clone();
+        next.changes.push(change);
+        next
+    }
+
     fn pass(&self) -> Self {
         let mut next = self.clone();
         let older = |age: u8| (age + 1).min(STEPS);
@@ -383,7 +474,7 @@
             return Vec::new();
         }
         let others: Vec<usize> = (0..usize::from(MEMBERS))
-            .filter(|other| *other != target && self.is_listed(*other, generation))
+            .filter(|other| *other != target && self.is_active(*other, generation))
             .collect();
         let able = |other: &usize| {
             let silent = target != SUBJECT || self.granted[*other] >= STEPS;
@@ -402,13 +493,12 @@
     }
 
     fn remove(&self, member: u8, set: u8) -> Self {
-        let mut next = self.clone();
+        let mut next = self.change(Change::Remove(member));
         for (other, refused) in next.refused.iter_mut().enumerate() {
             if set & 1 << other != 0 {
                 *refused |= 1 << member;
             }
         }
-        next.removed.push(member);
         next
     }
 }
@@ -422,13 +512,13 @@
 /// Guards against a removed member that is still valid when others use its share.
 #[test]
 fn no_order_of_events_leaves_a_removed_member_valid() {
-    let mut seen = HashSet::from([Model::new()]);
-    let mut open = vec![Model::new()];
+    let mut open: Vec<Model> = RUNS.into_iter().map(Model::new).collect();
+    let mut seen: HashSet<Model> = open.iter().cloned().collect();
     let mut removals = 0_u32;
 
     while let Some(model) = open.pop() {
-        // After several removals in a row, evidence from before the first one can last longer.
-        if model.removed == [0] {
+        // After several changes in a row, evidence from before the first one can last longer.
+        if model.changes == [Change::Remove(0)] {
             let confirmed = model.confirmed().min(model.carried);
             assert_eq!(confirmed, STEPS, "confirmed after its removal: {model:?}");
         }
