Move the table of buckets into a module of its own

Change: account.rs holds rank 3, table.rs ranks 1 and 2; no behaviour changes. Conclusion: each table module has one job.

--- a/fulmargw_control/src/agent.rs
+++ b/fulmargw_control/src/agent.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
+        account::Accounts,
         peers::Peers,
         settings::Settings,
-        table::{Accounts, Configuration, Fleet, Standing},
+        table::{Configuration, Fleet, Standing},
     },
     fulmargw_decision::rendezvous,
     fulmargw_model::{
--- a/fulmargw_control/src/answer.rs
+++ b/fulmargw_control/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answers to other hosts.
 
 use {
-    crate::{agent::Agent, peers::Peers, table},
+    crate::{account, agent::Agent, peers::Peers, table},
     fulmargw_decision::{membership, rendezvous},
     fulmargw_model::{
         configuration::{Configuration, Version},
@@ -155,7 +155,7 @@
 
     fn lend_from(
         &self,
-        entry: &mut table::Entry,
+        entry: &mut account::Entry,
         demand: &Demand,
         standing: Option<&table::Standing>,
         now: Instant,
@@ -183,7 +183,7 @@
     /// When a share holds less than one token, no host can admit anything alone. Then the
     /// tokens go to the host of the better rank, so that two hosts do not wait for each
     /// other's part.
-    fn reserve(&self, entry: &table::Entry, burst: f64, borrower: &Name, offered: f64) -> f64 {
+    fn reserve(&self, entry: &account::Entry, burst: f64, borrower: &Name, offered: f64) -> f64 {
         if burst >= 1.0 && entry.waiting > 0 {
             return f64::INFINITY;
         }
--- a/fulmargw_control/src/borrow.rs
+++ b/fulmargw_control/src/borrow.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
+        account::{Entry, Lender},
         agent::Agent,
         peers::Peers,
         rate::LOOKAHEAD,
-        table::{Entry, Lender, Standing},
+        table::Standing,
     },
     fulmargw_model::{
         fleet::{Life, Member, State},
--- a/fulmargw_control/src/rate.rs
+++ b/fulmargw_control/src/rate.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
+        account::{Accounts, Entry},
         agent::Agent,
         meter,
         peers::Peers,
-        table::{Accounts, Entry, Standing},
+        table::Standing,
     },
     fulmargw_decision::rate::Shortage,
     fulmargw_model::{
