--- a/fulmargw_control/src/answer.rs
+++ b/fulmargw_control/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answers to other hosts.
 
 use {
-    crate::{agent::Agent, peers::Peers, table},
+    crate::{account, agent::Agent, peers::Peers, table},
     fulmargw_decision::{membership, rendezvous},
     fulmargw_model::{
         configuration::{Configuration, Version},
@@ -108,7 +108,8 @@
 
 fn is_confirmed(fleet: &table::Fleet, question: &Question) -> bool {
     fleet.record.as_ref().is_some_and(|record| {
-        record.generation == question.generation
+        !fleet.leaving
+            && record.generation == question.generation
             && membership::entry(record, &question.asker).is_some()
             && !fleet.refused.contains(&question.asker)
     })
@@ -125,7 +126,7 @@
             && membership::entry(record, &removal.life).is_some()
     });
     let own = fleet.own.as_ref() == Some(&removal.life);
-    active && listed && !own && fleet.is_silent_to(&removal.life, now)
+    active && listed && !own && !fleet.leaving && fleet.is_silent_to(&removal.life, now)
 }
 
 impl<S: Store, P: Peers> Agent<S, P> {
@@ -154,7 +155,7 @@
 
     fn lend_from(
         &self,
-        entry: &mut table::Entry,
+        entry: &mut account::Entry,
         demand: &Demand,
         standing: Option<&table::Standing>,
         now: Instant,
@@ -182,7 +183,7 @@
     /// When a share holds less than one token, no host can admit anything alone. Then the
     /// tokens go to the host of the better rank, so that two hosts do not wait for each
     /// other's part.
-    fn reserve(&self, entry: &table::Entry, burst: f64, borrower: &Name, offered: f64) -> f64 {
+    fn reserve(&self, entry: &account::Entry, burst: f64, borrower: &Name, offered: f64) -> f64 {
         if burst >= 1.0 && entry.waiting > 0 {
             return f64::INFINITY;
         }
