--- a/fulmargw_engine/src/execute.rs
+++ b/fulmargw_engine/src/execute.rs
@@ -26,16 +26,16 @@
     },
     std::sync::Arc,
     tokio::time::{Instant, sleep},
-    trace::Trace,
+    trace::{Record, Trace},
 };
 
 impl<C: Connector, G: Gate> Core<C, G> {
     /// Carries a request to its outcome and records it.
     pub async fn carry(self: &Arc<Self>, request: Request<Body<C>>) -> Outcome<Answer<C>> {
         let request = Arc::new(request);
-        let mut trace = Trace::new();
-        let outcome = self.decide(&request, &mut trace).await;
-        self.record(&request, &trace, &outcome);
+        let mut record = Record::new(self, &request);
+        let outcome = self.decide(&request, &mut record.trace).await;
+        record.end(&outcome);
         outcome
     }
 
--- a/fulmargw_engine/src/execute/trace.rs
+++ b/fulmargw_engine/src/execute/trace.rs
@@ -13,6 +13,7 @@
         outcome::Outcome,
         request::{Class, Request},
     },
+    std::sync::Arc,
     tokio::time::Instant,
 };
 
@@ -37,10 +38,46 @@
     }
 }
 
+/// Records a request when it ends, also if its caller gave it up.
+pub struct Record<C: Connector, G: Gate> {
+    core: Arc<Core<C, G>>,
+    request: Arc<Request<Body<C>>>,
+    /// What happened to the request so far.
+    pub trace: Trace,
+    ended: bool,
+}
+
+impl<C: Connector, G: Gate> Record<C, G> {
+    /// Begins the record of a request.
+    pub fn new(core: &Arc<Core<C, G>>, request: &Arc<Request<Body<C>>>) -> Self {
+        Self {
+            core: Arc::clone(core),
+            request: Arc::clone(request),
+            trace: Trace::new(),
+            ended: false,
+        }
+    }
+
+    /// Records the outcome.
+    pub fn end<A>(mut self, outcome: &Outcome<A>) {
+        self.ended = true;
+        let label = Label::of(outcome);
+        self.core.record(&self.request, &self.trace, label);
+    }
+}
+
+impl<C: Connector, G: Gate> Drop for Record<C, G> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.core
+                .record(&self.request, &self.trace, Label::Abandoned);
+        }
+    }
+}
+
 impl<C: Connector, G: Gate> Core<C, G> {
     /// Counts an outcome and adds it to the journal.
-    pub fn record<A>(&self, request: &Request<Body<C>>, trace: &Trace, outcome: &Outcome<A>) {
-        let label = Label::of(outcome);
+    fn record(&self, request: &Request<Body<C>>, trace: &Trace, label: Label) {
         let account = request.account.as_str().to_owned();
         metrics::counter!(
             "fulmargw_requests_total", "account" => account.clone(), "outcome" => label.as_str()
--- a/fulmargw_engine/src/journal.rs
+++ b/fulmargw_engine/src/journal.rs
@@ -71,6 +71,8 @@
     AlreadyRan,
     /// It is not known whether it ran.
     Unknown(Step),
+    /// The front end gave it up, because the caller went away or its key was withdrawn.
+    Abandoned,
 }
 
 impl Label {
@@ -93,6 +95,7 @@
             Self::Refused(_) => "refused",
             Self::AlreadyRan => "already_ran",
             Self::Unknown(_) => "unknown",
+            Self::Abandoned => "abandoned",
         }
     }
 }
