Measure the sizes of documents and the cost of a patch

Cause: docs/CAPACITY.md needs the size of the configuration at 1,400 services. Ruled out: an estimate from field lengths; the document is built and encoded instead. Change: experiment documents.

--- a/fulmargw_lab/src/experiment/mod.rs
+++ b/fulmargw_lab/src/experiment/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod control;
 pub mod deployment;
+mod documents;
 mod failover;
 mod fairness;
 mod operator;
@@ -36,8 +37,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "experiment")]
 pub struct Command {
-    /// failover, replicas, overhead, rates, fairness, withdrawal, configuration, control or
-    /// sessions
+    /// failover, replicas, overhead, rates, fairness, withdrawal, configuration, control,
+    /// sessions or documents
     #[argh(positional)]
     name: Name,
     /// deployment whose sizes and latencies are used: kalogeropoulos or wattlebird
@@ -78,10 +79,12 @@
     Control,
     /// sessions
     Sessions,
+    /// documents
+    Documents,
 }
 
 impl Name {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::Failover,
         Self::Replicas,
         Self::Overhead,
@@ -91,6 +94,7 @@
         Self::Configuration,
         Self::Control,
         Self::Sessions,
+        Self::Documents,
     ];
 
     /// Returns the default number of runs, with which the experiment takes some minutes at
@@ -156,6 +160,7 @@
             Name::Configuration => configuration::run(&settings, &mut report).await?,
             Name::Control => control::run(&settings, &mut report).await?,
             Name::Sessions => sessions::run(&settings, &mut report).await?,
+            Name::Documents => documents::run(&settings, &mut report)?,
         }
         Ok(report)
     }
