Remove members that the platform's host list shows as gone

Cause: after the death of all active members at once nobody could remove them, and hosts at new addresses stayed joining for ever. Ruled out: removal after silence alone (a partition looks the same); the age of a member from the record (it holds no times), so a member that the list never showed to this process counts after 60 s in the record as this process saw it; counting consents against all others for the removal of a vanished host (fewer consents of the present ones than one of their quorums could outvote). Change: while a member is silent, read the host list every 5 s. A member that every read over control.vanished_after_ms (30000) lacks, and that neither answered nor asked for as long, has vanished: it consents to other removals, and its own takes the consents of the present others only. A joining host removes vanished members while no active member answers it. Empty lists and failed reads add nothing; a gap of more than 15 s restarts the count.

--- a/fulmargw/src/settings/control.rs
+++ b/fulmargw/src/settings/control.rs
@@ -12,6 +12,11 @@
         ("poll_interval_ms", control.poll_interval_ms, 50..=2_000),
         ("store_timeout_ms", control.store_timeout_ms, 10..=30_000),
         ("suspect_ms", control.suspect_ms, 1_000..=60_000),
+        (
+            "vanished_after_ms",
+            control.vanished_after_ms,
+            10_000..=3_600_000,
+        ),
         ("admit_wait_ms", control.admit_wait_ms, 0..=60_000),
         ("borrow_interval_ms", control.borrow_interval_ms, 1..=1_000),
     ];
--- a/fulmargw_control/src/agent.rs
+++ b/fulmargw_control/src/agent.rs
@@ -95,6 +95,7 @@
         agent.spawn(agent.clone().confirm_leases());
         agent.spawn(agent.clone().poll_store());
         agent.spawn(agent.clone().keep_membership());
+        agent.spawn(agent.clone().watch_hosts());
         agent.spawn(agent.clone().fetch_documents());
         agent
     }
--- a/fulmargw_control/src/lib.rs
+++ b/fulmargw_control/src/lib.rs
@@ -1,5 +1,6 @@
 //! Lease, membership, rates and configuration over peers and platform.
 
+mod absence;
 mod account;
 pub mod agent;
 mod answer;
--- a/fulmargw_control/src/membership.rs
+++ b/fulmargw_control/src/membership.rs
@@ -5,6 +5,7 @@
         agent::Agent,
         peers::Peers,
         record::{self, Stored},
+        settings::Settings,
         table::Join,
     },
     fulmargw_decision::{
@@ -84,6 +85,10 @@
                 let suspect = self.shared.settings.suspect();
                 find_dead(&fleet, &own, suspect, now).map_or(Duty::Nothing, Duty::Remove)
             }
+            Some(State::Joining) if recent && fleet.standing(now).is_some() => {
+                let settings = &self.shared.settings;
+                find_vanished(&fleet, &own, settings, now).map_or(Duty::Nothing, Duty::Remove)
+            }
             _ => Duty::Nothing,
         }
     }
@@ -170,7 +175,7 @@
             generation,
             life: life.clone(),
         };
-        if !self.collect_consents(&removal).await {
+        if !self.collect_consents(member, &removal).await {
             return Ok(());
         }
         let record = self
@@ -186,23 +191,43 @@
         Ok(())
     }
 
-    /// Asks all other members first and consents itself last, because a consent is for good.
-    async fn collect_consents(&self, removal: &Removal) -> bool {
+    /// Asks all other present members first and consents itself last, because a consent is
+    /// for good. The consent of a joining host does not count.
+    async fn collect_consents(&self, member: &Member, removal: &Removal) -> bool {
         let own = &self.shared.host.name;
-        let witnesses: Vec<Member> = {
-            let fleet = self.shared.fleet.lock();
-            let Some(record) = &fleet.record else {
-                return false;
-            };
-            lease::witnesses(record, &removal.life).cloned().collect()
-        };
-        let needed = lease::consents(witnesses.len());
+        let (witnesses, needed) = self.present_witnesses(member, Instant::now());
         let peers = &self.shared.peers;
         let others = witnesses.iter().filter(|member| member.host.name != *own);
         let calls = others.map(|member| peers.consent(member.host.address, removal.clone()));
         let answers = join_all(calls).await;
         let given = answers.iter().filter(|answer| **answer == Ok(true)).count();
-        given + 1 >= needed && self.consent(removal)
+        if witnesses.iter().any(|member| member.host.name == *own) {
+            given + 1 >= needed && self.consent(removal)
+        } else {
+            given >= needed
+        }
+    }
+
+    /// Returns the witnesses of a member that have not vanished and how many of them must
+    /// consent to its removal.
+    fn present_witnesses(&self, member: &Member, now: Instant) -> (Vec<Member>, usize) {
+        let period = self.shared.settings.vanished_after();
+        let fleet = self.shared.fleet.lock();
+        let life = member.life();
+        let witnesses: Vec<&Member> = fleet
+            .record
+            .iter()
+            .flat_map(|record| lease::witnesses(record, &life))
+            .collect();
+        let others = witnesses.len();
+        let present: Vec<Member> = witnesses
+            .into_iter()
+            .filter(|witness| !fleet.has_vanished(witness, period, now))
+            .cloned()
+            .collect();
+        let gone = fleet.has_vanished(member, period, now);
+        let needed = lease::present_consents(others, present.len(), gone);
+        (present, needed)
     }
 
     /// Marks this host as leaving, so that others see it; requests are still admitted.
@@ -323,3 +348,25 @@
         .min_by_key(|member| fleet.heard.get(&member.host.name).copied())
         .cloned()
 }
+
+/// Finds a vanished member for a joining host, which removes one only if no active member
+/// answers that could do so.
+fn find_vanished(
+    fleet: &crate::table::Fleet,
+    own: &Life,
+    settings: &Settings,
+    now: Instant,
+) -> Option<Member> {
+    let record = fleet.record.as_ref()?;
+    let mut active = lease::witnesses(record, own);
+    if !active.all(|member| fleet.is_unheard(&member.host.name, settings.suspect(), now)) {
+        return None;
+    }
+    let others = record
+        .members
+        .iter()
+        .filter(|member| member.host.name != own.host);
+    let period = settings.vanished_after();
+    let mut vanished = others.filter(|member| fleet.has_vanished(member, period, now));
+    vanished.next().cloned()
+}
--- a/fulmargw_control/src/settings.rs
+++ b/fulmargw_control/src/settings.rs
@@ -17,6 +17,9 @@
     pub store_timeout_ms: u64,
     /// Time without an answer after which a member is suspected, in milliseconds.
     pub suspect_ms: u64,
+    /// Time without an answer and without an entry in the platform's host list after which a
+    /// member has vanished, in milliseconds.
+    pub vanished_after_ms: u64,
     /// Longest wait of a request for tokens, in milliseconds.
     pub admit_wait_ms: u64,
     /// Shortest time between two rounds of borrowing for one account, in milliseconds.
@@ -34,6 +37,7 @@
             poll_interval_ms: 500,
             store_timeout_ms: 400,
             suspect_ms: 1_500,
+            vanished_after_ms: 30_000,
             admit_wait_ms: 1_000,
             borrow_interval_ms: 10,
             holders: 4,
@@ -59,6 +63,10 @@
         Duration::from_millis(self.suspect_ms)
     }
 
+    pub(crate) fn vanished_after(&self) -> Duration {
+        Duration::from_millis(self.vanished_after_ms)
+    }
+
     pub(crate) fn admit_wait(&self) -> Duration {
         Duration::from_millis(self.admit_wait_ms)
     }
--- a/fulmargw_control/src/table.rs
+++ b/fulmargw_control/src/table.rs
@@ -2,6 +2,7 @@
 
 use {
     fulmargw_decision::{
+        absence::Absence,
         lease::{self, Evidence},
         membership::{self, Share},
     },
@@ -111,6 +112,8 @@
     pub(crate) granted: HashMap<Life, Instant>,
     /// When each host last answered, and since when it has been expected to.
     pub(crate) heard: HashMap<Name, Instant>,
+    /// Which members the platform's host list lacks.
+    pub(crate) absence: Absence,
     pub(crate) share: Share,
     pub(crate) join: Option<Join>,
     /// When a witness first refused the own life.
@@ -161,6 +164,7 @@
             refused: BTreeSet::new(),
             granted: HashMap::new(),
             heard: HashMap::new(),
+            absence: Absence::default(),
             share: Share::default(),
             join: None,
             expelled: None,
@@ -228,6 +232,7 @@
         let listed = |life: &Life| membership::entry(record, life).is_some();
         self.refused.retain(listed);
         self.granted.retain(|life, _| listed(life));
+        self.absence.adopt(record, now);
         self.heard.retain(|name, _| record.member(name).is_some());
         for member in &record.members {
             self.heard.entry(member.host.name.clone()).or_insert(now);
@@ -281,4 +286,22 @@
         let granted = self.granted.get(life).copied().unwrap_or(self.started);
         now >= granted + lease::VALIDITY
     }
+
+    /// Reports whether a host has not answered for `period`.
+    pub(crate) fn is_unheard(&self, host: &Name, period: Duration, now: Instant) -> bool {
+        let heard = self.heard.get(host);
+        heard.is_some_and(|heard| now >= *heard + period)
+    }
+
+    /// Reports whether a member has been taken away for good: for `period` the host list
+    /// lacked it, it did not answer, and it did not ask this host either.
+    pub(crate) fn has_vanished(&self, member: &Member, period: Duration, now: Instant) -> bool {
+        let life = member.life();
+        let asked = self.granted.get(&life);
+        // A host never hears itself, and the list may lack it while it is new.
+        self.own.as_ref() != Some(&life)
+            && self.absence.is_missing(&life, period, now)
+            && self.is_unheard(&life.host, period, now)
+            && asked.is_none_or(|asked| now >= *asked + period)
+    }
 }
--- /dev/null
+++ b/fulmargw_decision/src/absence.rs
@@ -0,0 +1,76 @@
+//! Evidence from the platform's host list that members were taken away for good.
+
+use {
+    fulmargw_model::{
+        fleet::{Fleet, Life, Member},
+        name::Name,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Longest time between two reads of the list that count as consecutive. At an interval of
+/// 5 s, two failed reads in a row are tolerated.
+pub const GAP: Duration = Duration::from_secs(15);
+
+/// Time in the fleet record after which the list must have shown a member. The list lags, so
+/// a younger member that was never listed may be alive.
+pub const SETTLED: Duration = Duration::from_mins(1);
+
+/// What the reads of the host list so far say about the members.
+#[derive(Debug, Default)]
+pub struct Absence {
+    /// Lives in the fleet record and when this host first saw them there.
+    known: BTreeMap<Life, Instant>,
+    /// Lives that the list has shown to this process.
+    listed: BTreeSet<Life>,
+    /// Lives missing in all reads since then.
+    missing: BTreeMap<Life, Instant>,
+    /// Sending of the last read that counted.
+    last: Option<Instant>,
+}
+
+impl Absence {
+    /// Takes over the members of a record.
+    pub fn adopt(&mut self, record: &Fleet, now: Instant) {
+        let lives: BTreeSet<Life> = record.members.iter().map(Member::life).collect();
+        self.known.retain(|life, _| lives.contains(life));
+        self.listed.retain(|life| lives.contains(life));
+        self.missing.retain(|life, _| lives.contains(life));
+        for life in lives {
+            self.known.entry(life).or_insert(now);
+        }
+    }
+
+    /// Records a successful read of the list, sent at `sent`, with all `hosts` that it shows
+    /// as live or leaving. An empty list counts as a failed read.
+    pub fn observe(&mut self, hosts: &BTreeSet<Name>, sent: Instant) {
+        if hosts.is_empty() {
+            return;
+        }
+        if self.last.is_some_and(|last| sent > last + GAP) {
+            self.missing.clear();
+        }
+        self.last = Some(sent);
+        for (life, since) in &self.known {
+            if hosts.contains(&life.host) {
+                self.listed.insert(life.clone());
+                self.missing.remove(life);
+            } else if self.listed.contains(life) || sent >= *since + SETTLED {
+                self.missing.entry(life.clone()).or_insert(sent);
+            }
+        }
+    }
+
+    /// Reports whether all reads over at least `period` up to now lacked the host of a life.
+    #[must_use]
+    pub fn is_missing(&self, life: &Life, period: Duration, now: Instant) -> bool {
+        let (Some(since), Some(last)) = (self.missing.get(life), self.last) else {
+            return false;
+        };
+        now <= last + GAP && last >= *since + period
+    }
+}
--- a/fulmargw_decision/src/lease.rs
+++ b/fulmargw_decision/src/lease.rs
@@ -29,6 +29,22 @@
     others - quorum(others) + 1
 }
 
+/// Number of consents that a removal needs from the `present` ones of `others` active
+/// members; the rest has vanished, and so may the host to be removed (`gone`).
+///
+/// A vanished member consents to every removal. The removal of a vanished host needs the
+/// consents of the present members only, and none if there are none.
+#[must_use]
+pub const fn present_consents(others: usize, present: usize, gone: bool) -> usize {
+    if gone && present == 0 {
+        0
+    } else if gone {
+        consents(present)
+    } else {
+        consents(others).saturating_sub(others - present)
+    }
+}
+
 /// Returns the active members other than `life`, who confirm its lease or consent to its
 /// removal.
 pub fn witnesses<'a>(fleet: &'a Fleet, life: &'a Life) -> impl Iterator<Item = &'a Member> {
--- a/fulmargw_decision/src/lib.rs
+++ b/fulmargw_decision/src/lib.rs
@@ -1,5 +1,6 @@
 //! Pure decisions: they take the time as an argument and do no I/O.
 
+pub mod absence;
 pub mod access;
 pub mod lease;
 pub mod membership;
