Slow down promotions that find no majority

Cause: with two of three members gone a host fenced the last one about every 100 ms; in a trial the term went from 6 to 215 in 28 s, with two log lines each, and filled the ring of promotions. Ruled out: no promotion while fewer than a majority answer probes; the state of probes lags behind, so a returning member would be noticed later. Change: the pause doubles with each failure up to 0.4 s before jitter. Figures: the new test allows 32 terms in 10 s; without the doublings it fails. Conclusion: at most a few terms a second are used up; a returning member is found within 0.8 s.

--- a/fulmargw_engine/src/failover.rs
+++ b/fulmargw_engine/src/failover.rs
@@ -21,8 +21,11 @@
 
 /// Longest time between two judgements.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(50);
-/// Least pause after a promotion that did not succeed.
+/// Least pause after a promotion that did not succeed; it doubles with each further one.
 const BACKOFF: Duration = Duration::from_millis(50);
+/// Number of doublings of the pause. A longer pause than 0.4 s before jitter would add too much
+/// to the failover gap when a member returns.
+const DOUBLINGS: u32 = 3;
 
 /// Watches one service and promotes a new primary when it has none.
 pub struct Failover<C: Connector, G> {
@@ -30,6 +33,8 @@
     service: Name,
     /// Present cause and the time since when it lasts.
     since: Option<(Cause, Instant)>,
+    /// Promotions in a row that did not succeed.
+    failures: u32,
 }
 
 /// What one judgement found.
@@ -51,6 +56,7 @@
             core,
             service,
             since: None,
+            failures: 0,
         }
     }
 
@@ -75,6 +81,7 @@
             let _ = timeout(JUDGE_INTERVAL, changed.notified()).await;
             let Some(finding) = self.judge() else {
                 self.since = None;
+                self.failures = 0;
                 continue;
             };
             if self.lasts(finding.cause) < finding.cause.patience() {
@@ -139,13 +146,22 @@
             finding.cause,
             finding.term.0
         );
-        if self.promote(&finding).await.is_none() {
-            let jitter = BACKOFF.mul_f64(rand::random());
-            sleep(BACKOFF + jitter).await;
+        if self.promote(&finding).await.is_some() {
+            self.failures = 0;
+        } else {
+            self.back_off().await;
         }
         self.since = None;
     }
 
+    /// Waits longer after each failure: while no majority answers, every promotion only uses
+    /// up a term.
+    async fn back_off(&mut self) {
+        let pause = BACKOFF * (1 << self.failures.min(DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        sleep(pause.mul_f64(1.0 + rand::random::<f64>())).await;
+    }
+
     async fn promote(&self, finding: &Finding) -> Option<()> {
         let began = Instant::now();
         let noticed = finding.noticed.unwrap_or(began);
--- a/fulmargw_engine/tests/failover.rs
+++ b/fulmargw_engine/tests/failover.rs
@@ -53,6 +53,20 @@
     assert_eq!(bench.world.values(), [1, 2]);
 }
 
+/// Guards against promotions that use up terms without pause while no majority answers.
+#[tokio::test(start_paused = true)]
+async fn promotions_without_a_majority_slow_down() {
+    let bench = bench().await;
+    bench.put(1).await;
+
+    bench.world.kill("a");
+    bench.world.kill("b");
+    sleep(Duration::from_secs(10)).await;
+
+    let promised = bench.world.lock().nodes["c"].promised;
+    assert!(promised <= Term(32), "{promised:?}");
+}
+
 /// Guards against writes that wait for long after the primary was cut off.
 #[tokio::test(start_paused = true)]
 async fn a_partitioned_primary_is_replaced_in_time() {
