--- a/fulmargw/examples/query.rs
+++ b/fulmargw/examples/query.rs
@@ -4,16 +4,14 @@
 //! `refused SQLSTATE: MESSAGE (DETAIL)` on standard error, followed by a line `hint: ...` if the
 //! host names the request, and exits with 1.
 
-use {
-    argh::FromArgs,
-    std::{
-        error::Error as _, future::poll_fn, net::SocketAddr, path::PathBuf, process::ExitCode,
-        time::Duration,
-    },
-    tokio::{sync::watch, task::JoinHandle},
-    tokio_postgres::{
-        Client, Config, Connection, Error, NoTls, SimpleQueryMessage, Socket, tls::NoTlsStream,
-    },
+use argh::FromArgs;
+use std::{
+    error::Error as _, future::poll_fn, net::SocketAddr, path::PathBuf, process::ExitCode,
+    time::Duration,
+};
+use tokio::{sync::watch, task::JoinHandle};
+use tokio_postgres::{
+    Client, Config, Connection, Error, NoTls, SimpleQueryMessage, Socket, tls::NoTlsStream,
 };
 
 /// Reported parameter with the session's position.
--- a/fulmargw/src/cli.rs
+++ b/fulmargw/src/cli.rs
@@ -1,10 +1,8 @@
 //! Command line.
 
-use {
-    crate::exit::Exit,
-    argh::{EarlyExit, FromArgs},
-    std::{ffi::OsString, path::PathBuf},
-};
+use crate::exit::Exit;
+use argh::{EarlyExit, FromArgs};
+use std::{ffi::OsString, path::PathBuf};
 
 /// Name of the program in help texts.
 const PROGRAM: &str = "fulmargw";
--- a/fulmargw/src/command/inspect.rs
+++ b/fulmargw/src/command/inspect.rs
@@ -1,18 +1,16 @@
 //! `fulmargw config` and `fulmargw state`.
 
-use {
-    crate::{
-        cli::{Config, State},
-        command::{block_on, fail, print_json},
-        exit::Exit,
-        operator::{
-            client::{Client, Error},
-            selection::Selection,
-        },
+use crate::{
+    cli::{Config, State},
+    command::{block_on, fail, print_json},
+    exit::Exit,
+    operator::{
+        client::{Client, Error},
+        selection::Selection,
     },
-    serde_json::Value,
-    std::path::Path,
 };
+use serde_json::Value;
+use std::path::Path;
 
 /// Prints the configuration in force on a host.
 pub(super) fn configuration(arguments: &Config) -> Exit {
--- a/fulmargw/src/command/key.rs
+++ b/fulmargw/src/command/key.rs
@@ -1,12 +1,10 @@
 //! `fulmargw key`.
 
-use {
-    crate::{cli::Key, command::print_json, exit::Exit},
-    fulmargw_model::client_account::Digest,
-    rand::RngCore as _,
-    serde::Serialize,
-    std::io::Read as _,
-};
+use crate::{cli::Key, command::print_json, exit::Exit};
+use fulmargw_model::client_account::Digest;
+use rand::RngCore as _;
+use serde::Serialize;
+use std::io::Read as _;
 
 /// Random bytes in a key; 256 bits cannot be guessed from the digest.
 const KEY_BYTES: usize = 32;
--- a/fulmargw/src/command/mod.rs
+++ b/fulmargw/src/command/mod.rs
@@ -7,10 +7,8 @@
 pub mod serve;
 pub mod version;
 
-use {
-    crate::{cli::Command, exit::Exit, operator::client},
-    serde::Serialize,
-};
+use crate::{cli::Command, exit::Exit, operator::client};
+use serde::Serialize;
 
 /// Runs a command to its end.
 #[must_use]
--- a/fulmargw/src/command/patch.rs
+++ b/fulmargw/src/command/patch.rs
@@ -1,19 +1,17 @@
 //! `fulmargw patch`.
 
-use {
-    crate::{
-        cli::Patch,
-        command::{block_on, fail, print_json},
-        exit::Exit,
-        operator::{
-            body::Encoding,
-            client::{Client, Error},
-            message::Accepted,
-        },
+use crate::{
+    cli::Patch,
+    command::{block_on, fail, print_json},
+    exit::Exit,
+    operator::{
+        body::Encoding,
+        client::{Client, Error},
+        message::Accepted,
     },
-    fulmargw_model::name::Name,
-    std::path::Path,
 };
+use fulmargw_model::name::Name;
+use std::path::Path;
 
 /// Submits a patch file and prints the new version and where it is confirmed.
 pub(super) fn run(arguments: &Patch) -> Exit {
--- a/fulmargw/src/command/serve.rs
+++ b/fulmargw/src/command/serve.rs
@@ -1,10 +1,8 @@
 //! `fulmargw serve`.
 
-use {
-    crate::{cli::Serve, command::check, exit::Exit, serve, settings::Settings},
-    std::io,
-    tokio::runtime::Runtime,
-};
+use crate::{cli::Serve, command::check, exit::Exit, serve, settings::Settings};
+use std::io;
+use tokio::runtime::Runtime;
 
 /// Serves callers until a signal stops the process.
 pub(super) fn run(arguments: &Serve) -> Exit {
--- a/fulmargw/src/command/version.rs
+++ b/fulmargw/src/command/version.rs
@@ -1,9 +1,7 @@
 //! `fulmargw version`.
 
-use {
-    crate::{cli::Version, command::print_json, exit::Exit},
-    serde::Serialize,
-};
+use crate::{cli::Version, command::print_json, exit::Exit};
+use serde::Serialize;
 
 /// Version of the program.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
--- a/fulmargw/src/log.rs
+++ b/fulmargw/src/log.rs
@@ -1,17 +1,15 @@
 //! Log lines as text or JSON, with host and availability zone on each line.
 
-use {
-    crate::settings::{host::Host, log::Format, log::Log},
-    ::log::{
-        Level, Record,
-        kv::{self, Key, Value, VisitSource},
-    },
-    fern::{Dispatch, FormatCallback},
-    fulmargw_model::name::Name,
-    serde::Serialize,
-    std::{collections::BTreeMap, fmt, io},
-    tokio::time::Instant,
+use crate::settings::{host::Host, log::Format, log::Log};
+use ::log::{
+    Level, Record,
+    kv::{self, Key, Value, VisitSource},
 };
+use fern::{Dispatch, FormatCallback};
+use fulmargw_model::name::Name;
+use serde::Serialize;
+use std::{collections::BTreeMap, fmt, io};
+use tokio::time::Instant;
 
 /// Failures to set up logs.
 #[derive(Debug, displaydoc::Display)]
--- a/fulmargw/src/main.rs
+++ b/fulmargw/src/main.rs
@@ -1,9 +1,7 @@
 //! Entry point of the fulmargw program.
 
-use {
-    fulmargw::{cli, command},
-    std::process::ExitCode,
-};
+use fulmargw::{cli, command};
+use std::process::ExitCode;
 
 fn main() -> ExitCode {
     match cli::parse(std::env::args_os()) {
--- a/fulmargw/src/operator/access.rs
+++ b/fulmargw/src/operator/access.rs
@@ -1,16 +1,14 @@
 //! Check of the operator credential.
 
-use {
-    super::message::Denial,
-    axum::{
-        Json,
-        extract::{Request, State},
-        http::{HeaderMap, StatusCode, header},
-        middleware::Next,
-        response::{IntoResponse as _, Response},
-    },
-    fulmargw_model::client_account::Digest,
+use super::message::Denial;
+use axum::{
+    Json,
+    extract::{Request, State},
+    http::{HeaderMap, StatusCode, header},
+    middleware::Next,
+    response::{IntoResponse as _, Response},
 };
+use fulmargw_model::client_account::Digest;
 
 /// Scheme of the authorization header, with its separator.
 const SCHEME: &str = "Bearer ";
--- a/fulmargw/src/operator/body.rs
+++ b/fulmargw/src/operator/body.rs
@@ -1,6 +1,8 @@
 //! Decoding of patch bodies.
 
-use {super::message::Rejection, fulmargw_model::configuration::Patch, serde::Deserializer};
+use super::message::Rejection;
+use fulmargw_model::configuration::Patch;
+use serde::Deserializer;
 
 /// Encoding of a patch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/fulmargw/src/operator/client.rs
+++ b/fulmargw/src/operator/client.rs
@@ -1,13 +1,11 @@
 //! Client of the operator interface, used by the command line.
 
-use {
-    super::{
-        body::Encoding,
-        message::{Accepted, Rejection},
-    },
-    reqwest::{RequestBuilder, Response, StatusCode, header},
-    std::{path::Path, time::Duration},
+use super::{
+    body::Encoding,
+    message::{Accepted, Rejection},
 };
+use reqwest::{RequestBuilder, Response, StatusCode, header};
+use std::{path::Path, time::Duration};
 
 /// Bound of one call. A patch waits for the hosts' confirmations, which takes seconds when a
 /// host is gone.
--- a/fulmargw/src/operator/message.rs
+++ b/fulmargw/src/operator/message.rs
@@ -1,10 +1,8 @@
 //! Messages of the operator interface, encoded as JSON.
 
-use {
-    fulmargw_model::{configuration::Version, name::Name},
-    serde::{Deserialize, Serialize},
-    std::fmt,
-};
+use fulmargw_model::{configuration::Version, name::Name};
+use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// A patch that is in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw/src/operator/router.rs
+++ b/fulmargw/src/operator/router.rs
@@ -1,23 +1,21 @@
 //! Routes of the operator interface.
 
-use {
-    super::{
-        access,
-        body::Encoding,
-        message::{Denial, Health, Rejection},
-        subject::Subject,
-        view,
-    },
-    axum::{
-        Json, Router,
-        extract::State,
-        http::{HeaderMap, StatusCode, header},
-        middleware,
-        response::{IntoResponse as _, Response},
-        routing::{get, post},
-    },
-    fulmargw_model::client_account::Digest,
+use super::{
+    access,
+    body::Encoding,
+    message::{Denial, Health, Rejection},
+    subject::Subject,
+    view,
 };
+use axum::{
+    Json, Router,
+    extract::State,
+    http::{HeaderMap, StatusCode, header},
+    middleware,
+    response::{IntoResponse as _, Response},
+    routing::{get, post},
+};
+use fulmargw_model::client_account::Digest;
 
 /// Content type of the Prometheus text format.
 const METRICS_CONTENT_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
--- a/fulmargw/src/operator/subject.rs
+++ b/fulmargw/src/operator/subject.rs
@@ -1,11 +1,9 @@
 //! What the operator interface needs of the process.
 
-use {
-    super::message::{Accepted, Health, Rejection},
-    fulmargw_model::configuration::{Configuration, Patch},
-    serde::Serialize,
-    std::{future::Future, sync::Arc},
-};
+use super::message::{Accepted, Health, Rejection};
+use fulmargw_model::configuration::{Configuration, Patch};
+use serde::Serialize;
+use std::{future::Future, sync::Arc};
 
 /// The process that the interface shows and changes.
 pub trait Subject: Clone + Send + Sync + 'static {
--- a/fulmargw/src/operator/view.rs
+++ b/fulmargw/src/operator/view.rs
@@ -1,16 +1,14 @@
 //! The configuration as operators see it, with shortened key digests.
 
-use {
-    fulmargw_model::{
-        client_account::{self, Digest},
-        configuration::{self, Version},
-        name::Name,
-        route::Route,
-        service::Service,
-    },
-    serde::Serialize,
-    std::collections::BTreeMap,
+use fulmargw_model::{
+    client_account::{self, Digest},
+    configuration::{self, Version},
+    name::Name,
+    route::Route,
+    service::Service,
 };
+use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// Hexadecimal digits of a key digest that are shown; enough to tell keys apart.
 const SHOWN_DIGITS: usize = 8;
--- a/fulmargw/src/recorder.rs
+++ b/fulmargw/src/recorder.rs
@@ -1,9 +1,7 @@
 //! Recorder of the process's metrics.
 
-use {
-    metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle},
-    std::time::Duration,
-};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use std::time::Duration;
 
 /// Upper bounds of histogram buckets, in seconds. The lowest ones resolve the goal of 0.2 ms
 /// for the overhead, the highest one is above the default deadline of a request.
--- a/fulmargw/src/serve/answer.rs
+++ b/fulmargw/src/serve/answer.rs
@@ -1,17 +1,15 @@
 //! Answers of a process to other hosts.
 
-use {
-    crate::serve::{gate::Agent, parts::Engine},
-    fulmargw_model::{
-        configuration::{Configuration, Version},
-        fleet::{Fleet, Generation, Life, State},
-    },
-    fulmargw_peer::{
-        message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
-        service::Handler,
-    },
-    std::sync::Arc,
+use crate::serve::{gate::Agent, parts::Engine};
+use fulmargw_model::{
+    configuration::{Configuration, Version},
+    fleet::{Fleet, Generation, Life, State},
 };
+use fulmargw_peer::{
+    message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
+    service::Handler,
+};
+use std::sync::Arc;
 
 /// Answers from the control part, which knows the engine's use of the shares.
 ///
--- a/fulmargw/src/serve/error.rs
+++ b/fulmargw/src/serve/error.rs
@@ -1,10 +1,8 @@
 //! Failures of a serving process.
 
-use {
-    crate::log,
-    metrics_exporter_prometheus::BuildError,
-    std::{io, net::SocketAddr},
-};
+use crate::log;
+use metrics_exporter_prometheus::BuildError;
+use std::{io, net::SocketAddr};
 
 /// Why a process could not start or ended early.
 #[derive(Debug, displaydoc::Display)]
--- a/fulmargw/src/serve/gate.rs
+++ b/fulmargw/src/serve/gate.rs
@@ -1,14 +1,12 @@
 //! Connects the engine to the control part of the host.
 
-use {
-    fulmargw_control::agent,
-    fulmargw_engine::gate,
-    fulmargw_model::{configuration::Configuration, name::Name, outcome::Refusal, position::Term},
-    fulmargw_peer::client::Set,
-    fulmargw_platform::client::Client,
-    std::sync::Arc,
-    tokio::{sync::watch, time::Instant},
-};
+use fulmargw_control::agent;
+use fulmargw_engine::gate;
+use fulmargw_model::{configuration::Configuration, name::Name, outcome::Refusal, position::Term};
+use fulmargw_peer::client::Set;
+use fulmargw_platform::client::Client;
+use std::sync::Arc;
+use tokio::{sync::watch, time::Instant};
 
 /// The control part of a process.
 pub type Agent = agent::Agent<Client, Set>;
--- a/fulmargw/src/serve/listener.rs
+++ b/fulmargw/src/serve/listener.rs
@@ -1,10 +1,8 @@
 //! Listening sockets of a process.
 
-use {
-    crate::{serve::error::Error, settings::Settings},
-    std::net::SocketAddr,
-    tokio::net::TcpListener,
-};
+use crate::{serve::error::Error, settings::Settings};
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
 
 /// Name of the peer protocol's listener in errors and logs.
 pub const PEER: &str = "peer";
--- a/fulmargw/src/serve/parts.rs
+++ b/fulmargw/src/serve/parts.rs
@@ -1,28 +1,26 @@
 //! The parts of a process that operators see and change.
 
-use {
-    crate::{
-        operator::{
-            message::{Accepted, Health, Rejection},
-            subject::Subject,
-        },
-        serve::{
-            gate::{Agent, Gate},
-            state::{Process, State},
-        },
-        settings::host::Host,
+use crate::{
+    operator::{
+        message::{Accepted, Health, Rejection},
+        subject::Subject,
+    },
+    serve::{
+        gate::{Agent, Gate},
+        state::{Process, State},
     },
-    fulmargw_backend::postgres::Connector,
-    fulmargw_control::configuration,
-    fulmargw_decision::patch,
-    fulmargw_engine::engine,
-    fulmargw_model::configuration::{Configuration, Patch},
-    metrics_exporter_prometheus::PrometheusHandle,
-    std::sync::Arc,
-    tokio::time::Instant,
-    tokio_util::sync::CancellationToken,
-    uuid::Uuid,
+    settings::host::Host,
 };
+use fulmargw_backend::postgres::Connector;
+use fulmargw_control::configuration;
+use fulmargw_decision::patch;
+use fulmargw_engine::engine;
+use fulmargw_model::configuration::{Configuration, Patch};
+use metrics_exporter_prometheus::PrometheusHandle;
+use std::sync::Arc;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
 
 /// The engine of a process.
 pub type Engine = engine::Engine<Connector, Gate>;
--- a/fulmargw/src/serve/process.rs
+++ b/fulmargw/src/serve/process.rs
@@ -1,30 +1,28 @@
 //! The parts of a serving process and their start.
 
-use {
-    crate::{
-        operator::router::router,
-        recorder,
-        serve::{
-            answer::Answer,
-            error::Error,
-            gate::{Agent, Gate},
-            listener::{self, Listeners},
-            parts::{Engine, Parts},
-            task::Tasks,
-        },
-        settings::Settings,
+use crate::{
+    operator::router::router,
+    recorder,
+    serve::{
+        answer::Answer,
+        error::Error,
+        gate::{Agent, Gate},
+        listener::{self, Listeners},
+        parts::{Engine, Parts},
+        task::Tasks,
     },
-    ::log::info,
-    fulmargw_backend::postgres::Connector,
-    fulmargw_frontend::listener as frontend,
-    fulmargw_model::availability_zone::Zone,
-    fulmargw_peer::{client::Set, document, server},
-    fulmargw_platform::client::Client,
-    metrics_exporter_prometheus::PrometheusHandle,
-    std::future::IntoFuture as _,
-    tokio::net::TcpListener,
-    tokio_util::sync::CancellationToken,
+    settings::Settings,
 };
+use ::log::info;
+use fulmargw_backend::postgres::Connector;
+use fulmargw_frontend::listener as frontend;
+use fulmargw_model::availability_zone::Zone;
+use fulmargw_peer::{client::Set, document, server};
+use fulmargw_platform::client::Client;
+use metrics_exporter_prometheus::PrometheusHandle;
+use std::future::IntoFuture as _;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 /// A started process.
 #[derive(Debug)]
--- a/fulmargw/src/serve/signal.rs
+++ b/fulmargw/src/serve/signal.rs
@@ -1,9 +1,7 @@
 //! Signals that stop the process.
 
-use {
-    std::io,
-    tokio::signal::unix::{Signal, SignalKind, signal},
-};
+use std::io;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// SIGTERM and SIGINT.
 #[derive(Debug)]
--- a/fulmargw/src/serve/state.rs
+++ b/fulmargw/src/serve/state.rs
@@ -1,12 +1,10 @@
 //! State dump of a process.
 
-use {
-    crate::{command::version::VERSION, operator::message::Health},
-    fulmargw_control::dump,
-    fulmargw_engine::state,
-    fulmargw_model::name::Name,
-    serde::Serialize,
-};
+use crate::{command::version::VERSION, operator::message::Health};
+use fulmargw_control::dump;
+use fulmargw_engine::state;
+use fulmargw_model::name::Name;
+use serde::Serialize;
 
 /// State of a process at one moment. It holds neither keys nor statements.
 #[derive(Debug, Serialize)]
--- a/fulmargw/src/serve/stop.rs
+++ b/fulmargw/src/serve/stop.rs
@@ -1,11 +1,9 @@
 //! Graceful stop of a process.
 
-use {
-    crate::serve::{error::Error, parts::Parts, process::Process},
-    ::log::{info, warn},
-    std::{future::Future, time::Duration},
-    tokio::time::{Instant, sleep, timeout_at},
-};
+use crate::serve::{error::Error, parts::Parts, process::Process};
+use ::log::{info, warn};
+use std::{future::Future, time::Duration};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Part of the stop time that is kept for leaving the fleet, as one in so many. Without it a
 /// session that hangs would make the others wait until they notice that this host is gone.
--- a/fulmargw/src/serve/task.rs
+++ b/fulmargw/src/serve/task.rs
@@ -1,10 +1,8 @@
 //! Tasks that serve the listeners.
 
-use {
-    crate::serve::error::Error,
-    std::{future::Future, io},
-    tokio::task::{JoinError, JoinSet},
-};
+use crate::serve::error::Error;
+use std::{future::Future, io};
+use tokio::task::{JoinError, JoinSet};
 
 type Ended = Option<Result<(&'static str, io::Result<()>), JoinError>>;
 
--- a/fulmargw/src/settings/backend.rs
+++ b/fulmargw/src/settings/backend.rs
@@ -1,11 +1,9 @@
 //! `[backend]`: connections to backend servers.
 
-use {
-    super::problem::Findings,
-    fulmargw_backend::postgres,
-    serde::{Deserialize, Serialize},
-    std::{net::IpAddr, time::Duration},
-};
+use super::problem::Findings;
+use fulmargw_backend::postgres;
+use serde::{Deserialize, Serialize};
+use std::{net::IpAddr, time::Duration};
 
 /// Connections to backend servers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw/src/settings/frontend.rs
+++ b/fulmargw/src/settings/frontend.rs
@@ -1,11 +1,9 @@
 //! `[frontend]`: the PostgreSQL interface for callers.
 
-use {
-    super::problem::Findings,
-    fulmargw_frontend::settings,
-    serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, time::Duration},
-};
+use super::problem::Findings;
+use fulmargw_frontend::settings;
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
 
 /// The longest deadline of a request, in milliseconds. Records of requests are kept for 15
 /// minutes, so a request must be over well before that.
--- a/fulmargw/src/settings/host.rs
+++ b/fulmargw/src/settings/host.rs
@@ -1,13 +1,11 @@
 //! `[host]`: identity and addresses of this host.
 
-use {
-    super::problem::Findings,
-    fulmargw_model::{availability_zone::Zone, host, name::Name},
-    serde::{Deserialize, Serialize},
-    std::{
-        net::{IpAddr, SocketAddr},
-        time::Duration,
-    },
+use super::problem::Findings;
+use fulmargw_model::{availability_zone::Zone, host, name::Name};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
 };
 
 /// Identity and addresses of this host.
--- a/fulmargw/src/settings/log.rs
+++ b/fulmargw/src/settings/log.rs
@@ -1,10 +1,8 @@
 //! `[log]`: level, format and destination of log lines.
 
-use {
-    super::problem::Findings,
-    serde::{Deserialize, Serialize},
-    std::path::PathBuf,
-};
+use super::problem::Findings;
+use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
 
 /// Level, format and destination of log lines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw/src/settings/mod.rs
+++ b/fulmargw/src/settings/mod.rs
@@ -12,13 +12,11 @@
 pub mod platform;
 pub mod problem;
 
-use {
-    problem::{Error, Findings, Problem},
-    serde::{Deserialize, Serialize},
-    std::{
-        net::SocketAddr,
-        path::{Path, PathBuf},
-    },
+use problem::{Error, Findings, Problem};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
 };
 
 /// All sections of the settings file.
--- a/fulmargw/src/settings/operator.rs
+++ b/fulmargw/src/settings/operator.rs
@@ -1,10 +1,8 @@
 //! `[operator]`: the interface for operators and the balancer.
 
-use {
-    fulmargw_model::client_account::Digest,
-    serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
-};
+use fulmargw_model::client_account::Digest;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// The interface for operators and the balancer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw/src/settings/peer.rs
+++ b/fulmargw/src/settings/peer.rs
@@ -1,11 +1,9 @@
 //! `[peer]`: calls to other hosts.
 
-use {
-    super::problem::Findings,
-    fulmargw_peer::client,
-    serde::{Deserialize, Serialize},
-    std::net::IpAddr,
-};
+use super::problem::Findings;
+use fulmargw_peer::client;
+use serde::{Deserialize, Serialize};
+use std::net::IpAddr;
 
 /// Calls to other hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw/src/settings/platform.rs
+++ b/fulmargw/src/settings/platform.rs
@@ -1,11 +1,9 @@
 //! `[platform]`: the platform's table service and host list.
 
-use {
-    super::problem::Findings,
-    fulmargw_platform::client,
-    serde::{Deserialize, Serialize},
-    std::net::{IpAddr, SocketAddr},
-};
+use super::problem::Findings;
+use fulmargw_platform::client;
+use serde::{Deserialize, Serialize};
+use std::net::{IpAddr, SocketAddr};
 
 /// The platform's table service and host list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw/src/settings/problem.rs
+++ b/fulmargw/src/settings/problem.rs
@@ -1,9 +1,7 @@
 //! Problems of a settings file.
 
-use {
-    serde::Serialize,
-    std::{fmt, fmt::Display, ops::RangeInclusive, path::PathBuf},
-};
+use serde::Serialize;
+use std::{fmt, fmt::Display, ops::RangeInclusive, path::PathBuf};
 
 /// A problem with one key of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
--- a/fulmargw/tests/cli.rs
+++ b/fulmargw/tests/cli.rs
@@ -2,11 +2,9 @@
 
 mod fixture;
 
-use {
-    fixture::{CREDENTIAL, Fake, example, example_with, file, operator, run, stderr, stdout},
-    fulmargw_model::client_account::Digest,
-    std::process::Output,
-};
+use fixture::{CREDENTIAL, Fake, example, example_with, file, operator, run, stderr, stdout};
+use fulmargw_model::client_account::Digest;
+use std::process::Output;
 
 const COMMANDS: [&str; 7] = [
     "serve", "check", "patch", "config", "state", "key", "version",
--- a/fulmargw/tests/log.rs
+++ b/fulmargw/tests/log.rs
@@ -1,17 +1,15 @@
 //! Log lines in both formats.
 
-use {
-    fulmargw::{
-        log::dispatch,
-        settings::{
-            host::Host,
-            log::{Format, Level, Log},
-        },
+use fulmargw::{
+    log::dispatch,
+    settings::{
+        host::Host,
+        log::{Format, Level, Log},
     },
-    fulmargw_model::name::Name,
-    log::Record,
-    std::sync::mpsc::channel,
 };
+use fulmargw_model::name::Name;
+use log::Record;
+use std::sync::mpsc::channel;
 
 /// Target of a line of this program.
 const OWN: &str = "fulmargw_control::lease";
--- a/fulmargw/tests/metrics.rs
+++ b/fulmargw/tests/metrics.rs
@@ -2,13 +2,11 @@
 
 mod fixture;
 
-use {
-    fixture::root,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        fs,
-        path::Path,
-    },
+use fixture::root;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::Path,
 };
 
 /// Macros that make a metric, with the kind as the page names it.
--- a/fulmargw/tests/operator.rs
+++ b/fulmargw/tests/operator.rs
@@ -2,12 +2,10 @@
 
 mod fixture;
 
-use {
-    fixture::{CREDENTIAL, Fake, operator},
-    fulmargw::operator::message::Health,
-    fulmargw_model::client_account::Digest,
-    serde_json::{Value, json},
-};
+use fixture::{CREDENTIAL, Fake, operator};
+use fulmargw::operator::message::Health;
+use fulmargw_model::client_account::Digest;
+use serde_json::{Value, json};
 
 async fn get(url: &str, path: &str, credential: &str) -> (u16, String) {
     let request = reqwest::Client::new().get(format!("{url}{path}"));
--- a/fulmargw/tests/serve.rs
+++ b/fulmargw/tests/serve.rs
@@ -2,15 +2,13 @@
 
 mod fixture;
 
-use {
-    fixture::{
-        file,
-        host::{Running, addresses, await_health, free, settings},
-        run, stderr,
-    },
-    std::{net::TcpListener, time::Duration},
-    tokio::time::Instant,
+use fixture::{
+    file,
+    host::{Running, addresses, await_health, free, settings},
+    run, stderr,
 };
+use std::{net::TcpListener, time::Duration};
+use tokio::time::Instant;
 
 /// Guards against a start that fails without naming the step and the address.
 #[test]
--- a/fulmargw/tests/settings.rs
+++ b/fulmargw/tests/settings.rs
@@ -2,11 +2,9 @@
 
 mod fixture;
 
-use {
-    fixture::{example, example_with, problems, root},
-    fulmargw::settings::Settings,
-    std::{collections::BTreeMap, path::Path},
-};
+use fixture::{example, example_with, problems, root};
+use fulmargw::settings::Settings;
+use std::{collections::BTreeMap, path::Path};
 
 fn parse(text: &str) -> Settings {
     Settings::parse(Path::new("test.toml"), text).expect("valid settings")
--- a/fulmargw/tests/share.rs
+++ b/fulmargw/tests/share.rs
@@ -2,23 +2,21 @@
 
 mod fixture;
 
-use {
-    fixture::{
-        CREDENTIAL,
-        host::{Addresses, PATIENCE, Running, addresses, await_health, free, settings},
-    },
-    fulmargw_lab::{
-        database::{
-            member::Start,
-            process::{self as database, Server},
-        },
-        platform::process as platform,
+use fixture::{
+    CREDENTIAL,
+    host::{Addresses, PATIENCE, Running, addresses, await_health, free, settings},
+};
+use fulmargw_lab::{
+    database::{
+        member::Start,
+        process::{self as database, Server},
     },
-    serde_json::{Value, json},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep},
-    tokio_postgres::{Client, Config, NoTls},
+    platform::process as platform,
 };
+use serde_json::{Value, json};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep};
+use tokio_postgres::{Client, Config, NoTls};
 
 /// Connection limit of the backend server: four for one host, two each for two hosts.
 const CONNECTIONS: u32 = 4;
--- a/fulmargw_backend/src/batch.rs
+++ b/fulmargw_backend/src/batch.rs
@@ -1,6 +1,7 @@
 //! Bodies of requests and answers in the PostgreSQL protocol.
 
-use {crate::connection::Transaction, bytes::Bytes};
+use crate::connection::Transaction;
+use bytes::Bytes;
 
 /// Encoded messages of a caller that end with one `Query` or one `Sync`, and have no other.
 ///
--- a/fulmargw_backend/src/connection.rs
+++ b/fulmargw_backend/src/connection.rs
@@ -1,15 +1,13 @@
 //! What the engine needs of a connection to a backend server.
 
-use {
-    fulmargw_model::{
-        backend_server::{Server, Status},
-        name::Name,
-        outcome::Step,
-        position::{Position, Term},
-        request::Id,
-    },
-    std::{future::Future, time::Duration},
+use fulmargw_model::{
+    backend_server::{Server, Status},
+    name::Name,
+    outcome::Step,
+    position::{Position, Term},
+    request::Id,
 };
+use std::{future::Future, time::Duration};
 
 /// Opens connections to backend servers.
 pub trait Connector: Clone + Send + Sync + 'static {
--- a/fulmargw_backend/src/frame.rs
+++ b/fulmargw_backend/src/frame.rs
@@ -1,11 +1,9 @@
 //! Framing of PostgreSQL messages that carry a type byte, without decoding their content.
 
-use {
-    bytes::{Buf, Bytes, BytesMut},
-    pgwire::{error::PgWireError, messages::Message},
-    std::io,
-    tokio_util::codec::Decoder,
-};
+use bytes::{Buf, Bytes, BytesMut};
+use pgwire::{error::PgWireError, messages::Message};
+use std::io;
+use tokio_util::codec::Decoder;
 
 /// Bytes of the type and the length in front of each message.
 pub const HEADER_BYTES: usize = 5;
--- a/fulmargw_backend/src/group.rs
+++ b/fulmargw_backend/src/group.rs
@@ -1,15 +1,13 @@
 //! Statements that call the group functions of a backend server, and their results.
 
-use {
-    crate::connection::{Kind, Level, Settlement},
-    bytes::{Buf, Bytes},
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        position::{Position, Term},
-        request::Id,
-    },
-    std::time::Duration,
+use crate::connection::{Kind, Level, Settlement};
+use bytes::{Buf, Bytes};
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    position::{Position, Term},
+    request::Id,
 };
+use std::time::Duration;
 
 /// Asks for the state of the server.
 pub const STATUS: &str = "SELECT * FROM group_status()";
--- a/fulmargw_backend/src/postgres.rs
+++ b/fulmargw_backend/src/postgres.rs
@@ -5,7 +5,5 @@
 mod segment;
 mod task;
 
-pub use {
-    connector::{Connector, Settings},
-    exchange::Connection,
-};
+pub use connector::{Connector, Settings};
+pub use exchange::Connection;
--- a/fulmargw_backend/src/postgres/connector.rs
+++ b/fulmargw_backend/src/postgres/connector.rs
@@ -1,28 +1,26 @@
 //! Opening of connections.
 
-use {
-    super::{exchange::Connection, segment},
-    crate::{
-        connection::{self, Error, Kind},
-        frame,
-    },
-    bytes::{Buf, BytesMut},
-    fulmargw_model::{backend_server::Server, name::Name, outcome::Step, position::Term},
-    futures::StreamExt,
-    pgwire::messages::startup::Startup,
-    std::{
-        io,
-        net::{IpAddr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::{
-        io::AsyncWriteExt,
-        net::{TcpSocket, TcpStream, tcp::OwnedReadHalf},
-        time,
-    },
-    tokio_util::codec::FramedRead,
+use super::{exchange::Connection, segment};
+use crate::{
+    connection::{self, Error, Kind},
+    frame,
 };
+use bytes::{Buf, BytesMut};
+use fulmargw_model::{backend_server::Server, name::Name, outcome::Step, position::Term};
+use futures::StreamExt;
+use pgwire::messages::startup::Startup;
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpSocket, TcpStream, tcp::OwnedReadHalf},
+    time,
+};
+use tokio_util::codec::FramedRead;
 
 /// How connections are opened and bounded.
 #[derive(Debug, Clone)]
--- a/fulmargw_backend/src/postgres/exchange.rs
+++ b/fulmargw_backend/src/postgres/exchange.rs
@@ -1,22 +1,20 @@
 //! One request and its whole answer on a connection.
 
-use {
-    super::segment::Segment,
-    crate::{
-        connection::{Error, Kind, Transaction},
-        frame,
-        group::Row,
-    },
-    bytes::BytesMut,
-    fulmargw_model::{name::Name, outcome::Step, position::Term},
-    futures::StreamExt,
-    pgwire::messages::simplequery::Query,
-    tokio::{
-        io::AsyncWriteExt,
-        net::tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
-    tokio_util::codec::FramedRead,
+use super::segment::Segment;
+use crate::{
+    connection::{Error, Kind, Transaction},
+    frame,
+    group::Row,
 };
+use bytes::BytesMut;
+use fulmargw_model::{name::Name, outcome::Step, position::Term};
+use futures::StreamExt;
+use pgwire::messages::simplequery::Query;
+use tokio::{
+    io::AsyncWriteExt,
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+};
+use tokio_util::codec::FramedRead;
 
 type Reader = FramedRead<OwnedReadHalf, frame::Codec>;
 
--- a/fulmargw_backend/src/postgres/segment.rs
+++ b/fulmargw_backend/src/postgres/segment.rs
@@ -1,18 +1,16 @@
 //! The messages of a backend server up to one `ReadyForQuery`.
 
-use {
-    crate::{
-        batch::Answer,
-        connection::{Kind, Transaction},
-        frame::{self, Frame},
-        group::{Fault, Row},
-    },
-    bytes::{Bytes, BytesMut},
-    fulmargw_model::outcome::Step,
-    pgwire::messages::{
-        DecodeContext, Message,
-        response::{CommandComplete, ErrorResponse},
-    },
+use crate::{
+    batch::Answer,
+    connection::{Kind, Transaction},
+    frame::{self, Frame},
+    group::{Fault, Row},
+};
+use bytes::{Bytes, BytesMut};
+use fulmargw_model::outcome::Step;
+use pgwire::messages::{
+    DecodeContext, Message,
+    response::{CommandComplete, ErrorResponse},
 };
 
 /// Greatest length of the kept messages of a wrapping statement, in bytes.
--- a/fulmargw_backend/src/postgres/task.rs
+++ b/fulmargw_backend/src/postgres/task.rs
@@ -1,21 +1,19 @@
 //! The tasks of a connection as pipelines of statements.
 
-use {
-    super::{exchange::Connection, segment::Segment},
-    crate::{
-        batch::{Answer, Batch},
-        connection::{self, Error, Kind, Level, Reply, Settlement, Task, Transaction},
-        group,
-    },
-    bytes::BytesMut,
-    fulmargw_model::{
-        backend_server::Status,
-        outcome::Step,
-        position::{Position, Term},
-        request::Id,
-    },
-    std::time::Duration,
+use super::{exchange::Connection, segment::Segment};
+use crate::{
+    batch::{Answer, Batch},
+    connection::{self, Error, Kind, Level, Reply, Settlement, Task, Transaction},
+    group,
 };
+use bytes::BytesMut;
+use fulmargw_model::{
+    backend_server::Status,
+    outcome::Step,
+    position::{Position, Term},
+    request::Id,
+};
+use std::time::Duration;
 
 impl Connection {
     async fn read(
--- a/fulmargw_backend/tests/connector.rs
+++ b/fulmargw_backend/tests/connector.rs
@@ -2,27 +2,23 @@
 
 mod fixture;
 
-use {
-    fixture::{
-        ANSWER_LIMIT, Script, Step, connector,
-        message::{complete, error, message, mutate, ready, row},
-        query, server, tags,
-    },
-    fulmargw_backend::{
-        batch::{Answer, Batch},
-        connection::{
-            Connection as _, Connector as _, Error, Kind, Level, Reply, Task, Transaction,
-        },
-        postgres::Connection,
-    },
-    fulmargw_model::{
-        backend_server::Role,
-        position::{Position, Term},
-        request::Id,
-    },
-    std::time::Duration,
-    tokio::time,
+use fixture::{
+    ANSWER_LIMIT, Script, Step, connector,
+    message::{complete, error, message, mutate, ready, row},
+    query, server, tags,
 };
+use fulmargw_backend::{
+    batch::{Answer, Batch},
+    connection::{Connection as _, Connector as _, Error, Kind, Level, Reply, Task, Transaction},
+    postgres::Connection,
+};
+use fulmargw_model::{
+    backend_server::Role,
+    position::{Position, Term},
+    request::Id,
+};
+use std::time::Duration;
+use tokio::time;
 
 const WRITE: &[&str] = &[
     "Q BEGIN",
--- a/fulmargw_backend/tests/frame.rs
+++ b/fulmargw_backend/tests/frame.rs
@@ -3,15 +3,13 @@
 #[path = "fixture/message.rs"]
 mod message;
 
-use {
-    bytes::{Bytes, BytesMut},
-    fulmargw_backend::{
-        frame::{self, Codec, Error},
-        group::Row,
-    },
-    message::{complete, error, message, mutate, ready, row},
-    tokio_util::codec::Decoder,
+use bytes::{Bytes, BytesMut};
+use fulmargw_backend::{
+    frame::{self, Codec, Error},
+    group::Row,
 };
+use message::{complete, error, message, mutate, ready, row};
+use tokio_util::codec::Decoder;
 
 const LIMIT: usize = 256;
 
--- a/fulmargw_control/src/absence.rs
+++ b/fulmargw_control/src/absence.rs
@@ -1,12 +1,10 @@
 //! Reads the platform's host list while members are silent.
 
-use {
-    crate::{agent::Agent, peers::Peers},
-    fulmargw_platform::store::Store,
-    metrics::counter,
-    std::{collections::BTreeSet, time::Duration},
-    tokio::time::{Instant, MissedTickBehavior, interval, timeout},
-};
+use crate::{agent::Agent, peers::Peers};
+use fulmargw_platform::store::Store;
+use metrics::counter;
+use std::{collections::BTreeSet, time::Duration};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 /// Interval of reads of the host list.
 const INTERVAL: Duration = Duration::from_secs(5);
--- a/fulmargw_control/src/account.rs
+++ b/fulmargw_control/src/account.rs
@@ -1,15 +1,13 @@
 //! The shared table of token buckets.
 
-use {
-    crate::{meter::Meter, table::Standing},
-    fulmargw_decision::rate::{self, Bucket},
-    fulmargw_model::{client_account::Account, configuration, fleet::Life, name::Name},
-    metrics::{Counter, counter},
-    std::{collections::HashMap, sync::Arc},
-    tokio::{
-        sync::{Notify, Semaphore},
-        time::Instant,
-    },
+use crate::{meter::Meter, table::Standing};
+use fulmargw_decision::rate::{self, Bucket};
+use fulmargw_model::{client_account::Account, configuration, fleet::Life, name::Name};
+use metrics::{Counter, counter};
+use std::{collections::HashMap, sync::Arc};
+use tokio::{
+    sync::{Notify, Semaphore},
+    time::Instant,
 };
 
 /// Rank 3: token buckets and grants.
--- a/fulmargw_control/src/agent.rs
+++ b/fulmargw_control/src/agent.rs
@@ -1,33 +1,31 @@
 //! The control part of one host.
 
-use {
-    crate::{
-        account::Accounts,
-        peers::Peers,
-        settings::Settings,
-        table::{Configuration, Fleet, Standing},
-    },
-    fulmargw_decision::rendezvous,
-    fulmargw_model::{
-        configuration,
-        fleet::{Member, State},
-        host::Host,
-        name::Name,
-        order::{Mutex, Rank},
-        position::Term,
-    },
-    fulmargw_peer::{document, message::Announcement, server},
-    fulmargw_platform::store::Store,
-    futures::future::join_all,
-    log::warn,
-    std::{io, sync::Arc, time::Duration},
-    tokio::{
-        net::TcpListener,
-        sync::{Notify, broadcast, watch},
-        time::Instant,
-    },
-    tokio_util::{sync::CancellationToken, task::TaskTracker},
+use crate::{
+    account::Accounts,
+    peers::Peers,
+    settings::Settings,
+    table::{Configuration, Fleet, Standing},
 };
+use fulmargw_decision::rendezvous;
+use fulmargw_model::{
+    configuration,
+    fleet::{Member, State},
+    host::Host,
+    name::Name,
+    order::{Mutex, Rank},
+    position::Term,
+};
+use fulmargw_peer::{document, message::Announcement, server};
+use fulmargw_platform::store::Store;
+use futures::future::join_all;
+use log::warn;
+use std::{io, sync::Arc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, broadcast, watch},
+    time::Instant,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 /// Announcements that a slow receiver may fall behind; each is only a hint.
 const ANNOUNCEMENTS: usize = 64;
--- a/fulmargw_control/src/answer.rs
+++ b/fulmargw_control/src/answer.rs
@@ -1,21 +1,19 @@
 //! Answers to other hosts.
 
-use {
-    crate::{account, agent::Agent, peers::Peers, table},
-    fulmargw_decision::{membership, rendezvous},
-    fulmargw_model::{
-        configuration::{Configuration, Version},
-        fleet::{Fleet, Life, State},
-        name::Name,
-    },
-    fulmargw_peer::{
-        message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
-        service::Handler,
-    },
-    fulmargw_platform::store::Store,
-    std::{sync::Arc, time::Duration},
-    tokio::time::Instant,
+use crate::{account, agent::Agent, peers::Peers, table};
+use fulmargw_decision::{membership, rendezvous};
+use fulmargw_model::{
+    configuration::{Configuration, Version},
+    fleet::{Fleet, Life, State},
+    name::Name,
 };
+use fulmargw_peer::{
+    message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
+    service::Handler,
+};
+use fulmargw_platform::store::Store;
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 /// Time for which a lender keeps tokens for its own requests.
 const RESERVE: Duration = Duration::from_millis(100);
--- a/fulmargw_control/src/borrow.rs
+++ b/fulmargw_control/src/borrow.rs
@@ -1,24 +1,22 @@
 //! Borrows tokens from other hosts.
 
-use {
-    crate::{
-        account::{Entry, Lender},
-        agent::Agent,
-        peers::Peers,
-        rate::LOOKAHEAD,
-        table::Standing,
-    },
-    fulmargw_model::{
-        fleet::{Life, Member, State},
-        name::Name,
-    },
-    fulmargw_peer::message::{Demand, Loan},
-    fulmargw_platform::store::Store,
-    futures::future::join_all,
-    metrics::counter,
-    std::net::SocketAddr,
-    tokio::time::{Instant, sleep},
+use crate::{
+    account::{Entry, Lender},
+    agent::Agent,
+    peers::Peers,
+    rate::LOOKAHEAD,
+    table::Standing,
 };
+use fulmargw_model::{
+    fleet::{Life, Member, State},
+    name::Name,
+};
+use fulmargw_peer::message::{Demand, Loan};
+use fulmargw_platform::store::Store;
+use futures::future::join_all;
+use metrics::counter;
+use std::net::SocketAddr;
+use tokio::time::{Instant, sleep};
 
 /// Part of the next request below which a lender is not asked.
 const WORTHWHILE: f64 = 0.05;
--- a/fulmargw_control/src/configuration.rs
+++ b/fulmargw_control/src/configuration.rs
@@ -1,33 +1,31 @@
 //! Accepts patches and puts newer configurations in force.
 
-use {
-    crate::{
-        agent::Agent,
-        peers::Peers,
-        record::{self, Head, Stored},
-    },
-    fulmargw_decision::{
-        lease,
-        patch::{self, Applied},
-    },
-    fulmargw_model::{
-        configuration::{Configuration, Patch, Version},
-        fleet::{Fleet, Member, State},
-        name::Name,
-    },
-    fulmargw_peer::message::Note,
-    fulmargw_platform::{
-        message::{Commit, Transaction},
-        store::{self, Store},
-    },
-    futures::future::join_all,
-    log::info,
-    metrics::{counter, gauge},
-    serde::Serialize,
-    std::sync::Arc,
-    tokio::time::Instant,
-    uuid::Uuid,
+use crate::{
+    agent::Agent,
+    peers::Peers,
+    record::{self, Head, Stored},
+};
+use fulmargw_decision::{
+    lease,
+    patch::{self, Applied},
+};
+use fulmargw_model::{
+    configuration::{Configuration, Patch, Version},
+    fleet::{Fleet, Member, State},
+    name::Name,
+};
+use fulmargw_peer::message::Note;
+use fulmargw_platform::{
+    message::{Commit, Transaction},
+    store::{self, Store},
 };
+use futures::future::join_all;
+use log::info;
+use metrics::{counter, gauge};
+use serde::Serialize;
+use std::sync::Arc;
+use tokio::time::Instant;
+use uuid::Uuid;
 
 /// Tries of one patch against lost answers of the store.
 const TRIES: usize = 6;
--- a/fulmargw_control/src/dump.rs
+++ b/fulmargw_control/src/dump.rs
@@ -1,17 +1,15 @@
 //! State of the control part for operators, without keys.
 
-use {
-    crate::{agent::Agent, peers::Peers},
-    fulmargw_model::{
-        configuration::Version,
-        fleet::{Fleet, Life},
-        name::Name,
-    },
-    fulmargw_platform::store::Store,
-    serde::Serialize,
-    std::{collections::BTreeMap, sync::Arc},
-    tokio::time::Instant,
+use crate::{agent::Agent, peers::Peers};
+use fulmargw_model::{
+    configuration::Version,
+    fleet::{Fleet, Life},
+    name::Name,
 };
+use fulmargw_platform::store::Store;
+use serde::Serialize;
+use std::{collections::BTreeMap, sync::Arc};
+use tokio::time::Instant;
 
 /// What a host knows and uses at one moment.
 #[derive(Debug, Clone, Serialize)]
--- a/fulmargw_control/src/fetch.rs
+++ b/fulmargw_control/src/fetch.rs
@@ -1,19 +1,17 @@
 //! Fetches newer documents from other hosts.
 
-use {
-    crate::{agent::Agent, peers::Peers, table::Heard},
-    fulmargw_decision::lease,
-    fulmargw_model::{
-        configuration::Configuration,
-        fleet::{Fleet, Life, State},
-        name::Name,
-    },
-    fulmargw_platform::store::Store,
-    futures::future::join_all,
-    metrics::counter,
-    std::{net::SocketAddr, time::Duration},
-    tokio::time::{Instant, sleep},
+use crate::{agent::Agent, peers::Peers, table::Heard};
+use fulmargw_decision::lease;
+use fulmargw_model::{
+    configuration::Configuration,
+    fleet::{Fleet, Life, State},
+    name::Name,
 };
+use fulmargw_platform::store::Store;
+use futures::future::join_all;
+use metrics::counter;
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::{Instant, sleep};
 
 /// Pause between attempts to get a version that another host has heard of.
 const PAUSE: Duration = Duration::from_millis(250);
--- a/fulmargw_control/src/lease.rs
+++ b/fulmargw_control/src/lease.rs
@@ -1,15 +1,13 @@
 //! Asks witnesses to confirm the lease.
 
-use {
-    crate::{agent::Agent, peers::Peers},
-    fulmargw_decision::lease,
-    fulmargw_model::fleet::Member,
-    fulmargw_peer::message::{Confirmation, Question},
-    fulmargw_platform::store::Store,
-    log::info,
-    metrics::gauge,
-    tokio::time::{Instant, MissedTickBehavior, interval},
-};
+use crate::{agent::Agent, peers::Peers};
+use fulmargw_decision::lease;
+use fulmargw_model::fleet::Member;
+use fulmargw_peer::message::{Confirmation, Question};
+use fulmargw_platform::store::Store;
+use log::info;
+use metrics::gauge;
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 impl<S: Store, P: Peers> Agent<S, P> {
     pub(crate) async fn confirm_leases(self) {
--- a/fulmargw_control/src/membership.rs
+++ b/fulmargw_control/src/membership.rs
@@ -1,30 +1,28 @@
 //! Joins and leaves the fleet and removes dead members.
 
-use {
-    crate::{
-        agent::Agent,
-        peers::Peers,
-        record::{self, Stored},
-        settings::Settings,
-        table::Join,
-    },
-    fulmargw_decision::{
-        lease::{self, VALIDITY},
-        membership::{self, ACTIVATION_DELAY},
-        rendezvous,
-    },
-    fulmargw_model::fleet::{Fleet, Life, Member, State},
-    fulmargw_peer::{message::Removal, service::Handler},
-    fulmargw_platform::{
-        message::{Commit, Transaction},
-        store::{Error, Store},
-    },
-    futures::future::join_all,
-    log::{info, warn},
-    metrics::counter,
-    std::time::Duration,
-    tokio::time::{Instant, MissedTickBehavior, interval, sleep},
+use crate::{
+    agent::Agent,
+    peers::Peers,
+    record::{self, Stored},
+    settings::Settings,
+    table::Join,
 };
+use fulmargw_decision::{
+    lease::{self, VALIDITY},
+    membership::{self, ACTIVATION_DELAY},
+    rendezvous,
+};
+use fulmargw_model::fleet::{Fleet, Life, Member, State};
+use fulmargw_peer::{message::Removal, service::Handler};
+use fulmargw_platform::{
+    message::{Commit, Transaction},
+    store::{Error, Store},
+};
+use futures::future::join_all;
+use log::{info, warn};
+use metrics::counter;
+use std::time::Duration;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 /// Interval at which the membership is looked at.
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/fulmargw_control/src/meter.rs
+++ b/fulmargw_control/src/meter.rs
@@ -1,6 +1,7 @@
 //! Counts events over the last seconds.
 
-use {std::time::Duration, tokio::time::Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 const SLOTS: usize = 8;
 const SLOT: Duration = Duration::from_millis(250);
--- a/fulmargw_control/src/peers.rs
+++ b/fulmargw_control/src/peers.rs
@@ -1,16 +1,14 @@
 //! Calls to other hosts, as the agent needs them.
 
-use {
-    fulmargw_model::{
-        configuration::{Configuration, Version},
-        fleet::Fleet,
-    },
-    fulmargw_peer::{
-        client::{Error, Set},
-        message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
-    },
-    std::{future::Future, net::SocketAddr, sync::Arc},
+use fulmargw_model::{
+    configuration::{Configuration, Version},
+    fleet::Fleet,
 };
+use fulmargw_peer::{
+    client::{Error, Set},
+    message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
+};
+use std::{future::Future, net::SocketAddr, sync::Arc};
 
 /// The other hosts. Every call has a deadline of its own.
 pub trait Peers: Clone + Send + Sync + 'static {
--- a/fulmargw_control/src/poll.rs
+++ b/fulmargw_control/src/poll.rs
@@ -1,20 +1,18 @@
 //! Reads the fleet record and the head of the configuration from the store.
 
-use {
-    crate::{
-        agent::Agent,
-        peers::Peers,
-        record::{self, Head, Stored},
-    },
-    fulmargw_model::{configuration::Configuration, fleet},
-    fulmargw_platform::{
-        message::{Commit, Row, Transaction},
-        store::{Error, Store},
-    },
-    metrics::{counter, gauge},
-    std::sync::Arc,
-    tokio::time::{Instant, MissedTickBehavior, interval, timeout},
+use crate::{
+    agent::Agent,
+    peers::Peers,
+    record::{self, Head, Stored},
 };
+use fulmargw_model::{configuration::Configuration, fleet};
+use fulmargw_platform::{
+    message::{Commit, Row, Transaction},
+    store::{Error, Store},
+};
+use metrics::{counter, gauge};
+use std::sync::Arc;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 impl<S: Store, P: Peers> Agent<S, P> {
     pub(crate) async fn poll_store(self) {
--- a/fulmargw_control/src/rate.rs
+++ b/fulmargw_control/src/rate.rs
@@ -1,24 +1,22 @@
 //! Admission of requests within the rates of their client accounts.
 
-use {
-    crate::{
-        account::{Accounts, Entry},
-        agent::Agent,
-        meter,
-        peers::Peers,
-        table::Standing,
-    },
-    fulmargw_decision::rate::Shortage,
-    fulmargw_model::{
-        name::Name,
-        outcome::{Reason, Refusal},
-    },
-    fulmargw_platform::store::Store,
-    std::{sync::Arc, time::Duration},
-    tokio::{
-        sync::{Notify, Semaphore},
-        time::{Instant, sleep_until, timeout_at},
-    },
+use crate::{
+    account::{Accounts, Entry},
+    agent::Agent,
+    meter,
+    peers::Peers,
+    table::Standing,
+};
+use fulmargw_decision::rate::Shortage;
+use fulmargw_model::{
+    name::Name,
+    outcome::{Reason, Refusal},
+};
+use fulmargw_platform::store::Store;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::{Notify, Semaphore},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 /// Bounds of the time after which a refused caller should try again.
--- a/fulmargw_control/src/record.rs
+++ b/fulmargw_control/src/record.rs
@@ -1,13 +1,11 @@
 //! Rows that the control part keeps in the platform's table service.
 
-use {
-    fulmargw_model::configuration::Version,
-    fulmargw_platform::{
-        message::{Condition, Row, Write},
-        store,
-    },
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+use fulmargw_model::configuration::Version;
+use fulmargw_platform::{
+    message::{Condition, Row, Write},
+    store,
 };
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Key of the fleet record.
 pub const FLEET: &str = "fleet";
--- a/fulmargw_control/src/settings.rs
+++ b/fulmargw_control/src/settings.rs
@@ -1,9 +1,7 @@
 //! Settings of the control part.
 
-use {
-    serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, time::Duration},
-};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
 
 /// Settings of an agent. Times that the lease rules fix are constants, not settings.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/fulmargw_control/src/table.rs
+++ b/fulmargw_control/src/table.rs
@@ -1,23 +1,21 @@
 //! The shared tables of configuration and fleet.
 
-use {
-    fulmargw_decision::{
-        absence::Absence,
-        lease::{self, Evidence},
-        membership::{self, Share},
-    },
-    fulmargw_model::{
-        configuration,
-        fleet::{self, Generation, Life, Member, State},
-        name::Name,
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::time::Instant,
+use fulmargw_decision::{
+    absence::Absence,
+    lease::{self, Evidence},
+    membership::{self, Share},
 };
+use fulmargw_model::{
+    configuration,
+    fleet::{self, Generation, Life, Member, State},
+    name::Name,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::Instant;
 
 /// Age at which an unobtainable version stops keyed routes.
 const HEARD_LIMIT: Duration = Duration::from_secs(2);
--- a/fulmargw_control/tests/configuration.rs
+++ b/fulmargw_control/tests/configuration.rs
@@ -2,18 +2,16 @@
 
 mod fixture;
 
-use {
-    fixture::{World, account, patch, put, until, version},
-    fulmargw_control::configuration::Error,
-    fulmargw_decision::patch,
-    fulmargw_model::{
-        client_account::Digest,
-        configuration::{Change, Patch, Version},
-        name::Name,
-    },
-    std::time::Duration,
-    tokio::time::{Instant, sleep},
+use fixture::{World, account, patch, put, until, version};
+use fulmargw_control::configuration::Error;
+use fulmargw_decision::patch;
+use fulmargw_model::{
+    client_account::Digest,
+    configuration::{Change, Patch, Version},
+    name::Name,
 };
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 fn withdrawal(base: u64, id: &str) -> Patch {
     let change = Change::WithdrawKey {
--- a/fulmargw_control/tests/faults.rs
+++ b/fulmargw_control/tests/faults.rs
@@ -4,15 +4,13 @@
 mod bound;
 mod fixture;
 
-use {
-    bound::Log,
-    fixture::{Node, World, account, put, until, version},
-    rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeMap, time::Duration},
-    tokio::{
-        task::JoinSet,
-        time::{Instant, sleep},
-    },
+use bound::Log;
+use fixture::{Node, World, account, put, until, version};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
 };
 
 const SEEDS: std::ops::Range<u64> = 4..8;
--- a/fulmargw_control/tests/fleet.rs
+++ b/fulmargw_control/tests/fleet.rs
@@ -2,12 +2,10 @@
 
 mod fixture;
 
-use {
-    fixture::{World, account, admit, put, until},
-    fulmargw_peer::{message::Removal, service::Handler},
-    std::time::Duration,
-    tokio::time::{Instant, sleep},
-};
+use fixture::{World, account, admit, put, until};
+use fulmargw_peer::{message::Removal, service::Handler};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 /// Guards against hosts that use a share before the others reduced theirs.
 #[tokio::test(start_paused = true)]
--- a/fulmargw_control/tests/rate.rs
+++ b/fulmargw_control/tests/rate.rs
@@ -4,14 +4,12 @@
 mod bound;
 mod fixture;
 
-use {
-    bound::{Log, excess},
-    fixture::{Node, World, account, admit, put, until},
-    std::time::Duration,
-    tokio::{
-        task::JoinSet,
-        time::{Instant, sleep},
-    },
+use bound::{Log, excess};
+use fixture::{Node, World, account, admit, put, until};
+use std::time::Duration;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
 };
 
 async fn configured(world: &World, rate: f64, burst: f64) -> Vec<Node> {
--- a/fulmargw_control/tests/vanished.rs
+++ b/fulmargw_control/tests/vanished.rs
@@ -2,11 +2,9 @@
 
 mod fixture;
 
-use {
-    fixture::{Node, World, until},
-    std::time::Duration,
-    tokio::time::sleep,
-};
+use fixture::{Node, World, until};
+use std::time::Duration;
+use tokio::time::sleep;
 
 const DEAD: [&str; 4] = ["a", "b", "c", "d"];
 
--- a/fulmargw_control/tests/wire.rs
+++ b/fulmargw_control/tests/wire.rs
@@ -2,13 +2,11 @@
 
 mod fixture;
 
-use {
-    fixture::{Disk, World, account, admit, put, until_real},
-    fulmargw_control::{agent::Agent, settings::Settings},
-    fulmargw_model::{availability_zone::Zone, host::Host, name::Name},
-    fulmargw_peer::client::{self, Set},
-    tokio::net::TcpListener,
-};
+use fixture::{Disk, World, account, admit, put, until_real};
+use fulmargw_control::{agent::Agent, settings::Settings};
+use fulmargw_model::{availability_zone::Zone, host::Host, name::Name};
+use fulmargw_peer::client::{self, Set};
+use tokio::net::TcpListener;
 
 async fn start(world: &World, name: &str) -> Agent<Disk, Set> {
     let calls = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
--- a/fulmargw_decision/src/absence.rs
+++ b/fulmargw_decision/src/absence.rs
@@ -1,16 +1,14 @@
 //! Evidence from the platform's host list that members were taken away for good.
 
-use {
-    fulmargw_model::{
-        fleet::{Fleet, Life, Member},
-        name::Name,
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
-    tokio::time::Instant,
+use fulmargw_model::{
+    fleet::{Fleet, Life, Member},
+    name::Name,
 };
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use tokio::time::Instant;
 
 /// Longest time between two reads of the list that count as consecutive. At an interval of
 /// 5 s, two failed reads in a row are tolerated.
--- a/fulmargw_decision/src/access.rs
+++ b/fulmargw_decision/src/access.rs
@@ -1,16 +1,14 @@
 //! Authorisation of callers by route, client account and key.
 
-use {
-    fulmargw_model::{
-        client_account::Digest,
-        configuration::Configuration,
-        name::Name,
-        outcome::{Reason, Refusal},
-        request::{Class, Repeat},
-        route::{Access, Route},
-    },
-    std::time::Duration,
+use fulmargw_model::{
+    client_account::Digest,
+    configuration::Configuration,
+    name::Name,
+    outcome::{Reason, Refusal},
+    request::{Class, Repeat},
+    route::{Access, Route},
 };
+use std::time::Duration;
 
 /// The permission of a caller to use a route.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/fulmargw_decision/src/lease.rs
+++ b/fulmargw_decision/src/lease.rs
@@ -1,16 +1,14 @@
 //! Validity of a host's lease and quorum sizes.
 
-use {
-    fulmargw_model::{
-        fleet::{Fleet, Generation, Life, Member, State},
-        name::Name,
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
-    tokio::time::Instant,
+use fulmargw_model::{
+    fleet::{Fleet, Generation, Life, Member, State},
+    name::Name,
 };
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+use tokio::time::Instant;
 
 /// Time for which evidence keeps a lease valid, counted from the sending of the question.
 pub const VALIDITY: Duration = Duration::from_millis(1_500);
--- a/fulmargw_decision/src/membership.rs
+++ b/fulmargw_decision/src/membership.rs
@@ -1,15 +1,13 @@
 //! Changes of the fleet record and the shares that follow from it.
 
-use {
-    crate::lease,
-    fulmargw_model::{
-        fleet::{Fleet, Generation, Life, Member, State},
-        host::{Host, Incarnation},
-        name::Name,
-    },
-    std::time::Duration,
-    tokio::time::Instant,
+use crate::lease;
+use fulmargw_model::{
+    fleet::{Fleet, Generation, Life, Member, State},
+    host::{Host, Incarnation},
+    name::Name,
 };
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time from the last confirmation of a join to its activation.
 ///
--- a/fulmargw_decision/src/patch.rs
+++ b/fulmargw_decision/src/patch.rs
@@ -1,16 +1,14 @@
 //! Validation and application of configuration patches.
 
-use {
-    fulmargw_model::{
-        backend_server::Server,
-        client_account::{Account, Digest},
-        configuration::{Change, Configuration, Patch, Version},
-        name::Name,
-        route::{Access, Route},
-        service::Service,
-    },
-    std::collections::{BTreeMap, BTreeSet},
+use fulmargw_model::{
+    backend_server::Server,
+    client_account::{Account, Digest},
+    configuration::{Change, Configuration, Patch, Version},
+    name::Name,
+    route::{Access, Route},
+    service::Service,
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Connections that each holder needs to a server: one for control and one for work.
 pub const CONNECTIONS_PER_HOLDER: u32 = 2;
--- a/fulmargw_decision/src/promotion.rs
+++ b/fulmargw_decision/src/promotion.rs
@@ -1,13 +1,11 @@
 //! Judgement of a failed primary, and the choice of the next one.
 
-use {
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        position::Term,
-    },
-    serde::Serialize,
-    std::time::Duration,
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    position::Term,
 };
+use serde::Serialize;
+use std::time::Duration;
 
 /// Silence after which a replica no longer hears the primary; three probe intervals.
 pub const SILENCE: Duration = Duration::from_millis(300);
--- a/fulmargw_decision/src/queue.rs
+++ b/fulmargw_decision/src/queue.rs
@@ -1,8 +1,9 @@
 //! Fair queue of waiting requests.
 
-use {
-    fulmargw_model::name::Name, serde::Serialize, std::collections::VecDeque, tokio::time::Instant,
-};
+use fulmargw_model::name::Name;
+use serde::Serialize;
+use std::collections::VecDeque;
+use tokio::time::Instant;
 
 /// Cost that a lane may spend in one round.
 const QUANTUM: u32 = 4;
--- a/fulmargw_decision/src/rate.rs
+++ b/fulmargw_decision/src/rate.rs
@@ -1,11 +1,9 @@
 //! Token buckets with expiring grants between hosts.
 
-use {
-    fulmargw_model::{client_account::Account, name::Name},
-    serde::{Deserialize, Serialize},
-    std::time::Duration,
-    tokio::time::Instant,
-};
+use fulmargw_model::{client_account::Account, name::Name};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// The longest life of a grant.
 pub const GRANT_LIFE: Duration = Duration::from_millis(500);
--- a/fulmargw_decision/src/rendezvous.rs
+++ b/fulmargw_decision/src/rendezvous.rs
@@ -1,9 +1,7 @@
 //! Rendezvous hashing: every host computes the same ranking of members for a key.
 
-use {
-    fulmargw_model::name::Name,
-    sha2::{Digest as _, Sha256},
-};
+use fulmargw_model::name::Name;
+use sha2::{Digest as _, Sha256};
 
 /// Ranks members for a key, the highest weight first.
 #[must_use]
--- a/fulmargw_decision/src/retry.rs
+++ b/fulmargw_decision/src/retry.rs
@@ -1,6 +1,8 @@
 //! Retry budget and backoff.
 
-use {serde::Serialize, std::time::Duration, tokio::time::Instant};
+use serde::Serialize;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Span over which requests and retries are counted; two spans are kept.
 const SPAN: Duration = Duration::from_secs(10);
--- a/fulmargw_decision/src/routing.rs
+++ b/fulmargw_decision/src/routing.rs
@@ -1,15 +1,13 @@
 //! Choice of the backend servers that may run a request.
 
-use {
-    fulmargw_model::{
-        availability_zone::Zone,
-        backend_server::{Role, Status},
-        position::Position,
-        request::Class,
-    },
-    serde::Serialize,
-    std::{cmp::Reverse, time::Duration},
+use fulmargw_model::{
+    availability_zone::Zone,
+    backend_server::{Role, Status},
+    position::Position,
+    request::Class,
 };
+use serde::Serialize;
+use std::{cmp::Reverse, time::Duration};
 
 /// Age above which a status no longer proves that a replica can be used.
 pub const STATUS_AGE: Duration = Duration::from_millis(500);
--- a/fulmargw_decision/src/staleness.rs
+++ b/fulmargw_decision/src/staleness.rs
@@ -1,10 +1,8 @@
 //! Bound of the age of a replica's data, from samples of the primary's position.
 
-use {
-    fulmargw_model::position::{Position, Term},
-    std::{collections::VecDeque, time::Duration},
-    tokio::time::Instant,
-};
+use fulmargw_model::position::{Position, Term};
+use std::{collections::VecDeque, time::Duration};
+use tokio::time::Instant;
 
 /// Samples kept per group; at one each 20 ms they cover about 10 s.
 const MOST_SAMPLES: usize = 512;
--- a/fulmargw_decision/tests/absence.rs
+++ b/fulmargw_decision/tests/absence.rs
@@ -1,16 +1,14 @@
 //! Evidence from the host list, and the consents that vanished members leave.
 
-use {
-    fulmargw_decision::{absence::Absence, lease},
-    fulmargw_model::{
-        availability_zone::Zone,
-        fleet::{Fleet, Generation, Life, Member, State},
-        host::{Host, Incarnation},
-        name::Name,
-    },
-    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
-    tokio::time::Instant,
+use fulmargw_decision::{absence::Absence, lease};
+use fulmargw_model::{
+    availability_zone::Zone,
+    fleet::{Fleet, Generation, Life, Member, State},
+    host::{Host, Incarnation},
+    name::Name,
 };
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
 
 const PERIOD: Duration = Duration::from_secs(30);
 
--- a/fulmargw_decision/tests/access.rs
+++ b/fulmargw_decision/tests/access.rs
@@ -1,17 +1,15 @@
 //! Authorisation of callers.
 
-use {
-    fulmargw_decision::access::{Grant, authorize},
-    fulmargw_model::{
-        client_account::{Account, Digest},
-        configuration::Configuration,
-        name::Name,
-        outcome::{Reason, Refusal},
-        request::{Class, Repeat},
-        route::{Access, Route},
-    },
-    quickcheck::quickcheck,
+use fulmargw_decision::access::{Grant, authorize};
+use fulmargw_model::{
+    client_account::{Account, Digest},
+    configuration::Configuration,
+    name::Name,
+    outcome::{Reason, Refusal},
+    request::{Class, Repeat},
+    route::{Access, Route},
 };
+use quickcheck::quickcheck;
 
 /// A change of the configuration under a connected caller.
 type Change = fn(&mut Configuration);
--- a/fulmargw_decision/tests/lease.rs
+++ b/fulmargw_decision/tests/lease.rs
@@ -1,24 +1,22 @@
 //! Leases, removals and shares, with a model check of removals.
 
-use {
-    fulmargw_decision::{
-        lease::{Confirmation, Evidence, VALIDITY, consents, quorum},
-        membership::{self, Share},
-    },
-    fulmargw_model::{
-        availability_zone::Zone,
-        fleet::{Fleet, Generation, Life, Member, State},
-        host::{Host, Incarnation},
-        name::Name,
-    },
-    quickcheck::quickcheck,
-    std::{
-        collections::{BTreeSet, HashSet},
-        net::SocketAddr,
-        time::Duration,
-    },
-    tokio::time::Instant,
+use fulmargw_decision::{
+    lease::{Confirmation, Evidence, VALIDITY, consents, quorum},
+    membership::{self, Share},
 };
+use fulmargw_model::{
+    availability_zone::Zone,
+    fleet::{Fleet, Generation, Life, Member, State},
+    host::{Host, Incarnation},
+    name::Name,
+};
+use quickcheck::quickcheck;
+use std::{
+    collections::{BTreeSet, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
+use tokio::time::Instant;
 
 fn host(number: u8) -> Host {
     let port = |base: u16| SocketAddr::from(([127, 0, 0, 1], base + u16::from(number)));
--- a/fulmargw_decision/tests/patch.rs
+++ b/fulmargw_decision/tests/patch.rs
@@ -1,20 +1,18 @@
 //! Validation and application of patches.
 
-use {
-    fulmargw_decision::patch::{Applied, Error, Fault, apply},
-    fulmargw_model::{
-        availability_zone::Zone,
-        backend_server::Server,
-        client_account::{Account, Digest},
-        configuration::{Change, Configuration, Patch, Version},
-        name::Name,
-        request::{Class, Repeat},
-        route::{Access, Route},
-        service::Service,
-    },
-    quickcheck::quickcheck,
-    std::net::SocketAddr,
+use fulmargw_decision::patch::{Applied, Error, Fault, apply};
+use fulmargw_model::{
+    availability_zone::Zone,
+    backend_server::Server,
+    client_account::{Account, Digest},
+    configuration::{Change, Configuration, Patch, Version},
+    name::Name,
+    request::{Class, Repeat},
+    route::{Access, Route},
+    service::Service,
 };
+use quickcheck::quickcheck;
+use std::net::SocketAddr;
 
 const HOLDERS: u32 = 4;
 
--- a/fulmargw_decision/tests/promotion.rs
+++ b/fulmargw_decision/tests/promotion.rs
@@ -1,14 +1,12 @@
 //! Judgement of a failed primary and choice of the next one.
 
-use {
-    fulmargw_decision::promotion::{self, Cause, Member, Promise, Reach},
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        position::{Position, Term},
-    },
-    quickcheck::quickcheck,
-    std::time::Duration,
+use fulmargw_decision::promotion::{self, Cause, Member, Promise, Reach};
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    position::{Position, Term},
 };
+use quickcheck::quickcheck;
+use std::time::Duration;
 
 fn status(role: Role, term: u64, index: u64) -> Status {
     let position = Position {
--- a/fulmargw_decision/tests/queue.rs
+++ b/fulmargw_decision/tests/queue.rs
@@ -1,12 +1,10 @@
 //! Fair queue.
 
-use {
-    fulmargw_decision::queue::{Bound, Entry, Queue, Urgency},
-    fulmargw_model::name::Name,
-    quickcheck::quickcheck,
-    std::time::Duration,
-    tokio::time::Instant,
-};
+use fulmargw_decision::queue::{Bound, Entry, Queue, Urgency};
+use fulmargw_model::name::Name;
+use quickcheck::quickcheck;
+use std::time::Duration;
+use tokio::time::Instant;
 
 fn queue(lane: usize, total: usize) -> Queue<u32> {
     Queue::new(Bound { lane, total })
--- a/fulmargw_decision/tests/rate.rs
+++ b/fulmargw_decision/tests/rate.rs
@@ -1,12 +1,10 @@
 //! Token buckets with grants between several holders.
 
-use {
-    fulmargw_decision::rate::{Bucket, GRANT_LIFE, Grant, Settlement, Share},
-    fulmargw_model::{client_account::Account, name::Name},
-    quickcheck::{Arbitrary, Gen, QuickCheck},
-    std::time::Duration,
-    tokio::time::Instant,
-};
+use fulmargw_decision::rate::{Bucket, GRANT_LIFE, Grant, Settlement, Share};
+use fulmargw_model::{client_account::Account, name::Name};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Rounding errors of the check itself.
 const ROUNDING: f64 = 1e-6;
--- a/fulmargw_decision/tests/rendezvous.rs
+++ b/fulmargw_decision/tests/rendezvous.rs
@@ -1,10 +1,8 @@
 //! Rendezvous hashing.
 
-use {
-    fulmargw_decision::rendezvous::{rank, ranking},
-    fulmargw_model::name::Name,
-    quickcheck::quickcheck,
-};
+use fulmargw_decision::rendezvous::{rank, ranking};
+use fulmargw_model::name::Name;
+use quickcheck::quickcheck;
 
 fn names(count: u8) -> Vec<Name> {
     (0..count)
--- a/fulmargw_decision/tests/retry.rs
+++ b/fulmargw_decision/tests/retry.rs
@@ -1,11 +1,9 @@
 //! Retry budget and backoff.
 
-use {
-    fulmargw_decision::retry::{self, Budget},
-    quickcheck::quickcheck,
-    std::time::Duration,
-    tokio::time::Instant,
-};
+use fulmargw_decision::retry::{self, Budget};
+use quickcheck::quickcheck;
+use std::time::Duration;
+use tokio::time::Instant;
 
 quickcheck! {
     /// Guards against retries that multiply an overload.
--- a/fulmargw_decision/tests/routing.rs
+++ b/fulmargw_decision/tests/routing.rs
@@ -1,16 +1,14 @@
 //! Choice of backend servers.
 
-use {
-    fulmargw_decision::routing::{self, By, Need, View, Why},
-    fulmargw_model::{
-        availability_zone::Zone,
-        backend_server::{Role, Status},
-        position::{Position, Term},
-        request::Class,
-    },
-    quickcheck::{Arbitrary, Gen, quickcheck},
-    std::time::Duration,
+use fulmargw_decision::routing::{self, By, Need, View, Why};
+use fulmargw_model::{
+    availability_zone::Zone,
+    backend_server::{Role, Status},
+    position::{Position, Term},
+    request::Class,
 };
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use std::time::Duration;
 
 const SECOND: Class = Class::Aged(Duration::from_secs(1));
 
--- a/fulmargw_decision/tests/staleness.rs
+++ b/fulmargw_decision/tests/staleness.rs
@@ -1,12 +1,10 @@
 //! Bound of the age of a replica's data.
 
-use {
-    fulmargw_decision::staleness::History,
-    fulmargw_model::position::{Position, Term},
-    quickcheck::quickcheck,
-    std::time::Duration,
-    tokio::time::Instant,
-};
+use fulmargw_decision::staleness::History;
+use fulmargw_model::position::{Position, Term};
+use quickcheck::quickcheck;
+use std::time::Duration;
+use tokio::time::Instant;
 
 fn at(term: u64, index: u64) -> Position {
     Position {
--- a/fulmargw_engine/src/confirm.rs
+++ b/fulmargw_engine/src/confirm.rs
@@ -1,28 +1,26 @@
 //! Confirmation by a majority: acknowledged writes, read indexes and promises.
 
-use {
-    crate::{
-        core::Core,
-        gate::Gate,
-        table::{
-            group::{Pending, Primary, Unconfirmed},
-            member::{Order, Seen},
-            server::Key,
-        },
-    },
-    fulmargw_backend::connection::Connector,
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        name::Name,
-        position::{Position, Term},
-    },
-    futures::{StreamExt, stream::FuturesUnordered},
-    std::{pin::pin, sync::Arc, time::Duration},
-    tokio::{
-        sync::oneshot,
-        time::{Instant, sleep, timeout_at},
+use crate::{
+    core::Core,
+    gate::Gate,
+    table::{
+        group::{Pending, Primary, Unconfirmed},
+        member::{Order, Seen},
+        server::Key,
     },
 };
+use fulmargw_backend::connection::Connector;
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    name::Name,
+    position::{Position, Term},
+};
+use futures::{StreamExt, stream::FuturesUnordered};
+use std::{pin::pin, sync::Arc, time::Duration};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, timeout_at},
+};
 
 /// Pause before a question to a group is repeated.
 pub const PAUSE: Duration = Duration::from_millis(5);
--- a/fulmargw_engine/src/core.rs
+++ b/fulmargw_engine/src/core.rs
@@ -1,33 +1,31 @@
 //! State that the tasks of the engine share.
 
-use {
-    crate::{
-        gate::Gate,
-        invariant,
-        job::Job,
-        journal::Journal,
-        settings::Settings,
-        table::{
-            member::Member,
-            pin::{Hold, Pins},
-            queue::Queues,
-            server::{Key, Servers},
-        },
+use crate::{
+    gate::Gate,
+    invariant,
+    job::Job,
+    journal::Journal,
+    settings::Settings,
+    table::{
+        member::Member,
+        pin::{Hold, Pins},
+        queue::Queues,
+        server::{Key, Servers},
     },
-    fulmargw_backend::connection::{self, Connector},
-    fulmargw_decision::queue::Bound,
-    fulmargw_model::{
-        availability_zone::Zone,
-        order::{Mutex, Rank},
-        position::Term,
-    },
-    std::{sync::Arc, time::Duration},
-    tokio::{
-        sync::Notify,
-        time::{Instant, sleep},
-    },
-    tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
+use fulmargw_backend::connection::{self, Connector};
+use fulmargw_decision::queue::Bound;
+use fulmargw_model::{
+    availability_zone::Zone,
+    order::{Mutex, Rank},
+    position::Term,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 /// Time for which a closed connection still counts against the server's limit, because the
 /// server frees it only after it has read the end of the stream.
--- a/fulmargw_engine/src/engine.rs
+++ b/fulmargw_engine/src/engine.rs
@@ -1,25 +1,23 @@
 //! Entry point of the engine.
 
-use {
-    crate::{
-        core::{Answer, Body, Core},
-        gate::Gate,
-        settings::Settings,
-        state::State,
-        submit::Submit,
-        supervisor,
-        table::member::Member,
-        worker,
-    },
-    fulmargw_backend::connection::Connector,
-    fulmargw_model::{
-        availability_zone::Zone, configuration::Configuration, outcome::Outcome, request::Request,
-    },
-    std::{fmt, sync::Arc, time::Duration},
-    tokio::{
-        sync::watch,
-        time::{Instant, sleep, timeout_at},
-    },
+use crate::{
+    core::{Answer, Body, Core},
+    gate::Gate,
+    settings::Settings,
+    state::State,
+    submit::Submit,
+    supervisor,
+    table::member::Member,
+    worker,
+};
+use fulmargw_backend::connection::Connector;
+use fulmargw_model::{
+    availability_zone::Zone, configuration::Configuration, outcome::Outcome, request::Request,
+};
+use std::{fmt, sync::Arc, time::Duration};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout_at},
 };
 
 /// Time between two looks at the work that is still running.
--- a/fulmargw_engine/src/execute.rs
+++ b/fulmargw_engine/src/execute.rs
@@ -8,26 +8,24 @@
 mod transaction;
 mod write;
 
-use {
-    crate::{
-        core::{Answer, Body, Core},
-        gate::Gate,
-        job::refusal,
-        table::pin::Met,
-    },
-    fulmargw_backend::connection::Connector,
-    fulmargw_decision::retry,
-    fulmargw_model::{
-        name::Name,
-        outcome::{self, Outcome, Reason},
-        position::Position,
-        request::{Class, Part, Request},
-        route::Access,
-    },
-    std::sync::Arc,
-    tokio::time::{Instant, sleep},
-    trace::{Record, Trace},
+use crate::{
+    core::{Answer, Body, Core},
+    gate::Gate,
+    job::refusal,
+    table::pin::Met,
 };
+use fulmargw_backend::connection::Connector;
+use fulmargw_decision::retry;
+use fulmargw_model::{
+    name::Name,
+    outcome::{self, Outcome, Reason},
+    position::Position,
+    request::{Class, Part, Request},
+    route::Access,
+};
+use std::sync::Arc;
+use tokio::time::{Instant, sleep};
+use trace::{Record, Trace};
 
 impl<C: Connector, G: Gate> Core<C, G> {
     /// Carries a request to its outcome and records it.
--- a/fulmargw_engine/src/execute/dispatch.rs
+++ b/fulmargw_engine/src/execute/dispatch.rs
@@ -1,25 +1,23 @@
 //! Hands executions to the workers.
 
-use {
-    super::Trace,
-    crate::{
-        core::{Answer, Body, Core},
-        gate::Gate,
-        job::{self, Done, Failure, Job, Work, refusal},
-        table::{group::Group, queue::Place},
-    },
-    fulmargw_backend::connection::Connector,
-    fulmargw_decision::queue::Entry,
-    fulmargw_model::{
-        outcome::{Reason, Refusal},
-        position::Term,
-        request::{Class, Request},
-    },
-    std::sync::Arc,
-    tokio::{
-        sync::oneshot,
-        time::{Instant, timeout_at},
-    },
+use super::Trace;
+use crate::{
+    core::{Answer, Body, Core},
+    gate::Gate,
+    job::{self, Done, Failure, Job, Work, refusal},
+    table::{group::Group, queue::Place},
+};
+use fulmargw_backend::connection::Connector;
+use fulmargw_decision::queue::Entry;
+use fulmargw_model::{
+    outcome::{Reason, Refusal},
+    position::Term,
+    request::{Class, Request},
+};
+use std::sync::Arc;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
 };
 
 /// Removes a waiting execution when its submitter goes.
--- a/fulmargw_engine/src/execute/read.rs
+++ b/fulmargw_engine/src/execute/read.rs
@@ -1,24 +1,22 @@
 //! Reads outside of a transaction that writes.
 
-use {
-    super::{Trace, answered, refused},
-    crate::{
-        core::{Answer, Body, Core},
-        gate::Gate,
-        job::{Done, Failure, Place, Work},
-    },
-    fulmargw_backend::connection::{Connector, Error, Kind},
-    fulmargw_decision::routing::{self, By},
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        outcome::{Outcome, Reason},
-        position::{Position, Term},
-        request::{Class, Id, Part, Request},
-    },
-    futures::future,
-    std::sync::Arc,
-    tokio::time::Instant,
+use super::{Trace, answered, refused};
+use crate::{
+    core::{Answer, Body, Core},
+    gate::Gate,
+    job::{Done, Failure, Place, Work},
 };
+use fulmargw_backend::connection::{Connector, Error, Kind};
+use fulmargw_decision::routing::{self, By};
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    outcome::{Outcome, Reason},
+    position::{Position, Term},
+    request::{Class, Id, Part, Request},
+};
+use futures::future;
+use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Result of one execution of a read.
 enum Read<A> {
--- a/fulmargw_engine/src/execute/settle.rs
+++ b/fulmargw_engine/src/execute/settle.rs
@@ -1,20 +1,18 @@
 //! Settles whether an attempt of a write ran.
 
-use {
-    crate::{
-        confirm::PAUSE,
-        core::{Body, Core},
-        gate::Gate,
-        table::{member::Order, server::Key},
-    },
-    fulmargw_backend::connection::{Connector, Settlement},
-    fulmargw_model::{
-        name::Name,
-        position::{Position, Term},
-        request::{Id, Request},
-    },
-    tokio::time::{Instant, sleep},
+use crate::{
+    confirm::PAUSE,
+    core::{Body, Core},
+    gate::Gate,
+    table::{member::Order, server::Key},
 };
+use fulmargw_backend::connection::{Connector, Settlement};
+use fulmargw_model::{
+    name::Name,
+    position::{Position, Term},
+    request::{Id, Request},
+};
+use tokio::time::{Instant, sleep};
 
 /// Whether an attempt ran, as a majority holds it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/fulmargw_engine/src/execute/trace.rs
+++ b/fulmargw_engine/src/execute/trace.rs
@@ -1,21 +1,19 @@
 //! Record of how a request was carried to its outcome.
 
-use {
-    crate::{
-        core::{Body, Core},
-        gate::Gate,
-        job::Place,
-        journal::{Entry, Label},
-    },
-    fulmargw_backend::connection::Connector,
-    fulmargw_decision::routing::By,
-    fulmargw_model::{
-        outcome::{Outcome, Reason},
-        request::{Class, Request},
-    },
-    std::sync::Arc,
-    tokio::time::Instant,
+use crate::{
+    core::{Body, Core},
+    gate::Gate,
+    job::Place,
+    journal::{Entry, Label},
 };
+use fulmargw_backend::connection::Connector;
+use fulmargw_decision::routing::By;
+use fulmargw_model::{
+    outcome::{Outcome, Reason},
+    request::{Class, Request},
+};
+use std::sync::Arc;
+use tokio::time::Instant;
 
 /// What happened to a request so far.
 #[derive(Debug)]
--- a/fulmargw_engine/src/execute/transaction.rs
+++ b/fulmargw_engine/src/execute/transaction.rs
@@ -1,20 +1,18 @@
 //! Explicit transactions of callers.
 
-use {
-    super::{Trace, answered, refused, settle::Settled, write::is_not_run},
-    crate::{
-        core::{Answer, Body, Core},
-        gate::Gate,
-        job::{Done, Failure, Work},
-        table::{group::Unconfirmed, pin::Hold},
-    },
-    fulmargw_backend::connection::{Connector, Kind},
-    fulmargw_model::{
-        outcome::{Outcome, Reason, Step},
-        request::{Part, Request},
-    },
-    std::sync::Arc,
+use super::{Trace, answered, refused, settle::Settled, write::is_not_run};
+use crate::{
+    core::{Answer, Body, Core},
+    gate::Gate,
+    job::{Done, Failure, Work},
+    table::{group::Unconfirmed, pin::Hold},
 };
+use fulmargw_backend::connection::{Connector, Kind};
+use fulmargw_model::{
+    outcome::{Outcome, Reason, Step},
+    request::{Part, Request},
+};
+use std::sync::Arc;
 
 impl<C: Connector, G: Gate> Core<C, G> {
     /// Begins a transaction that writes.
--- a/fulmargw_engine/src/execute/write.rs
+++ b/fulmargw_engine/src/execute/write.rs
@@ -1,21 +1,19 @@
 //! Writes that are a whole transaction.
 
-use {
-    super::{Trace, answered, attempt::Attempt, refused, settle::Settled},
-    crate::{
-        core::{Answer, Body, Core},
-        gate::Gate,
-        job::{Done, Failure, Work},
-        table::group::Unconfirmed,
-    },
-    fulmargw_backend::connection::{Connector, Error, Kind},
-    fulmargw_model::{
-        outcome::{Outcome, Reason, Step},
-        position::Term,
-        request::Request,
-    },
-    std::{ops::ControlFlow, sync::Arc},
+use super::{Trace, answered, attempt::Attempt, refused, settle::Settled};
+use crate::{
+    core::{Answer, Body, Core},
+    gate::Gate,
+    job::{Done, Failure, Work},
+    table::group::Unconfirmed,
 };
+use fulmargw_backend::connection::{Connector, Error, Kind};
+use fulmargw_model::{
+    outcome::{Outcome, Reason, Step},
+    position::Term,
+    request::Request,
+};
+use std::{ops::ControlFlow, sync::Arc};
 
 /// Goes on with another attempt, or ends with an outcome.
 type Next<A> = ControlFlow<Outcome<A>>;
--- a/fulmargw_engine/src/failover.rs
+++ b/fulmargw_engine/src/failover.rs
@@ -1,23 +1,21 @@
 //! Promotion of a new primary when a service has none.
 
-use {
-    crate::{
-        core::Core,
-        gate::Gate,
-        journal::promotion::{End, Evidence, Promotion},
-        table::{
-            self,
-            member::{Order, Seen},
-            server::Key,
-        },
+use crate::{
+    core::Core,
+    gate::Gate,
+    journal::promotion::{End, Evidence, Promotion},
+    table::{
+        self,
+        member::{Order, Seen},
+        server::Key,
     },
-    fulmargw_backend::connection::{Connector, Error},
-    fulmargw_decision::promotion::{self, Cause, Member, Promise},
-    fulmargw_model::{name::Name, position::Term},
-    futures::{StreamExt, stream::FuturesUnordered},
-    std::{sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep, timeout},
 };
+use fulmargw_backend::connection::{Connector, Error};
+use fulmargw_decision::promotion::{self, Cause, Member, Promise};
+use fulmargw_model::{name::Name, position::Term};
+use futures::{StreamExt, stream::FuturesUnordered};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time between two judgements.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(50);
--- a/fulmargw_engine/src/gate.rs
+++ b/fulmargw_engine/src/gate.rs
@@ -1,10 +1,8 @@
 //! What the engine needs of the control part of a host.
 
-use {
-    fulmargw_model::{configuration::Configuration, name::Name, outcome::Refusal, position::Term},
-    std::{future::Future, sync::Arc},
-    tokio::{sync::watch, time::Instant},
-};
+use fulmargw_model::{configuration::Configuration, name::Name, outcome::Refusal, position::Term};
+use std::{future::Future, sync::Arc};
+use tokio::{sync::watch, time::Instant};
 
 /// The decisions that hosts make together.
 pub trait Gate: Clone + Send + Sync + 'static {
--- a/fulmargw_engine/src/job.rs
+++ b/fulmargw_engine/src/job.rs
@@ -1,20 +1,18 @@
 //! One execution of a request, as workers see it.
 
-use {
-    crate::table::server::Key,
-    fulmargw_backend::connection::{Error, Reply},
-    fulmargw_decision::{
-        queue::Urgency,
-        routing::{By, Choice},
-    },
-    fulmargw_model::{
-        outcome::{Reason, Refusal},
-        position::{Position, Term},
-        request::{Class, Request},
-    },
-    std::{sync::Arc, time::Duration},
-    tokio::{sync::oneshot, time::Instant},
+use crate::table::server::Key;
+use fulmargw_backend::connection::{Error, Reply};
+use fulmargw_decision::{
+    queue::Urgency,
+    routing::{By, Choice},
 };
+use fulmargw_model::{
+    outcome::{Reason, Refusal},
+    position::{Position, Term},
+    request::{Class, Request},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::oneshot, time::Instant};
 
 /// Time after which a caller may try again when no better time is known.
 pub const RETRY_AFTER: Duration = Duration::from_millis(200);
--- a/fulmargw_engine/src/journal.rs
+++ b/fulmargw_engine/src/journal.rs
@@ -2,18 +2,16 @@
 
 pub mod promotion;
 
-use {
-    fulmargw_decision::routing::{By, Why},
-    fulmargw_model::{
-        name::Name,
-        outcome::{Outcome, Reason, Step},
-        request::{Class, Id},
-    },
-    promotion::Promotion,
-    serde::Serialize,
-    std::{collections::VecDeque, time::Duration},
-    tokio::time::Instant,
+use fulmargw_decision::routing::{By, Why};
+use fulmargw_model::{
+    name::Name,
+    outcome::{Outcome, Reason, Step},
+    request::{Class, Id},
 };
+use promotion::Promotion;
+use serde::Serialize;
+use std::{collections::VecDeque, time::Duration};
+use tokio::time::Instant;
 
 /// Decisions that are kept.
 pub const CAPACITY: usize = 1_024;
--- a/fulmargw_engine/src/journal/promotion.rs
+++ b/fulmargw_engine/src/journal/promotion.rs
@@ -1,15 +1,13 @@
 //! Record of a promotion with the evidence for it.
 
-use {
-    super::milliseconds,
-    fulmargw_decision::promotion::{Cause, Member, Promise, Reach},
-    fulmargw_model::{
-        backend_server::Role,
-        name::Name,
-        position::{Position, Term},
-    },
-    serde::Serialize,
+use super::milliseconds;
+use fulmargw_decision::promotion::{Cause, Member, Promise, Reach};
+use fulmargw_model::{
+    backend_server::Role,
+    name::Name,
+    position::{Position, Term},
 };
+use serde::Serialize;
 
 /// A promotion that this host tried.
 #[derive(Debug, Clone, Serialize)]
--- a/fulmargw_engine/src/monitor.rs
+++ b/fulmargw_engine/src/monitor.rs
@@ -1,33 +1,31 @@
 //! Control connection of a backend server: probes, waits and orders.
 
-use {
-    crate::{
-        core::{Connection, Core},
-        gate::Gate,
-        table::{
-            member::{Member, Order, Seen},
-            server::Key,
-        },
+use crate::{
+    core::{Connection, Core},
+    gate::Gate,
+    table::{
+        member::{Member, Order, Seen},
+        server::Key,
     },
-    fulmargw_backend::connection::{Connection as _, Connector, Error, Kind, Level},
-    fulmargw_decision::promotion::Reach,
-    fulmargw_model::{
-        backend_server::{Server, Status},
-        outcome::Step,
-        position::Term,
-    },
-    std::{
-        future::{Future, pending},
-        mem,
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::{
-        sync::{Notify, mpsc, oneshot},
-        time::{Instant, Interval, MissedTickBehavior, interval, sleep, timeout},
-    },
-    tokio_util::sync::CancellationToken,
 };
+use fulmargw_backend::connection::{Connection as _, Connector, Error, Kind, Level};
+use fulmargw_decision::promotion::Reach;
+use fulmargw_model::{
+    backend_server::{Server, Status},
+    outcome::Step,
+    position::Term,
+};
+use std::{
+    future::{Future, pending},
+    mem,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    time::{Instant, Interval, MissedTickBehavior, interval, sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
 
 /// Longest time that a replica waits for a position in one call. It bounds the delay of a
 /// probe or an order behind the wait.
--- a/fulmargw_engine/src/pool.rs
+++ b/fulmargw_engine/src/pool.rs
@@ -1,16 +1,14 @@
 //! Work connections of a backend server: opened in advance and held within the limit.
 
-use {
-    crate::{
-        core::{self, Core, Release},
-        gate::Gate,
-        table::{member::Idle, server::Key},
-    },
-    fulmargw_backend::connection::{Connection as _, Connector},
-    fulmargw_model::{backend_server::Server, position::Term},
-    std::{sync::Arc, time::Duration},
-    tokio::time::{Instant, interval, sleep, timeout},
+use crate::{
+    core::{self, Core, Release},
+    gate::Gate,
+    table::{member::Idle, server::Key},
 };
+use fulmargw_backend::connection::{Connection as _, Connector};
+use fulmargw_model::{backend_server::Server, position::Term};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, interval, sleep, timeout};
 
 /// Time between two checks of the share of this host.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
--- a/fulmargw_engine/src/settings.rs
+++ b/fulmargw_engine/src/settings.rs
@@ -1,9 +1,7 @@
 //! Settings of the engine.
 
-use {
-    serde::{Deserialize, Serialize},
-    std::time::Duration,
-};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Settings of the engine. Durations are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_engine/src/state.rs
+++ b/fulmargw_engine/src/state.rs
@@ -1,23 +1,21 @@
 //! State of the engine for a dump.
 
-use {
-    crate::{
-        core::Core,
-        gate::Gate,
-        journal::{Entry, milliseconds, promotion::Promotion},
-        table::member::Member,
-    },
-    fulmargw_backend::connection::Connector,
-    fulmargw_decision::{promotion::Reach, queue::Urgency},
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        name::Name,
-        position::{Position, Term},
-        request::Id,
-    },
-    serde::Serialize,
-    tokio::time::Instant,
+use crate::{
+    core::Core,
+    gate::Gate,
+    journal::{Entry, milliseconds, promotion::Promotion},
+    table::member::Member,
 };
+use fulmargw_backend::connection::Connector;
+use fulmargw_decision::{promotion::Reach, queue::Urgency};
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    name::Name,
+    position::{Position, Term},
+    request::Id,
+};
+use serde::Serialize;
+use tokio::time::Instant;
 
 /// State of an engine at one time.
 #[derive(Debug, Clone, Serialize)]
--- a/fulmargw_engine/src/submit.rs
+++ b/fulmargw_engine/src/submit.rs
@@ -1,10 +1,8 @@
 //! What a front end needs of the engine.
 
-use {
-    fulmargw_model::{configuration::Configuration, outcome::Outcome, request::Request},
-    std::{future::Future, sync::Arc},
-    tokio::sync::watch,
-};
+use fulmargw_model::{configuration::Configuration, outcome::Outcome, request::Request};
+use std::{future::Future, sync::Arc};
+use tokio::sync::watch;
 
 /// Carries requests of callers to their outcomes.
 pub trait Submit: Clone + Send + Sync + 'static {
--- a/fulmargw_engine/src/supervisor.rs
+++ b/fulmargw_engine/src/supervisor.rs
@@ -1,11 +1,9 @@
 //! Starts the tasks of services and backend servers as the configuration changes.
 
-use {
-    crate::{core::Core, failover::Failover, gate::Gate, monitor::Monitor, pool::Pool},
-    fulmargw_backend::connection::Connector,
-    std::{sync::Arc, time::Duration},
-    tokio::time::{Instant, interval},
-};
+use crate::{core::Core, failover::Failover, gate::Gate, monitor::Monitor, pool::Pool};
+use fulmargw_backend::connection::Connector;
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, interval};
 
 /// Time between two searches for transactions that last too long.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
--- a/fulmargw_engine/src/table/group.rs
+++ b/fulmargw_engine/src/table/group.rs
@@ -1,23 +1,21 @@
 //! The servers of one service, and the writes that wait for a majority of them.
 
-use {
-    crate::table::member::{Member, Order, Seen},
-    fulmargw_decision::{
-        promotion::{self, Reach},
-        routing::{self, View},
-        staleness::History,
-    },
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        name::Name,
-        position::{Position, Term},
-        service::Service,
-    },
-    std::{mem, sync::Arc, time::Duration},
-    tokio::{
-        sync::{Notify, mpsc, oneshot},
-        time::Instant,
-    },
+use crate::table::member::{Member, Order, Seen};
+use fulmargw_decision::{
+    promotion::{self, Reach},
+    routing::{self, View},
+    staleness::History,
+};
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    name::Name,
+    position::{Position, Term},
+    service::Service,
+};
+use std::{mem, sync::Arc, time::Duration};
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    time::Instant,
 };
 
 /// Time for which a replica is not expected to catch up after a read waited for it in vain.
--- a/fulmargw_engine/src/table/member.rs
+++ b/fulmargw_engine/src/table/member.rs
@@ -1,23 +1,21 @@
 //! One backend server: status, load and idle connections.
 
-use {
-    fulmargw_backend::connection::{Error, Kind, Settlement},
-    fulmargw_decision::{
-        promotion::{self, Reach},
-        queue::Urgency,
-    },
-    fulmargw_model::{
-        backend_server::{Server, Status},
-        position::Term,
-        request::Id,
-    },
-    std::{mem, sync::Arc},
-    tokio::{
-        sync::{Notify, mpsc, oneshot},
-        time::Instant,
-    },
-    tokio_util::sync::CancellationToken,
+use fulmargw_backend::connection::{Error, Kind, Settlement};
+use fulmargw_decision::{
+    promotion::{self, Reach},
+    queue::Urgency,
 };
+use fulmargw_model::{
+    backend_server::{Server, Status},
+    position::Term,
+    request::Id,
+};
+use std::{mem, sync::Arc};
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
 
 /// A status and the times between which it was true.
 #[derive(Debug, Clone, Copy)]
--- a/fulmargw_engine/src/table/pin.rs
+++ b/fulmargw_engine/src/table/pin.rs
@@ -1,11 +1,9 @@
 //! Connections that open transactions of callers hold.
 
-use {
-    crate::table::server::Key,
-    fulmargw_model::{name::Name, position::Term, request::Id},
-    std::{collections::BTreeMap, mem, time::Duration},
-    tokio::time::Instant,
-};
+use crate::table::server::Key;
+use fulmargw_model::{name::Name, position::Term, request::Id};
+use std::{collections::BTreeMap, mem, time::Duration};
+use tokio::time::Instant;
 
 /// Callers and the connections that their transactions hold.
 #[derive(Debug)]
--- a/fulmargw_engine/src/table/queue.rs
+++ b/fulmargw_engine/src/table/queue.rs
@@ -1,14 +1,12 @@
 //! Waiting requests of each service.
 
-use {
-    fulmargw_decision::{
-        queue::{Bound, Queue, Ticket},
-        retry::Budget,
-    },
-    fulmargw_model::name::Name,
-    std::collections::{BTreeMap, VecDeque},
-    tokio::time::Instant,
+use fulmargw_decision::{
+    queue::{Bound, Queue, Ticket},
+    retry::Budget,
 };
+use fulmargw_model::name::Name;
+use std::collections::{BTreeMap, VecDeque};
+use tokio::time::Instant;
 
 /// Waiting requests of all services.
 #[derive(Debug)]
--- a/fulmargw_engine/src/table/server.rs
+++ b/fulmargw_engine/src/table/server.rs
@@ -1,14 +1,12 @@
 //! Status, load and idle connections of all backend servers.
 
-use {
-    crate::table::{
-        group::Group,
-        member::{Member, Order},
-    },
-    fulmargw_model::{configuration::Configuration, name::Name},
-    std::{collections::BTreeMap, fmt},
-    tokio::sync::mpsc,
+use crate::table::{
+    group::Group,
+    member::{Member, Order},
 };
+use fulmargw_model::{configuration::Configuration, name::Name};
+use std::{collections::BTreeMap, fmt};
+use tokio::sync::mpsc;
 
 /// A backend server of a service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
--- a/fulmargw_engine/src/worker.rs
+++ b/fulmargw_engine/src/worker.rs
@@ -1,27 +1,25 @@
 //! Workers, which run waiting requests on backend servers.
 
-use {
-    crate::{
-        core::{Answer, Connection, Core, Release, Waiting},
-        gate::Gate,
-        job::{self, Done, Failure, Place, Work, refusal},
-        table::{pin::Hold, server::Key},
-    },
-    fulmargw_backend::connection::{
-        Connection as _, Connector, Error, Kind, Reply, Task, Transaction,
-    },
-    fulmargw_decision::routing::{self, By, Choice, Need, Why},
-    fulmargw_model::{
-        backend_server::Status,
-        name::Name,
-        outcome::{Reason, Step},
-        position::Position,
-        request::Class,
-    },
-    std::{pin::pin, sync::Arc, time::Duration},
-    tokio::time::{Instant, timeout_at},
-    tokio_util::sync::CancellationToken,
+use crate::{
+    core::{Answer, Connection, Core, Release, Waiting},
+    gate::Gate,
+    job::{self, Done, Failure, Place, Work, refusal},
+    table::{pin::Hold, server::Key},
 };
+use fulmargw_backend::connection::{
+    Connection as _, Connector, Error, Kind, Reply, Task, Transaction,
+};
+use fulmargw_decision::routing::{self, By, Choice, Need, Why};
+use fulmargw_model::{
+    backend_server::Status,
+    name::Name,
+    outcome::{Reason, Step},
+    position::Position,
+    request::Class,
+};
+use std::{pin::pin, sync::Arc, time::Duration};
+use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 /// A waiting request with the connection and slot that it got.
 struct Ready<C: Connector> {
--- a/fulmargw_engine/tests/chaos.rs
+++ b/fulmargw_engine/tests/chaos.rs
@@ -2,18 +2,16 @@
 
 mod common;
 
-use {
-    common::{Bench, Body, SERVERS, bench_on, group::World},
-    fulmargw_engine::submit::Submit,
-    fulmargw_model::{outcome::Outcome, position::Position, request::Class},
-    rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{
-        cell::{Cell, RefCell},
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
-    tokio::time::{Instant, sleep},
+use common::{Bench, Body, SERVERS, bench_on, group::World};
+use fulmargw_engine::submit::Submit;
+use fulmargw_model::{outcome::Outcome, position::Position, request::Class};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
+use tokio::time::{Instant, sleep};
 
 /// Seeds of a usual run, which takes about 3 s for each; `CHAOS_SEEDS` sets another number.
 const SEEDS: u64 = 4;
--- a/fulmargw_engine/tests/common/group.rs
+++ b/fulmargw_engine/tests/common/group.rs
@@ -1,21 +1,19 @@
 //! State of an in-memory database group with terms, promises, a replicated log and faults.
 
-use {
-    fulmargw_backend::connection::{Kind, Settlement},
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        name::Name,
-        position::{Position, Term},
-        request::Id,
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        mem,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
-    },
-    tokio::time::Instant,
+use fulmargw_backend::connection::{Kind, Settlement};
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    name::Name,
+    position::{Position, Term},
+    request::Id,
 };
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time::Instant;
 
 /// Time from a commit on the primary until a replica has the entry.
 pub const REPLICATION: Duration = Duration::from_millis(3);
--- a/fulmargw_engine/tests/common/link.rs
+++ b/fulmargw_engine/tests/common/link.rs
@@ -1,23 +1,21 @@
 //! Connections to the in-memory database group.
 
-use {
-    super::{
-        Body,
-        group::{Content, Group, Node, World, values},
-    },
-    fulmargw_backend::connection::{
-        Connection, Connector, Error, Kind, Level, Reply, Settlement, Task, Transaction,
-    },
-    fulmargw_model::{
-        backend_server::{Server, Status},
-        name::Name,
-        outcome::Step,
-        position::{Position, Term},
-        request::Id,
-    },
-    std::{future::pending, time::Duration},
-    tokio::time::{Instant, sleep},
+use super::{
+    Body,
+    group::{Content, Group, Node, World, values},
 };
+use fulmargw_backend::connection::{
+    Connection, Connector, Error, Kind, Level, Reply, Settlement, Task, Transaction,
+};
+use fulmargw_model::{
+    backend_server::{Server, Status},
+    name::Name,
+    outcome::Step,
+    position::{Position, Term},
+    request::Id,
+};
+use std::{future::pending, time::Duration};
+use tokio::time::{Instant, sleep};
 
 /// One-way latency between a host and a server.
 const LATENCY: Duration = Duration::from_millis(1);
--- a/fulmargw_engine/tests/common/mod.rs
+++ b/fulmargw_engine/tests/common/mod.rs
@@ -5,34 +5,32 @@
 pub mod group;
 pub mod link;
 
-use {
-    fulmargw_engine::{engine::Engine, gate::Gate, settings::Settings, submit::Submit},
-    fulmargw_model::{
-        availability_zone::Zone,
-        backend_server::Server,
-        client_account::Account,
-        configuration::Configuration,
-        name::Name,
-        outcome::{Answer, Outcome, Refusal},
-        position::{Position, Term},
-        request::{Class, Id, Part, Repeat, Request},
-        route::{Access, Route},
-        service::Service,
-    },
-    group::World,
-    link::Links,
-    std::{
-        net::{Ipv4Addr, SocketAddr},
-        sync::{
-            Arc,
-            atomic::{AtomicBool, AtomicU32, Ordering},
-        },
-        time::Duration,
-    },
-    tokio::{
-        sync::watch,
-        time::{Instant, sleep},
+use fulmargw_engine::{engine::Engine, gate::Gate, settings::Settings, submit::Submit};
+use fulmargw_model::{
+    availability_zone::Zone,
+    backend_server::Server,
+    client_account::Account,
+    configuration::Configuration,
+    name::Name,
+    outcome::{Answer, Outcome, Refusal},
+    position::{Position, Term},
+    request::{Class, Id, Part, Repeat, Request},
+    route::{Access, Route},
+    service::Service,
+};
+use group::World;
+use link::Links;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
+    time::Duration,
+};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
 };
 
 /// Service of all tests.
--- a/fulmargw_engine/tests/failover.rs
+++ b/fulmargw_engine/tests/failover.rs
@@ -2,17 +2,15 @@
 
 mod common;
 
-use {
-    common::{Bench, Body, SERVERS, answer, bench, bench_on, group::World, is_refused},
-    fulmargw_engine::submit::Submit,
-    fulmargw_model::{
-        outcome::Outcome,
-        position::{Position, Term},
-        request::{Class, Part, Request},
-    },
-    std::time::Duration,
-    tokio::time::{Instant, sleep},
+use common::{Bench, Body, SERVERS, answer, bench, bench_on, group::World, is_refused};
+use fulmargw_engine::submit::Submit;
+use fulmargw_model::{
+    outcome::Outcome,
+    position::{Position, Term},
+    request::{Class, Part, Request},
 };
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 /// Puts a value and returns the time that it took.
 async fn timed_put(bench: &Bench, value: u64) -> Duration {
@@ -63,8 +61,9 @@
     bench.world.kill("b");
     sleep(Duration::from_secs(10)).await;
 
+    // Two terms a second, after the term of the first primary.
     let promised = bench.world.lock().nodes["c"].promised;
-    assert!(promised <= Term(32), "{promised:?}");
+    assert!(promised <= Term(21), "{promised:?}");
 }
 
 /// Guards against writes that wait for long after the primary was cut off.
--- a/fulmargw_engine/tests/journal.rs
+++ b/fulmargw_engine/tests/journal.rs
@@ -2,20 +2,18 @@
 
 mod common;
 
-use {
-    common::{Body, SERVICE, bench},
-    fulmargw_decision::{promotion::Cause, routing::Why},
-    fulmargw_engine::{
-        journal::{Label, promotion::End},
-        submit::Submit,
-    },
-    fulmargw_model::{
-        outcome::Reason,
-        request::{Class, Part},
-    },
-    std::time::Duration,
-    tokio::time::timeout,
+use common::{Body, SERVICE, bench};
+use fulmargw_decision::{promotion::Cause, routing::Why};
+use fulmargw_engine::{
+    journal::{Label, promotion::End},
+    submit::Submit,
 };
+use fulmargw_model::{
+    outcome::Reason,
+    request::{Class, Part},
+};
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// Guards against a promotion that operators cannot explain afterwards.
 #[tokio::test(start_paused = true)]
--- a/fulmargw_engine/tests/limits.rs
+++ b/fulmargw_engine/tests/limits.rs
@@ -2,17 +2,15 @@
 
 mod common;
 
-use {
-    common::{Bench, Body, SERVERS, answer, bench, bench_on, is_refused},
-    fulmargw_engine::submit::Submit,
-    fulmargw_model::{
-        outcome::{Outcome, Reason},
-        position::Position,
-        request::{Class, Part},
-    },
-    std::time::Duration,
-    tokio::time::{Instant, sleep},
+use common::{Bench, Body, SERVERS, answer, bench, bench_on, is_refused};
+use fulmargw_engine::submit::Submit;
+use fulmargw_model::{
+    outcome::{Outcome, Reason},
+    position::Position,
+    request::{Class, Part},
 };
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 const SECOND: Class = Class::Aged(Duration::from_secs(1));
 
--- a/fulmargw_engine/tests/serve.rs
+++ b/fulmargw_engine/tests/serve.rs
@@ -2,12 +2,10 @@
 
 mod common;
 
-use {
-    common::{Body, answer, bench},
-    fulmargw_model::{position::Position, request::Class},
-    std::time::Duration,
-    tokio::time::{Instant, sleep},
-};
+use common::{Body, answer, bench};
+use fulmargw_model::{position::Position, request::Class};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 const SECOND: Class = Class::Aged(Duration::from_secs(1));
 
--- a/fulmargw_frontend/src/batch.rs
+++ b/fulmargw_frontend/src/batch.rs
@@ -1,20 +1,18 @@
 //! Collection of extended-protocol messages up to a `Sync`, and what they ask for.
 
-use {
-    crate::{
-        error::Failure,
-        prepared::{Prepared, Store},
-        settings::Settings,
-        statement,
-    },
-    bytes::{Bytes, BytesMut},
-    fulmargw_backend::{
-        batch::Batch,
-        frame::{self, Frame},
-    },
-    pgwire::messages::extendedquery::{Close, TARGET_TYPE_BYTE_STATEMENT},
-    std::collections::HashSet,
+use crate::{
+    error::Failure,
+    prepared::{Prepared, Store},
+    settings::Settings,
+    statement,
+};
+use bytes::{Bytes, BytesMut};
+use fulmargw_backend::{
+    batch::Batch,
+    frame::{self, Frame},
 };
+use pgwire::messages::extendedquery::{Close, TARGET_TYPE_BYTE_STATEMENT};
+use std::collections::HashSet;
 
 /// Messages of one batch. Short messages take more memory than their length once they are
 /// recognised, so their number has a limit of its own.
--- a/fulmargw_frontend/src/error.rs
+++ b/fulmargw_frontend/src/error.rs
@@ -1,15 +1,13 @@
 //! Errors that fulmargw raises itself, with their SQLSTATE codes.
 
-use {
-    fulmargw_model::{
-        name::Name,
-        outcome::{Reason, Refusal, Step},
-        position::Position,
-        request::Id,
-    },
-    pgwire::messages::response::ErrorResponse,
-    std::time::Duration,
+use fulmargw_model::{
+    name::Name,
+    outcome::{Reason, Refusal, Step},
+    position::Position,
+    request::Id,
 };
+use pgwire::messages::response::ErrorResponse;
+use std::time::Duration;
 
 /// An error for a caller.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
--- a/fulmargw_frontend/src/listener.rs
+++ b/fulmargw_frontend/src/listener.rs
@@ -1,28 +1,26 @@
 //! Acceptance of caller connections.
 
-use {
-    crate::{
-        error::Failure,
-        response::Output,
-        session::{self, Host},
-        settings::Settings,
-    },
-    fulmargw_backend::batch::{Answer, Batch},
-    fulmargw_engine::submit::Submit,
-    std::{
-        collections::HashMap,
-        io,
-        net::{IpAddr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        task::{JoinError, JoinSet},
-        time::{self, Instant},
-    },
-    tokio_util::sync::CancellationToken,
+use crate::{
+    error::Failure,
+    response::Output,
+    session::{self, Host},
+    settings::Settings,
 };
+use fulmargw_backend::batch::{Answer, Batch};
+use fulmargw_engine::submit::Submit;
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::{JoinError, JoinSet},
+    time::{self, Instant},
+};
+use tokio_util::sync::CancellationToken;
 
 /// Wait after a failed accept. Without it, a lack of file descriptors makes the loop run
 /// without a pause until one is free.
--- a/fulmargw_frontend/src/plan.rs
+++ b/fulmargw_frontend/src/plan.rs
@@ -1,11 +1,9 @@
 //! What a batch of extended-protocol messages asks for.
 
-use {
-    crate::{batch::Operation, error::Failure, prepared::Store, statement::Kind},
-    bytes::Bytes,
-    fulmargw_model::request::Part,
-    std::collections::{HashMap, HashSet},
-};
+use crate::{batch::Operation, error::Failure, prepared::Store, statement::Kind};
+use bytes::Bytes;
+use fulmargw_model::request::Part;
+use std::collections::{HashMap, HashSet};
 
 /// What a batch asks for.
 #[derive(Debug, PartialEq, Eq)]
--- a/fulmargw_frontend/src/prepared.rs
+++ b/fulmargw_frontend/src/prepared.rs
@@ -1,10 +1,8 @@
 //! Prepared statements of a session, which are replayed on whatever connection it uses.
 
-use {
-    crate::{batch::Operation, error::Failure, settings::Settings, statement::Kind},
-    bytes::Bytes,
-    std::collections::HashMap,
-};
+use crate::{batch::Operation, error::Failure, settings::Settings, statement::Kind};
+use bytes::Bytes;
+use std::collections::HashMap;
 
 /// A prepared statement.
 #[derive(Debug, Clone)]
--- a/fulmargw_frontend/src/response.rs
+++ b/fulmargw_frontend/src/response.rs
@@ -1,20 +1,18 @@
 //! Messages that the front end sends on its own behalf.
 
-use {
-    crate::{error::Failure, variable::Variable},
-    bytes::{BufMut, Bytes, BytesMut},
-    fulmargw_backend::{connection::Transaction, frame},
-    pgwire::messages::{
-        Message,
-        data::{DataRow, FieldDescription, NoData, ParameterDescription, RowDescription},
-        extendedquery::{BindComplete, CloseComplete, ParseComplete},
-        response::{
-            CommandComplete, EmptyQueryResponse, NoticeResponse, ReadyForQuery, TransactionStatus,
-        },
-        startup::{
-            Authentication, BackendKeyData, NegotiateProtocolVersion, ParameterStatus, SecretKey,
-            Startup,
-        },
+use crate::{error::Failure, variable::Variable};
+use bytes::{BufMut, Bytes, BytesMut};
+use fulmargw_backend::{connection::Transaction, frame};
+use pgwire::messages::{
+    Message,
+    data::{DataRow, FieldDescription, NoData, ParameterDescription, RowDescription},
+    extendedquery::{BindComplete, CloseComplete, ParseComplete},
+    response::{
+        CommandComplete, EmptyQueryResponse, NoticeResponse, ReadyForQuery, TransactionStatus,
+    },
+    startup::{
+        Authentication, BackendKeyData, NegotiateProtocolVersion, ParameterStatus, SecretKey,
+        Startup,
     },
 };
 
--- a/fulmargw_frontend/src/session.rs
+++ b/fulmargw_frontend/src/session.rs
@@ -5,31 +5,29 @@
 mod relay;
 mod request;
 
-use {
-    crate::{
-        batch::Collector,
-        error::Failure,
-        prepared::Store,
-        settings::Settings,
-        startup::{self, Hello, Parameters},
-        variable::{Variable, Variables},
-    },
-    channel::Channel,
-    fulmargw_backend::{
-        batch::{Answer, Batch},
-        connection::Transaction,
-    },
-    fulmargw_decision::access::Grant,
-    fulmargw_engine::submit::Submit,
-    fulmargw_model::configuration::Configuration,
-    std::{sync::Arc, time::Duration},
-    tokio::{
-        net::TcpStream,
-        sync::watch,
-        time::{self, Instant},
-    },
-    tokio_util::sync::CancellationToken,
+use crate::{
+    batch::Collector,
+    error::Failure,
+    prepared::Store,
+    settings::Settings,
+    startup::{self, Hello, Parameters},
+    variable::{Variable, Variables},
 };
+use channel::Channel;
+use fulmargw_backend::{
+    batch::{Answer, Batch},
+    connection::Transaction,
+};
+use fulmargw_decision::access::Grant;
+use fulmargw_engine::submit::Submit;
+use fulmargw_model::configuration::Configuration;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    net::TcpStream,
+    sync::watch,
+    time::{self, Instant},
+};
+use tokio_util::sync::CancellationToken;
 
 /// What the sessions of a host share.
 #[derive(Debug, Clone)]
--- a/fulmargw_frontend/src/session/channel.rs
+++ b/fulmargw_frontend/src/session/channel.rs
@@ -1,26 +1,24 @@
 //! The connection of a caller with its codecs and limits.
 
-use {
-    super::End,
-    crate::{
-        error::Failure,
-        response::Output,
-        settings::Settings,
-        startup::{self, Hello},
-    },
-    bytes::BytesMut,
-    fulmargw_backend::frame::{self, Frame},
-    std::{io, time::Duration},
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::{
-            TcpStream,
-            tcp::{OwnedReadHalf, OwnedWriteHalf},
-        },
-        time,
+use super::End;
+use crate::{
+    error::Failure,
+    response::Output,
+    settings::Settings,
+    startup::{self, Hello},
+};
+use bytes::BytesMut;
+use fulmargw_backend::frame::{self, Frame};
+use std::{io, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    tokio_util::codec::Decoder,
+    time,
 };
+use tokio_util::codec::Decoder;
 
 /// Room for one read, in bytes. It is small because every idle connection keeps it.
 const READ_BYTES: usize = 4096;
--- a/fulmargw_frontend/src/session/local.rs
+++ b/fulmargw_frontend/src/session/local.rs
@@ -1,14 +1,12 @@
 //! Statements that the front end answers itself.
 
-use {
-    super::Session,
-    crate::{batch::Operation, error::Failure, plan::Scope, prepared::Store, statement::Kind},
-    fulmargw_backend::{
-        batch::{Answer, Batch},
-        connection::Transaction,
-    },
-    fulmargw_engine::submit::Submit,
+use super::Session;
+use crate::{batch::Operation, error::Failure, plan::Scope, prepared::Store, statement::Kind};
+use fulmargw_backend::{
+    batch::{Answer, Batch},
+    connection::Transaction,
 };
+use fulmargw_engine::submit::Submit;
 
 impl<S> Session<S>
 where
--- a/fulmargw_frontend/src/session/relay.rs
+++ b/fulmargw_frontend/src/session/relay.rs
@@ -1,20 +1,18 @@
 //! Treatment of the messages of a caller.
 
-use {
-    super::{End, Session, request::Work},
-    crate::{
-        batch::{Collected, Operation},
-        error::Failure,
-        plan::Plan,
-        statement::{self, Kind},
-    },
-    fulmargw_backend::{
-        batch::{Answer, Batch},
-        frame::{self, Frame},
-    },
-    fulmargw_engine::submit::Submit,
-    fulmargw_model::request::Part,
+use super::{End, Session, request::Work};
+use crate::{
+    batch::{Collected, Operation},
+    error::Failure,
+    plan::Plan,
+    statement::{self, Kind},
 };
+use fulmargw_backend::{
+    batch::{Answer, Batch},
+    frame::{self, Frame},
+};
+use fulmargw_engine::submit::Submit;
+use fulmargw_model::request::Part;
 
 impl<S> Session<S>
 where
--- a/fulmargw_frontend/src/session/request.rs
+++ b/fulmargw_frontend/src/session/request.rs
@@ -1,20 +1,18 @@
 //! Submission of requests to the engine.
 
-use {
-    super::{End, Session},
-    crate::{error::Failure, variable::Variables},
-    fulmargw_backend::{
-        batch::{Answer, Batch},
-        connection::Transaction,
-    },
-    fulmargw_engine::submit::Submit,
-    fulmargw_model::{
-        outcome::Outcome,
-        request::{Class, Id, Part, Repeat, Request},
-    },
-    std::pin::pin,
-    tokio::time::{self, Instant},
+use super::{End, Session};
+use crate::{error::Failure, variable::Variables};
+use fulmargw_backend::{
+    batch::{Answer, Batch},
+    connection::Transaction,
 };
+use fulmargw_engine::submit::Submit;
+use fulmargw_model::{
+    outcome::Outcome,
+    request::{Class, Id, Part, Repeat, Request},
+};
+use std::pin::pin;
+use tokio::time::{self, Instant};
 
 /// What a batch asks of the engine.
 #[derive(Debug)]
--- a/fulmargw_frontend/src/startup.rs
+++ b/fulmargw_frontend/src/startup.rs
@@ -1,27 +1,25 @@
 //! The start-up of a caller connection, up to the first `ReadyForQuery`.
 
-use {
-    crate::{
-        error::Failure,
-        response::Output,
-        settings::Settings,
-        variable::{Variable, Variables},
-    },
-    bytes::{Buf, Bytes, BytesMut},
-    fulmargw_backend::frame::{self, Frame},
-    fulmargw_decision::access::{self, Grant},
-    fulmargw_model::{
-        configuration::{Configuration, Version},
-        outcome::{Reason, Refusal},
-    },
-    pgwire::messages::{
-        DecodeContext, Message,
-        cancel::CancelRequest,
-        startup::{GssEncRequest, SslRequest, Startup},
-    },
-    std::{collections::BTreeMap, io},
-    tokio_util::codec::Decoder,
+use crate::{
+    error::Failure,
+    response::Output,
+    settings::Settings,
+    variable::{Variable, Variables},
 };
+use bytes::{Buf, Bytes, BytesMut};
+use fulmargw_backend::frame::{self, Frame};
+use fulmargw_decision::access::{self, Grant};
+use fulmargw_model::{
+    configuration::{Configuration, Version},
+    outcome::{Reason, Refusal},
+};
+use pgwire::messages::{
+    DecodeContext, Message,
+    cancel::CancelRequest,
+    startup::{GssEncRequest, SslRequest, Startup},
+};
+use std::{collections::BTreeMap, io};
+use tokio_util::codec::Decoder;
 
 /// Greatest length of a message before the caller is accepted, in bytes; the same as in
 /// PostgreSQL.
--- a/fulmargw_frontend/src/variable.rs
+++ b/fulmargw_frontend/src/variable.rs
@@ -1,13 +1,11 @@
 //! Session settings that callers see as `fulmar.*` parameters.
 
-use {
-    crate::error::Failure,
-    fulmargw_model::{
-        position::Session,
-        request::{Class, Id},
-    },
-    std::time::Duration,
+use crate::error::Failure;
+use fulmargw_model::{
+    position::Session,
+    request::{Class, Id},
 };
+use std::time::Duration;
 
 /// A session setting.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/fulmargw_frontend/tests/frontend/lexer.rs
+++ b/fulmargw_frontend/tests/frontend/lexer.rs
@@ -1,13 +1,11 @@
 //! Recognition of statements in SQL text.
 
-use {
-    fulmargw_frontend::{
-        lexer::Lexer,
-        statement::{Kind, recognise},
-        variable::Variable,
-    },
-    quickcheck::quickcheck,
+use fulmargw_frontend::{
+    lexer::Lexer,
+    statement::{Kind, recognise},
+    variable::Variable,
 };
+use quickcheck::quickcheck;
 
 /// Guards the recognition of transaction control by its first keywords.
 #[test]
--- a/fulmargw_frontend/tests/frontend/malformed.rs
+++ b/fulmargw_frontend/tests/frontend/malformed.rs
@@ -1,20 +1,18 @@
 //! Damaged streams of callers.
 
-use {
-    crate::fixture::{
-        raw::{bind, execute, message, parse, query, startup, sync},
-        settings, start,
-    },
-    fulmargw_frontend::settings::Settings,
-    std::{
-        panic,
-        sync::atomic::{AtomicUsize, Ordering},
-        time::Duration,
-    },
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
-    },
+use crate::fixture::{
+    raw::{bind, execute, message, parse, query, startup, sync},
+    settings, start,
+};
+use fulmargw_frontend::settings::Settings;
+use std::{
+    panic,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
 };
 
 static PANICS: AtomicUsize = AtomicUsize::new(0);
--- a/fulmargw_frontend/tests/frontend/session.rs
+++ b/fulmargw_frontend/tests/frontend/session.rs
@@ -1,20 +1,18 @@
 //! Sessions of standard clients over an in-memory engine.
 
-use {
-    crate::fixture::{
-        code, connect,
-        raw::{Raw, bind, execute, message, parse, query, sync, tags, text},
-        rows, settings, start, withdrawn,
-    },
-    fulmargw_frontend::settings::Settings,
-    fulmargw_model::{
-        outcome::{Outcome, Reason, Refusal, Step},
-        position::{Position, Term},
-        request::{Class, Part},
-    },
-    std::{sync::Arc, time::Duration},
-    tokio::time,
+use crate::fixture::{
+    code, connect,
+    raw::{Raw, bind, execute, message, parse, query, sync, tags, text},
+    rows, settings, start, withdrawn,
 };
+use fulmargw_frontend::settings::Settings;
+use fulmargw_model::{
+    outcome::{Outcome, Reason, Refusal, Step},
+    position::{Position, Term},
+    request::{Class, Part},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::time;
 
 fn refused<A>(reason: Reason) -> Outcome<A> {
     Outcome::Refused(Refusal {
--- a/fulmargw_lab/src/cli.rs
+++ b/fulmargw_lab/src/cli.rs
@@ -1,18 +1,16 @@
 //! Command line of the stand-ins.
 
-use {
-    crate::{
-        database::{
-            member::Start,
-            process::{self as database, Peer},
-        },
-        experiment,
-        link::{process as link, relay::Mapping},
-        platform::process as platform,
+use crate::{
+    database::{
+        member::Start,
+        process::{self as database, Peer},
     },
-    argh::FromArgs,
-    std::{future, io, net::SocketAddr, time::Duration},
+    experiment,
+    link::{process as link, relay::Mapping},
+    platform::process as platform,
 };
+use argh::FromArgs;
+use std::{future, io, net::SocketAddr, time::Duration};
 
 /// Stand-ins for backend servers, the platform and the network, and experiments.
 #[derive(Debug, FromArgs)]
--- a/fulmargw_lab/src/database/admin.rs
+++ b/fulmargw_lab/src/database/admin.rs
@@ -1,21 +1,19 @@
 //! Admin interface of a server: state and faults.
 
-use {
-    super::{
-        fault::{Change, Fault},
-        observation::Observation,
-        process::Server,
-    },
-    axum::{
-        Json, Router,
-        extract::State,
-        routing::{get, post},
-    },
-    fulmargw_model::backend_server::Status,
-    serde::{Deserialize, Serialize},
-    std::sync::Arc,
-    tokio::{net::TcpListener, time::Instant},
+use super::{
+    fault::{Change, Fault},
+    observation::Observation,
+    process::Server,
 };
+use axum::{
+    Json, Router,
+    extract::State,
+    routing::{get, post},
+};
+use fulmargw_model::backend_server::Status;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use tokio::{net::TcpListener, time::Instant};
 
 /// What `GET /state` answers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/fulmargw_lab/src/database/entry.rs
+++ b/fulmargw_lab/src/database/entry.rs
@@ -1,9 +1,7 @@
 //! Entries of the replicated log.
 
-use {
-    fulmargw_model::position::{Position, Term},
-    serde::{Deserialize, Serialize},
-};
+use fulmargw_model::position::{Position, Term};
+use serde::{Deserialize, Serialize};
 
 /// An entry of the replicated log; its index is its place in the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_lab/src/database/execute.rs
+++ b/fulmargw_lab/src/database/execute.rs
@@ -1,19 +1,17 @@
 //! Execution of statements on one connection, independent of the protocol.
 
-use {
-    super::{
-        entry::{Effect, Record},
-        error::Error,
-        fault::Exit,
-        function::{self, Function},
-        process::Server,
-        sql::Statement,
-        transaction::Transaction,
-    },
-    fulmargw_model::position::{Position, Term},
-    std::{future, process, sync::Arc, time::Duration},
-    tokio::time::{self, Instant},
+use super::{
+    entry::{Effect, Record},
+    error::Error,
+    fault::Exit,
+    function::{self, Function},
+    process::Server,
+    sql::Statement,
+    transaction::Transaction,
 };
+use fulmargw_model::position::{Position, Term};
+use std::{future, process, sync::Arc, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Longest wait for a replica before an exit after a commit.
 const EXIT_WAIT: Duration = Duration::from_millis(300);
--- a/fulmargw_lab/src/database/fault.rs
+++ b/fulmargw_lab/src/database/fault.rs
@@ -1,9 +1,7 @@
 //! Faults that an experiment injects into a server.
 
-use {
-    serde::{Deserialize, Serialize},
-    std::time::Duration,
-};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Faults in force.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
--- a/fulmargw_lab/src/database/function.rs
+++ b/fulmargw_lab/src/database/function.rs
@@ -1,13 +1,11 @@
 //! The group functions of design section 5, without access to the server's state.
 
-use {
-    super::error::Error,
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        position::{Position, Term},
-    },
-    std::time::Duration,
+use super::error::Error;
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    position::{Position, Term},
 };
+use std::time::Duration;
 
 const STATUS: &[&str] = &[
     "role",
--- a/fulmargw_lab/src/database/member.rs
+++ b/fulmargw_lab/src/database/member.rs
@@ -7,21 +7,19 @@
 //! log to it. Until then it refuses connections with `57P03`, because its status and its
 //! promises say nothing; `fence` and `received` waits are refused here as well.
 
-use {
-    super::{
-        entry::{Body, Entry, Log, Record},
-        error::Error,
-        table::Table,
-        transaction::Transaction,
-    },
-    fulmargw_model::{
-        backend_server::{Role, Status},
-        position::{Position, Term},
-    },
-    serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, time::Duration},
-    tokio::time::Instant,
+use super::{
+    entry::{Body, Entry, Log, Record},
+    error::Error,
+    table::Table,
+    transaction::Transaction,
 };
+use fulmargw_model::{
+    backend_server::{Role, Status},
+    position::{Position, Term},
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
 
 /// State of one member. All calls are short and do no I/O.
 #[derive(Debug)]
--- a/fulmargw_lab/src/database/observation.rs
+++ b/fulmargw_lab/src/database/observation.rs
@@ -1,9 +1,7 @@
 //! What a server notes for the checks of an experiment.
 
-use {
-    serde::{Deserialize, Serialize},
-    std::collections::BTreeSet,
-};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// The most start-up texts that are kept.
 const MAX_STARTUP_TEXTS: usize = 256;
--- a/fulmargw_lab/src/database/process.rs
+++ b/fulmargw_lab/src/database/process.rs
@@ -1,29 +1,27 @@
 //! The shared state of a server process and its start.
 
-use {
-    super::{
-        admin,
-        fault::Fault,
-        member::{Member, Start},
-        observation::Observation,
-        replication, session,
-    },
-    fulmargw_model::order::{Mutex, Rank},
-    std::{
-        io,
-        net::SocketAddr,
-        process,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
-        time::Duration,
-    },
-    tokio::{
-        net::TcpListener,
-        sync::{Semaphore, watch},
-        time::Instant,
+use super::{
+    admin,
+    fault::Fault,
+    member::{Member, Start},
+    observation::Observation,
+    replication, session,
+};
+use fulmargw_model::order::{Mutex, Rank};
+use std::{
+    io,
+    net::SocketAddr,
+    process,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time::Instant,
 };
 
 /// Settings of a server.
--- a/fulmargw_lab/src/database/replication.rs
+++ b/fulmargw_lab/src/database/replication.rs
@@ -1,21 +1,19 @@
 //! Replication between members over TCP.
 
-use {
-    super::{
-        member::{Acknowledgement, Append, Promise},
-        process::{Peer, Server},
-    },
-    bytes::{Bytes, BytesMut},
-    fulmargw_model::position::Term,
-    futures::{SinkExt as _, StreamExt as _},
-    serde::{Deserialize, Serialize},
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::{TcpListener, TcpSocket, TcpStream},
-        time::{self, Instant},
-    },
-    tokio_util::codec::{Framed, LengthDelimitedCodec},
+use super::{
+    member::{Acknowledgement, Append, Promise},
+    process::{Peer, Server},
 };
+use bytes::{Bytes, BytesMut};
+use fulmargw_model::position::Term;
+use futures::{SinkExt as _, StreamExt as _};
+use serde::{Deserialize, Serialize};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::{self, Instant},
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Interval of heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(50);
--- a/fulmargw_lab/src/database/session.rs
+++ b/fulmargw_lab/src/database/session.rs
@@ -1,36 +1,34 @@
 //! Connections of hosts in the PostgreSQL protocol.
 
-use {
-    super::{
-        error::Error,
-        execute::{Executor, Reply},
-        process::Server,
-        sql::{self, Statement},
-        wire,
-    },
-    bytes::BytesMut,
-    fulmargw_model::position::Term,
-    pgwire::messages::{
-        DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, SslNegotiationMetaMessage,
-        data::{NoData, ParameterDescription},
-        extendedquery::{
-            Bind, BindComplete, CloseComplete, Describe, Execute, Parse, ParseComplete,
-            TARGET_TYPE_BYTE_STATEMENT,
-        },
-        response::{EmptyQueryResponse, SslResponse, TransactionStatus},
-        startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup},
-    },
-    std::{
-        collections::HashMap,
-        io,
-        sync::{Arc, atomic::Ordering},
-        time::Duration,
-    },
-    tokio::{
-        io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
-        net::{TcpListener, TcpStream},
-        time::{self, Instant},
+use super::{
+    error::Error,
+    execute::{Executor, Reply},
+    process::Server,
+    sql::{self, Statement},
+    wire,
+};
+use bytes::BytesMut;
+use fulmargw_model::position::Term;
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, SslNegotiationMetaMessage,
+    data::{NoData, ParameterDescription},
+    extendedquery::{
+        Bind, BindComplete, CloseComplete, Describe, Execute, Parse, ParseComplete,
+        TARGET_TYPE_BYTE_STATEMENT,
     },
+    response::{EmptyQueryResponse, SslResponse, TransactionStatus},
+    startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup},
+};
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
+    net::{TcpListener, TcpStream},
+    time::{self, Instant},
 };
 
 /// Time in which the ends of other connections are noticed before a limit counts as broken.
--- a/fulmargw_lab/src/database/table.rs
+++ b/fulmargw_lab/src/database/table.rs
@@ -1,14 +1,12 @@
 //! The state that results from applying the log.
 
-use {
-    super::entry::{Body, Effect, Entry, Record},
-    fulmargw_model::position::Position,
-    std::{
-        collections::{BTreeMap, HashMap, VecDeque},
-        time::Duration,
-    },
-    tokio::time::Instant,
+use super::entry::{Body, Effect, Entry, Record};
+use fulmargw_model::position::Position;
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    time::Duration,
 };
+use tokio::time::Instant;
 
 /// Time for which records of requests are kept, as design section 2.6 demands.
 pub const RECORD_RETENTION: Duration = Duration::from_mins(15);
--- a/fulmargw_lab/src/database/transaction.rs
+++ b/fulmargw_lab/src/database/transaction.rs
@@ -1,14 +1,12 @@
 //! The open transaction of a connection.
 
-use {
-    super::{
-        entry::{Effect, Record},
-        error::Error,
-        table::Table,
-    },
-    fulmargw_model::position::Term,
-    std::collections::HashMap,
+use super::{
+    entry::{Effect, Record},
+    error::Error,
+    table::Table,
 };
+use fulmargw_model::position::Term;
+use std::collections::HashMap;
 
 /// Buffered changes; they become visible to others at the commit.
 #[derive(Debug, Default)]
--- a/fulmargw_lab/src/database/wire.rs
+++ b/fulmargw_lab/src/database/wire.rs
@@ -1,15 +1,13 @@
 //! Encoding of answers in the PostgreSQL protocol.
 
-use {
-    super::error::Error,
-    bytes::{BufMut as _, BytesMut},
-    pgwire::messages::{
-        PgWireBackendMessage,
-        data::{DataRow, FieldDescription, RowDescription},
-        response::{CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus},
-    },
-    std::io,
+use super::error::Error;
+use bytes::{BufMut as _, BytesMut};
+use pgwire::messages::{
+    PgWireBackendMessage,
+    data::{DataRow, FieldDescription, RowDescription},
+    response::{CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus},
 };
+use std::io;
 
 /// Type identifier of `text`; all columns have it.
 pub const TEXT: u32 = 25;
--- a/fulmargw_lab/src/experiment/bench.rs
+++ b/fulmargw_lab/src/experiment/bench.rs
@@ -1,19 +1,17 @@
 //! Start of the fleets of an experiment.
 
-use {
-    super::{deployment::Deployment, operator::Operator},
-    crate::{
-        fleet::{configuration, control::Fleet, layout::Options},
-        load::plan::Account,
-    },
-    fulmargw_model::{client_account, configuration::Change, name::Name},
-    std::{
-        env, fs, io,
-        ops::{Deref, DerefMut},
-        path::PathBuf,
-        process,
-        sync::atomic::{AtomicU64, Ordering},
-    },
+use super::{deployment::Deployment, operator::Operator};
+use crate::{
+    fleet::{configuration, control::Fleet, layout::Options},
+    load::plan::Account,
+};
+use fulmargw_model::{client_account, configuration::Change, name::Name};
+use std::{
+    env, fs, io,
+    ops::{Deref, DerefMut},
+    path::PathBuf,
+    process,
+    sync::atomic::{AtomicU64, Ordering},
 };
 
 /// Rate of an account that no experiment exhausts.
--- a/fulmargw_lab/src/experiment/configuration.rs
+++ b/fulmargw_lab/src/experiment/configuration.rs
@@ -1,19 +1,17 @@
 //! Time until a configuration is in force on every host, and racing patches.
 
-use {
-    super::{
-        bench::{Bench, Settings},
-        operator,
-        report::{Goal, Report, float},
-    },
-    fulmargw_model::configuration::{Change, Patch, Version},
-    rand::{SeedableRng as _, rngs::StdRng, seq::SliceRandom as _},
-    reqwest::StatusCode,
-    std::{io, time::Duration},
-    tokio::{
-        task::JoinSet,
-        time::{self, Instant},
-    },
+use super::{
+    bench::{Bench, Settings},
+    operator,
+    report::{Goal, Report, float},
+};
+use fulmargw_model::configuration::{Change, Patch, Version};
+use rand::{SeedableRng as _, rngs::StdRng, seq::SliceRandom as _};
+use reqwest::StatusCode;
+use std::{io, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
 };
 
 /// Races in each run.
--- a/fulmargw_lab/src/experiment/control.rs
+++ b/fulmargw_lab/src/experiment/control.rs
@@ -1,16 +1,14 @@
 //! Cost of the control part by the number of hosts.
 
-use {
-    super::{
-        bench::{Bench, Settings},
-        operator, process,
-        report::{Report, float},
-    },
-    crate::fleet::layout::Options,
-    fulmargw_model::configuration::Change,
-    std::{io, time::Duration},
-    tokio::time::{self, Instant},
+use super::{
+    bench::{Bench, Settings},
+    operator, process,
+    report::{Report, float},
 };
+use crate::fleet::layout::Options;
+use fulmargw_model::configuration::Change;
+use std::{io, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Numbers of hosts.
 const SIZES: [u8; 4] = [4, 8, 16, 32];
--- a/fulmargw_lab/src/experiment/deployment.rs
+++ b/fulmargw_lab/src/experiment/deployment.rs
@@ -1,9 +1,7 @@
 //! Sizes and latencies of the deployments of today.
 
-use {
-    crate::{fleet::layout::Options, load::plan::Account},
-    std::{io, path::PathBuf, str::FromStr, time::Duration},
-};
+use crate::{fleet::layout::Options, load::plan::Account};
+use std::{io, path::PathBuf, str::FromStr, time::Duration};
 
 /// A deployment of section 1.3 of the design page.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
--- a/fulmargw_lab/src/experiment/documents.rs
+++ b/fulmargw_lab/src/experiment/documents.rs
@@ -1,30 +1,28 @@
 //! Sizes of the configuration document and the fleet record, and the cost of a patch.
 
-use {
-    super::{
-        bench::Settings,
-        report::{Report, float},
-    },
-    fulmargw_decision::patch,
-    fulmargw_model::{
-        availability_zone::Zone,
-        backend_server::Server,
-        client_account::{Account, Digest},
-        configuration::{Change, Configuration, Patch},
-        fleet::{Fleet, Generation, Member, State},
-        host::{Host, Incarnation},
-        name::Name,
-        request::{Class, Repeat},
-        route::{Access, Route},
-        service::Service,
-    },
-    std::{
-        io,
-        net::{IpAddr, Ipv4Addr, SocketAddr},
-        time::Duration,
-    },
-    tokio::time::Instant,
+use super::{
+    bench::Settings,
+    report::{Report, float},
 };
+use fulmargw_decision::patch;
+use fulmargw_model::{
+    availability_zone::Zone,
+    backend_server::Server,
+    client_account::{Account, Digest},
+    configuration::{Change, Configuration, Patch},
+    fleet::{Fleet, Generation, Member, State},
+    host::{Host, Incarnation},
+    name::Name,
+    request::{Class, Repeat},
+    route::{Access, Route},
+    service::Service,
+};
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+use tokio::time::Instant;
 
 /// Services of a document; each has one client account and three routes.
 const SERVICES: [u16; 4] = [3, 100, 400, 1400];
--- a/fulmargw_lab/src/experiment/failover.rs
+++ b/fulmargw_lab/src/experiment/failover.rs
@@ -1,19 +1,17 @@
 //! Time from the failure of a primary to the next acknowledged write.
 
-use {
-    super::{
-        bench::{Bench, Settings, lab},
-        report::{Goal, Report, float},
-        stream::{self, Kind, Record, Stream},
-    },
-    crate::{
-        history::{check, event::Event},
-        platform::fault::Fault,
-    },
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    std::{io, time::Duration},
-    tokio::time::{self, Instant},
+use super::{
+    bench::{Bench, Settings, lab},
+    report::{Goal, Report, float},
+    stream::{self, Kind, Record, Stream},
 };
+use crate::{
+    history::{check, event::Event},
+    platform::fault::Fault,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use std::{io, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Time between two writes, over all hosts.
 const PERIOD: Duration = Duration::from_millis(5);
--- a/fulmargw_lab/src/experiment/fairness.rs
+++ b/fulmargw_lab/src/experiment/fairness.rs
@@ -1,15 +1,13 @@
 //! The worst-served client account while another one floods or a host dies.
 
-use {
-    super::{
-        bench::{Bench, Settings},
-        operator,
-        report::{Goal, Report, float, quantile},
-        stream::{self, Kind, Outcome, Record, Stream},
-    },
-    std::{collections::BTreeMap, io, time::Duration},
-    tokio::time::{self, Instant},
+use super::{
+    bench::{Bench, Settings},
+    operator,
+    report::{Goal, Report, float, quantile},
+    stream::{self, Kind, Outcome, Record, Stream},
 };
+use std::{collections::BTreeMap, io, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Rates of the accounts, in requests per second. The first one floods.
 const RATES: [f64; 8] = [200.0, 200.0, 50.0, 50.0, 50.0, 50.0, 50.0, 50.0];
--- a/fulmargw_lab/src/experiment/mod.rs
+++ b/fulmargw_lab/src/experiment/mod.rs
@@ -18,16 +18,14 @@
 pub mod window;
 mod withdrawal;
 
-use {
-    argh::FromArgs,
-    bench::Settings,
-    deployment::Deployment,
-    report::Report,
-    std::{io, time::Duration},
-    tokio::{
-        signal::unix::{SignalKind, signal},
-        time,
-    },
+use argh::FromArgs;
+use bench::Settings;
+use deployment::Deployment;
+use report::Report;
+use std::{io, time::Duration};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time,
 };
 
 /// Bound of one experiment. The defaults stay far below it.
--- a/fulmargw_lab/src/experiment/operator.rs
+++ b/fulmargw_lab/src/experiment/operator.rs
@@ -1,23 +1,21 @@
 //! The operator interfaces of a fleet's hosts and the platform's counts.
 
-use {
-    crate::{
-        fleet::{
-            layout::{Host, Layout},
-            settings::CREDENTIAL,
-        },
-        platform::state::Counts,
+use crate::{
+    fleet::{
+        layout::{Host, Layout},
+        settings::CREDENTIAL,
     },
-    fulmargw_model::{
-        client_account::{Account, Digest},
-        configuration::{Change, Patch, Version},
-        name::Name,
-    },
-    reqwest::{Client, StatusCode},
-    serde_json::Value,
-    std::{io, net::SocketAddr, time::Duration},
-    tokio::time::{self, Instant},
+    platform::state::Counts,
+};
+use fulmargw_model::{
+    client_account::{Account, Digest},
+    configuration::{Change, Patch, Version},
+    name::Name,
 };
+use reqwest::{Client, StatusCode};
+use serde_json::Value;
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Bound of one call. A patch waits for the confirmations of all hosts.
 const TIMEOUT: Duration = Duration::from_secs(8);
--- a/fulmargw_lab/src/experiment/overhead.rs
+++ b/fulmargw_lab/src/experiment/overhead.rs
@@ -1,23 +1,21 @@
 //! Time and processor time that one host adds to a statement.
 
-use {
-    super::{
-        bench::{Bench, Settings, lab},
-        process,
-        report::{Goal, Report, float, quantile},
-        stream::Kind,
-    },
-    crate::{
-        fleet::layout::Options,
-        load::client::{Caller, Client},
-    },
-    std::{io, net::SocketAddr, time::Duration},
-    tokio::{
-        task::JoinSet,
-        time::{self, Instant},
-    },
-    tokio_postgres::{Config, NoTls},
+use super::{
+    bench::{Bench, Settings, lab},
+    process,
+    report::{Goal, Report, float, quantile},
+    stream::Kind,
 };
+use crate::{
+    fleet::layout::Options,
+    load::client::{Caller, Client},
+};
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+use tokio_postgres::{Config, NoTls};
 
 /// Statements of one block; blocks with and without the host take turns.
 const BLOCK: usize = 100;
--- a/fulmargw_lab/src/experiment/rates.rs
+++ b/fulmargw_lab/src/experiment/rates.rs
@@ -1,16 +1,14 @@
 //! Share of its rate that a client account reaches, and admissions above it.
 
-use {
-    super::{
-        bench::{Bench, Settings},
-        operator,
-        report::{Goal, Report, float},
-        stream::{self, Kind, Record, Stream},
-        window::{self, Span},
-    },
-    std::{io, net::SocketAddr, time::Duration},
-    tokio::time::{self, Instant},
+use super::{
+    bench::{Bench, Settings},
+    operator,
+    report::{Goal, Report, float},
+    stream::{self, Kind, Record, Stream},
+    window::{self, Span},
 };
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Rates of the accounts, in requests per second; a few are large, as in the deployments.
 const RATES: [f64; 5] = [10.0, 40.0, 100.0, 250.0, 600.0];
--- a/fulmargw_lab/src/experiment/replicas.rs
+++ b/fulmargw_lab/src/experiment/replicas.rs
@@ -1,22 +1,20 @@
 //! Share of the reads that replicas serve while they lag.
 
-use {
-    super::{
-        bench::{Bench, Settings, lab},
-        report::{Goal, Report, float, quantile},
-    },
-    crate::{
-        database::fault::Change,
-        history::{
-            check,
-            event::{Event, Operation, Outcome},
-        },
-        load::plan::{self, Account, Mix, Plan},
+use super::{
+    bench::{Bench, Settings, lab},
+    report::{Goal, Report, float, quantile},
+};
+use crate::{
+    database::fault::Change,
+    history::{
+        check,
+        event::{Event, Operation, Outcome},
     },
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    std::{io, time::Duration},
-    tokio::time::{self, Instant},
+    load::plan::{self, Account, Mix, Plan},
 };
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use std::{io, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Greatest delay with which a replica applies the log, in milliseconds.
 const GREATEST_LAG_MS: u64 = 500;
--- a/fulmargw_lab/src/experiment/report.rs
+++ b/fulmargw_lab/src/experiment/report.rs
@@ -1,10 +1,8 @@
 //! Figures of an experiment, their goals and their output.
 
-use {
-    super::deployment::Deployment,
-    serde_json::{Map, Value, json},
-    std::io,
-};
+use super::deployment::Deployment;
+use serde_json::{Map, Value, json};
+use std::io;
 
 /// What a figure must reach. Goals come from the design page, never from a measurement.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/fulmargw_lab/src/experiment/sessions.rs
+++ b/fulmargw_lab/src/experiment/sessions.rs
@@ -1,15 +1,13 @@
 //! Memory of idle client connections and processor time of statements.
 
-use {
-    super::{
-        bench::{Bench, Settings, lab},
-        process,
-        report::{Report, float},
-    },
-    crate::load::client::{Caller, Client},
-    std::{io, time::Duration},
-    tokio::time::{self, Instant},
+use super::{
+    bench::{Bench, Settings, lab},
+    process,
+    report::{Report, float},
 };
+use crate::load::client::{Caller, Client};
+use std::{io, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Numbers of connections on one host.
 const SIZES: [usize; 4] = [0, 500, 1000, 2000];
--- a/fulmargw_lab/src/experiment/stream.rs
+++ b/fulmargw_lab/src/experiment/stream.rs
@@ -1,24 +1,22 @@
 //! Open-loop load: requests begin at fixed times, whether or not earlier ones have ended.
 
-use {
-    crate::{
-        history::event::{self, Event, Operation, Write},
-        load::client::{Caller, Client, Error},
-        timer,
-    },
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    std::{
-        collections::{BTreeMap, HashMap},
-        net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
-    },
-    tokio::{
-        task::JoinSet,
-        time::{self, Instant},
-    },
-    tokio_postgres::error::DbError,
+use crate::{
+    history::event::{self, Event, Operation, Write},
+    load::client::{Caller, Client, Error},
+    timer,
 };
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+use tokio_postgres::error::DbError;
 
 /// Keys of one stream.
 const KEYS: u64 = 16;
--- a/fulmargw_lab/src/experiment/window.rs
+++ b/fulmargw_lab/src/experiment/window.rs
@@ -1,6 +1,7 @@
 //! The check of admissions against a rate and a burst, for all windows.
 
-use {super::report::float, tokio::time::Instant};
+use super::report::float;
+use tokio::time::Instant;
 
 /// A request that was admitted at an unknown time between two times.
 #[derive(Debug, Clone, Copy)]
--- a/fulmargw_lab/src/experiment/withdrawal.rs
+++ b/fulmargw_lab/src/experiment/withdrawal.rs
@@ -1,28 +1,26 @@
 //! Time from an accepted withdrawal of a key until every host refuses it.
 
-use {
-    super::{
-        bench::{Bench, Settings},
-        operator,
-        report::{Goal, Report, float},
-        stream,
-    },
-    crate::{
-        link::rule::{Action, Rule, Table},
-        load::client::{Caller, Client, Error},
-    },
-    fulmargw_model::{
-        client_account::Digest,
-        configuration::{Change, Patch, Version},
-        name::Name,
-    },
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    reqwest::StatusCode,
-    std::{io, net::SocketAddr, time::Duration},
-    tokio::{
-        task::JoinSet,
-        time::{self, Instant},
-    },
+use super::{
+    bench::{Bench, Settings},
+    operator,
+    report::{Goal, Report, float},
+    stream,
+};
+use crate::{
+    link::rule::{Action, Rule, Table},
+    load::client::{Caller, Client, Error},
+};
+use fulmargw_model::{
+    client_account::Digest,
+    configuration::{Change, Patch, Version},
+    name::Name,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use reqwest::StatusCode;
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
 };
 
 /// Account whose keys are withdrawn.
--- a/fulmargw_lab/src/fleet/child.rs
+++ b/fulmargw_lab/src/fleet/child.rs
@@ -1,19 +1,17 @@
 //! Child processes that end with their owner.
 
-use {
-    nix::{
-        sys::{
-            signal::{self, Signal},
-            wait::{self, Id, WaitPidFlag},
-        },
-        unistd::Pid,
-    },
-    std::{
-        fs::OpenOptions,
-        io,
-        path::Path,
-        process::{self, Command, Stdio},
+use nix::{
+    sys::{
+        signal::{self, Signal},
+        wait::{self, Id, WaitPidFlag},
     },
+    unistd::Pid,
+};
+use std::{
+    fs::OpenOptions,
+    io,
+    path::Path,
+    process::{self, Command, Stdio},
 };
 
 /// A child process. Dropping it kills it.
--- a/fulmargw_lab/src/fleet/configuration.rs
+++ b/fulmargw_lab/src/fleet/configuration.rs
@@ -1,19 +1,17 @@
 //! The first configuration of a fleet.
 
-use {
-    super::layout::{Layout, Options},
-    fulmargw_model::{
-        availability_zone::Zone,
-        backend_server::Server,
-        client_account::{Account, Digest},
-        configuration::{Change, Patch, Version},
-        name::Name,
-        request::{Class, Repeat},
-        route::{Access, Route},
-        service::Service,
-    },
-    std::time::Duration,
+use super::layout::{Layout, Options};
+use fulmargw_model::{
+    availability_zone::Zone,
+    backend_server::Server,
+    client_account::{Account, Digest},
+    configuration::{Change, Patch, Version},
+    name::Name,
+    request::{Class, Repeat},
+    route::{Access, Route},
+    service::Service,
 };
+use std::time::Duration;
 
 /// Name of the only service.
 pub const SERVICE: &str = "kv";
--- a/fulmargw_lab/src/fleet/control.rs
+++ b/fulmargw_lab/src/fleet/control.rs
@@ -1,25 +1,23 @@
 //! A running fleet and its faults.
 
-use {
-    super::{
-        child::Child,
-        configuration,
-        layout::{Layout, Options},
-        settings::{self, CREDENTIAL, Start},
-    },
-    crate::{
-        database::{admin::Report, fault},
-        link::rule::{Action, Rule, Table},
-        load::client::{self, Caller},
-        platform::fault::Fault,
-    },
-    fulmargw_model::backend_server::Role,
-    nix::sys::signal::Signal,
-    reqwest::{Client, StatusCode},
-    serde::Serialize,
-    std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path, time::Duration},
-    tokio::time::{self, Instant},
+use super::{
+    child::Child,
+    configuration,
+    layout::{Layout, Options},
+    settings::{self, CREDENTIAL, Start},
 };
+use crate::{
+    database::{admin::Report, fault},
+    link::rule::{Action, Rule, Table},
+    load::client::{self, Caller},
+    platform::fault::Fault,
+};
+use fulmargw_model::backend_server::Role;
+use nix::sys::signal::Signal;
+use reqwest::{Client, StatusCode};
+use serde::Serialize;
+use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path, time::Duration};
+use tokio::time::{self, Instant};
 
 /// Longest time until a started process answers.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
--- a/fulmargw_lab/src/fleet/layout.rs
+++ b/fulmargw_lab/src/fleet/layout.rs
@@ -1,9 +1,7 @@
 //! Which processes a fleet has, and where they listen.
 
-use {
-    crate::{address, link::relay::Mapping, load::plan::Account},
-    std::{io, net::SocketAddr, path::PathBuf, time::Duration},
-};
+use crate::{address, link::relay::Mapping, load::plan::Account};
+use std::{io, net::SocketAddr, path::PathBuf, time::Duration};
 
 /// What to start.
 #[derive(Debug, Clone)]
--- a/fulmargw_lab/src/fleet/settings.rs
+++ b/fulmargw_lab/src/fleet/settings.rs
@@ -1,10 +1,8 @@
 //! Command lines and settings files of the processes of a fleet.
 
-use {
-    super::layout::{Host, Layout, Options, Server},
-    fulmargw_model::client_account::Digest,
-    std::{fs, io, path::PathBuf},
-};
+use super::layout::{Host, Layout, Options, Server};
+use fulmargw_model::client_account::Digest;
+use std::{fs, io, path::PathBuf};
 
 /// Credential that operators of a test fleet present.
 pub const CREDENTIAL: &str = "lab-operator-credential";
--- a/fulmargw_lab/src/history/check.rs
+++ b/fulmargw_lab/src/history/check.rs
@@ -1,11 +1,9 @@
 //! The check of a history against the data that was there at its end.
 
-use {
-    super::event::{Event, Operation, Outcome, Write},
-    std::{
-        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
-        fmt,
-    },
+use super::event::{Event, Operation, Outcome, Write};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    fmt,
 };
 
 /// Values of each key after the load, in the order in which they were appended.
--- a/fulmargw_lab/src/history/event.rs
+++ b/fulmargw_lab/src/history/event.rs
@@ -1,9 +1,7 @@
 //! Records of client operations.
 
-use {
-    serde::{Deserialize, Serialize},
-    std::io,
-};
+use serde::{Deserialize, Serialize};
+use std::io;
 
 /// One operation of one session.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_lab/src/link/process.rs
+++ b/fulmargw_lab/src/link/process.rs
@@ -1,14 +1,12 @@
 //! The relay process and its admin interface.
 
-use {
-    super::{
-        relay::{self, Mapping},
-        rule::Table,
-    },
-    axum::{Json, Router, extract::State, routing::post},
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::watch},
+use super::{
+    relay::{self, Mapping},
+    rule::Table,
 };
+use axum::{Json, Router, extract::State, routing::post};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{net::TcpListener, sync::watch};
 
 /// Binds all mappings and the admin interface, and relays until the process ends.
 ///
--- a/fulmargw_lab/src/link/relay.rs
+++ b/fulmargw_lab/src/link/relay.rs
@@ -1,23 +1,21 @@
 //! Relaying of one mapping.
 
-use {
-    super::rule::{Action, Direction, Table},
-    bytes::BytesMut,
-    std::{
-        io,
-        net::{IpAddr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::{
-        io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
-        net::{
-            TcpListener, TcpStream,
-            tcp::{OwnedReadHalf, OwnedWriteHalf},
-        },
-        sync::{mpsc, watch},
-        time::Instant,
+use super::rule::{Action, Direction, Table};
+use bytes::BytesMut;
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _, Interest},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
+    sync::{mpsc, watch},
+    time::Instant,
 };
 
 /// Chunks that are under way in one direction of a connection.
--- a/fulmargw_lab/src/link/rule.rs
+++ b/fulmargw_lab/src/link/rule.rs
@@ -1,9 +1,7 @@
 //! Rules that cut traffic.
 
-use {
-    serde::{Deserialize, Serialize},
-    std::net::IpAddr,
-};
+use serde::{Deserialize, Serialize};
+use std::net::IpAddr;
 
 /// What happens to the traffic that a rule matches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_lab/src/load/client.rs
+++ b/fulmargw_lab/src/load/client.rs
@@ -1,11 +1,9 @@
 //! A client connection that knows the position of its session.
 
-use {
-    crate::history::{check::Data, event},
-    futures::FutureExt as _,
-    std::{future::poll_fn, net::SocketAddr, task::Poll},
-    tokio_postgres::{Config, Connection, NoTls, SimpleQueryMessage, Socket, tls},
-};
+use crate::history::{check::Data, event};
+use futures::FutureExt as _;
+use std::{future::poll_fn, net::SocketAddr, task::Poll};
+use tokio_postgres::{Config, Connection, NoTls, SimpleQueryMessage, Socket, tls};
 
 /// Name of the reported parameter that holds the positions of a session.
 pub const POSITION: &str = "fulmar.position";
--- a/fulmargw_lab/src/load/plan.rs
+++ b/fulmargw_lab/src/load/plan.rs
@@ -1,11 +1,9 @@
 //! What a load generator does, and its run.
 
-use {
-    super::session::Session,
-    crate::history::event::Event,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{task::JoinSet, time::Instant},
-};
+use super::session::Session;
+use crate::history::event::Event;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{task::JoinSet, time::Instant};
 
 /// A bounded load.
 #[derive(Debug, Clone)]
--- a/fulmargw_lab/src/load/session.rs
+++ b/fulmargw_lab/src/load/session.rs
@@ -1,15 +1,13 @@
 //! One session of the load: a sequence of operations that can move between hosts.
 
-use {
-    super::{
-        client::{Caller, Client, Error},
-        plan::{Account, Plan},
-    },
-    crate::history::event::{Event, Operation, Outcome, Write, split, value},
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    std::{collections::HashMap, sync::Arc, time::Duration},
-    tokio::time::{self, Instant, MissedTickBehavior},
+use super::{
+    client::{Caller, Client, Error},
+    plan::{Account, Plan},
 };
+use crate::history::event::{Event, Operation, Outcome, Write, split, value};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+use tokio::time::{self, Instant, MissedTickBehavior};
 
 /// Pause after a failure, as a client library has it.
 const PAUSE: Duration = Duration::from_millis(20);
--- a/fulmargw_lab/src/platform/admin.rs
+++ b/fulmargw_lab/src/platform/admin.rs
@@ -1,20 +1,18 @@
 //! Admin interface of the platform: faults, the host list and counts.
 
-use {
-    super::{
-        fault::{Fault, Injector},
-        process::Platform,
-        state::Counts,
-    },
-    axum::{
-        Json, Router,
-        extract::State,
-        routing::{get, post},
-    },
-    fulmargw_platform::message::Hosts,
-    std::sync::Arc,
-    tokio::{net::TcpListener, time::Instant},
+use super::{
+    fault::{Fault, Injector},
+    process::Platform,
+    state::Counts,
 };
+use axum::{
+    Json, Router,
+    extract::State,
+    routing::{get, post},
+};
+use fulmargw_platform::message::Hosts;
+use std::sync::Arc;
+use tokio::{net::TcpListener, time::Instant};
 
 /// Serves the admin interface.
 pub async fn serve(platform: Arc<Platform>, listener: TcpListener) {
--- a/fulmargw_lab/src/platform/fault.rs
+++ b/fulmargw_lab/src/platform/fault.rs
@@ -1,9 +1,7 @@
 //! Faults that an experiment injects into the platform.
 
-use {
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    serde::{Deserialize, Serialize},
-};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use serde::{Deserialize, Serialize};
 
 /// Faults in force.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
--- a/fulmargw_lab/src/platform/process.rs
+++ b/fulmargw_lab/src/platform/process.rs
@@ -1,23 +1,21 @@
 //! The platform's HTTP interface.
 
-use {
-    super::{
-        admin,
-        fault::{Fault, Injector},
-        state::State as Data,
-    },
-    axum::{
-        Router,
-        body::Bytes,
-        extract::{Path, State},
-        http::StatusCode,
-        routing::{get, post},
-    },
-    fulmargw_model::order::{Mutex, Rank},
-    serde::{Serialize, de::DeserializeOwned},
-    std::{future, io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, time::Instant},
+use super::{
+    admin,
+    fault::{Fault, Injector},
+    state::State as Data,
 };
+use axum::{
+    Router,
+    body::Bytes,
+    extract::{Path, State},
+    http::StatusCode,
+    routing::{get, post},
+};
+use fulmargw_model::order::{Mutex, Rank};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{future, io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{net::TcpListener, time::Instant};
 
 /// Shared state of the platform process.
 #[derive(Debug)]
--- a/fulmargw_lab/src/platform/state.rs
+++ b/fulmargw_lab/src/platform/state.rs
@@ -1,15 +1,13 @@
 //! The platform's data, without I/O.
 
-use {
-    bytes::Bytes,
-    fulmargw_platform::message::{Commit, Hosts, Read, Row, Rows, Transaction},
-    serde::{Deserialize, Serialize},
-    std::{
-        collections::{HashMap, VecDeque},
-        time::Duration,
-    },
-    tokio::time::Instant,
+use bytes::Bytes;
+use fulmargw_platform::message::{Commit, Hosts, Read, Row, Rows, Transaction};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
 };
+use tokio::time::Instant;
 
 /// Tables, objects and the history of the host list.
 #[derive(Debug, Default)]
--- a/fulmargw_lab/src/timer.rs
+++ b/fulmargw_lab/src/timer.rs
@@ -1,15 +1,13 @@
 //! Sleeps that are more precise than the runtime's timer.
 
-use {
-    std::{
-        cmp::Reverse,
-        collections::BinaryHeap,
-        sync::{Arc, Condvar, LazyLock, Mutex, PoisonError},
-        thread,
-        time::Duration,
-    },
-    tokio::{sync::oneshot, time::Instant},
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    sync::{Arc, Condvar, LazyLock, Mutex, PoisonError},
+    thread,
+    time::Duration,
 };
+use tokio::{sync::oneshot, time::Instant};
 
 /// The runtime's timer rounds up to whole milliseconds, which is too coarse for statement
 /// times of 200 µs and link delays of 0.5 ms. One thread serves all precise sleeps.
--- a/fulmargw_lab/tests/chaos.rs
+++ b/fulmargw_lab/tests/chaos.rs
@@ -2,28 +2,26 @@
 //!
 //! `FULMARGW_CHAOS_SEED` replaces the seed of all runs.
 
-use {
-    fulmargw_lab::{
-        database::fault::{Change, Exit},
-        fleet::{
-            control::Fleet,
-            layout::{Options, Server},
-            settings::Start,
-        },
-        history::{
-            check::{check, write_gap},
-            event::{self, Event, Outcome},
-        },
-        link::rule::{Action, Rule, Table},
-        load::plan::{self, Account, Mix, Plan},
-        platform::fault,
+use fulmargw_lab::{
+    database::fault::{Change, Exit},
+    fleet::{
+        control::Fleet,
+        layout::{Options, Server},
+        settings::Start,
     },
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    std::{collections::BTreeMap, fs::File, net::IpAddr, path::Path, time::Duration},
-    tokio::{
-        sync::Mutex,
-        time::{self, Instant},
+    history::{
+        check::{check, write_gap},
+        event::{self, Event, Outcome},
     },
+    link::rule::{Action, Rule, Table},
+    load::plan::{self, Account, Mix, Plan},
+    platform::fault,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use std::{collections::BTreeMap, fs::File, net::IpAddr, path::Path, time::Duration};
+use tokio::{
+    sync::Mutex,
+    time::{self, Instant},
 };
 
 /// Runs use many processes each, so that two at the same time would disturb each other.
--- a/fulmargw_lab/tests/database.rs
+++ b/fulmargw_lab/tests/database.rs
@@ -1,18 +1,16 @@
 //! The backend server stand-in as a host sees it.
 
-use {
-    fulmargw_lab::{
-        address,
-        database::{
-            fault,
-            member::Start,
-            process::{self, Peer, Server, Settings},
-        },
+use fulmargw_lab::{
+    address,
+    database::{
+        fault,
+        member::Start,
+        process::{self, Peer, Server, Settings},
     },
-    std::{sync::Arc, time::Duration},
-    tokio::time,
-    tokio_postgres::{Client, NoTls, SimpleQueryMessage, error::SqlState},
 };
+use std::{sync::Arc, time::Duration};
+use tokio::time;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage, error::SqlState};
 
 async fn group() -> Vec<Arc<Server>> {
     let names = ["s1", "s2", "s3"];
--- a/fulmargw_lab/tests/experiment.rs
+++ b/fulmargw_lab/tests/experiment.rs
@@ -1,18 +1,16 @@
 //! Calculations of the experiments, without processes.
 
-use {
-    fulmargw_lab::{
-        experiment::{
-            deployment::Deployment,
-            report::{Figure, Goal, Report, quantile},
-            stream::{Outcome, Record},
-            window::{Span, greatest_share},
-        },
-        history::event::{self, Operation, Write},
+use fulmargw_lab::{
+    experiment::{
+        deployment::Deployment,
+        report::{Figure, Goal, Report, quantile},
+        stream::{Outcome, Record},
+        window::{Span, greatest_share},
     },
-    std::time::Duration,
-    tokio::time::Instant,
+    history::event::{self, Operation, Write},
 };
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Returns requests that begin at these times and take `took`, all in milliseconds.
 fn spans(start: Instant, begins: &[u64], took: u64) -> Vec<Span> {
--- a/fulmargw_lab/tests/fleet.rs
+++ b/fulmargw_lab/tests/fleet.rs
@@ -1,22 +1,20 @@
 //! Stand-ins as real processes, without hosts.
 
-use {
-    fulmargw_lab::{
-        database::fault::{Change, Exit},
-        fleet::{
-            control::Fleet,
-            layout::{Options, Server},
-            settings::Start,
-        },
-        link::rule::Table,
+use fulmargw_lab::{
+    database::fault::{Change, Exit},
+    fleet::{
+        control::Fleet,
+        layout::{Options, Server},
+        settings::Start,
     },
-    std::{
-        path::Path,
-        time::{Duration, Instant},
-    },
-    tokio::time,
-    tokio_postgres::{Client, NoTls, SimpleQueryMessage},
+    link::rule::Table,
+};
+use std::{
+    path::Path,
+    time::{Duration, Instant},
 };
+use tokio::time;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 async fn fleet(name: &str) -> Fleet {
     let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
--- a/fulmargw_lab/tests/link.rs
+++ b/fulmargw_lab/tests/link.rs
@@ -1,22 +1,20 @@
 //! The relay between hosts and outside systems.
 
-use {
-    fulmargw_lab::{
-        address,
-        link::{
-            process,
-            relay::Mapping,
-            rule::{Action, Direction, Rule, Table},
-        },
-    },
-    std::{sync::Arc, time::Duration},
-    tokio::{
-        io::{AsyncReadExt as _, AsyncWriteExt as _},
-        net::{TcpListener, TcpStream},
-        sync::watch,
-        time::{self, Instant},
+use fulmargw_lab::{
+    address,
+    link::{
+        process,
+        relay::Mapping,
+        rule::{Action, Direction, Rule, Table},
     },
 };
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::{self, Instant},
+};
 
 /// Starts an echo server and a relay to it, and connects through the relay.
 async fn echo(delay: Duration) -> (Arc<watch::Sender<Table>>, TcpStream) {
--- a/fulmargw_lab/tests/member.rs
+++ b/fulmargw_lab/tests/member.rs
@@ -1,17 +1,15 @@
 //! Terms, promises and logs of a group member.
 
-use {
-    fulmargw_lab::database::{
-        entry::{Body, Effect, Entry, Record},
-        member::{Append, Member, Promise, Start},
-        transaction::Transaction,
-    },
-    fulmargw_model::{
-        backend_server::Role,
-        position::{Position, Term},
-    },
-    tokio::time::Instant,
+use fulmargw_lab::database::{
+    entry::{Body, Effect, Entry, Record},
+    member::{Append, Member, Promise, Start},
+    transaction::Transaction,
 };
+use fulmargw_model::{
+    backend_server::Role,
+    position::{Position, Term},
+};
+use tokio::time::Instant;
 
 fn position(term: u64, index: u64) -> Position {
     let term = Term(term);
--- a/fulmargw_lab/tests/platform.rs
+++ b/fulmargw_lab/tests/platform.rs
@@ -1,20 +1,18 @@
 //! The platform stand-in.
 
-use {
-    bytes::Bytes,
-    fulmargw_lab::{
-        address,
-        platform::{
-            fault::{Fault, Injector},
-            process,
-            state::State,
-        },
+use bytes::Bytes;
+use fulmargw_lab::{
+    address,
+    platform::{
+        fault::{Fault, Injector},
+        process,
+        state::State,
     },
-    fulmargw_model::name::Name,
-    fulmargw_platform::message::{Commit, Condition, Hosts, Read, Rows, Transaction, Write},
-    std::time::Duration,
-    tokio::time::Instant,
 };
+use fulmargw_model::name::Name;
+use fulmargw_platform::message::{Commit, Condition, Hosts, Read, Rows, Transaction, Write};
+use std::time::Duration;
+use tokio::time::Instant;
 
 fn transaction(revision: u64, value: &'static str) -> Transaction {
     let key = "k".to_owned();
--- a/fulmargw_model/src/availability_zone.rs
+++ b/fulmargw_model/src/availability_zone.rs
@@ -1,10 +1,8 @@
 //! Availability zones.
 
-use {
-    crate::name::Name,
-    serde::{Deserialize, Serialize},
-    std::fmt,
-};
+use crate::name::Name;
+use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// An availability zone, identified by its name.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/fulmargw_model/src/backend_server.rs
+++ b/fulmargw_model/src/backend_server.rs
@@ -1,14 +1,12 @@
 //! Backend servers and what they report about themselves.
 
-use {
-    crate::{
-        availability_zone::Zone,
-        name::Name,
-        position::{Position, Term},
-    },
-    serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, time::Duration},
+use crate::{
+    availability_zone::Zone,
+    name::Name,
+    position::{Position, Term},
 };
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
 
 /// A configured member of a service's database group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_model/src/client_account.rs
+++ b/fulmargw_model/src/client_account.rs
@@ -1,12 +1,10 @@
 //! Client accounts and the digests of their keys.
 
-use {
-    crate::name::Name,
-    serde::{Deserialize, Serialize},
-    sha2::{Digest as _, Sha256},
-    std::{fmt, str::FromStr},
-    subtle::ConstantTimeEq,
-};
+use crate::name::Name;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use std::{fmt, str::FromStr};
+use subtle::ConstantTimeEq;
 
 /// A client account with its keys and its share.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/fulmargw_model/src/configuration.rs
+++ b/fulmargw_model/src/configuration.rs
@@ -1,16 +1,14 @@
 //! The numbered configuration and patches to it.
 
-use {
-    crate::{
-        backend_server::Server,
-        client_account::{Account, Digest},
-        name::Name,
-        route::Route,
-        service::Service,
-    },
-    serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+use crate::{
+    backend_server::Server,
+    client_account::{Account, Digest},
+    name::Name,
+    route::Route,
+    service::Service,
 };
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// The number of a configuration; each accepted patch adds one.
 #[derive(
--- a/fulmargw_model/src/fleet.rs
+++ b/fulmargw_model/src/fleet.rs
@@ -1,12 +1,10 @@
 //! The record of the hosts that share limits and rates.
 
-use {
-    crate::{
-        host::{Host, Incarnation},
-        name::Name,
-    },
-    serde::{Deserialize, Serialize},
+use crate::{
+    host::{Host, Incarnation},
+    name::Name,
 };
+use serde::{Deserialize, Serialize};
 
 /// The number of a fleet record; each change adds one.
 #[derive(
--- a/fulmargw_model/src/host.rs
+++ b/fulmargw_model/src/host.rs
@@ -1,10 +1,8 @@
 //! Hosts that run a fulmargw process.
 
-use {
-    crate::{availability_zone::Zone, name::Name},
-    serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
-};
+use crate::{availability_zone::Zone, name::Name};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// One life of a host as a member of the fleet; a restart or rejoin gets a greater one.
 #[derive(
--- a/fulmargw_model/src/name.rs
+++ b/fulmargw_model/src/name.rs
@@ -1,9 +1,7 @@
 //! Shared immutable names.
 
-use {
-    serde::{Deserialize, Serialize},
-    std::{borrow::Borrow, fmt, sync::Arc},
-};
+use serde::{Deserialize, Serialize};
+use std::{borrow::Borrow, fmt, sync::Arc};
 
 /// The name of a service, route, client account, host or backend server.
 ///
--- a/fulmargw_model/src/outcome.rs
+++ b/fulmargw_model/src/outcome.rs
@@ -1,10 +1,8 @@
 //! Outcomes of requests, independent of any protocol.
 
-use {
-    crate::position::Position,
-    serde::{Deserialize, Serialize},
-    std::time::Duration,
-};
+use crate::position::Position;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// What became of a request. `A` is the protocol-specific answer.
 #[derive(Debug)]
--- a/fulmargw_model/src/position.rs
+++ b/fulmargw_model/src/position.rs
@@ -1,10 +1,8 @@
 //! Terms and log positions of a database group.
 
-use {
-    crate::name::Name,
-    serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, fmt, str::FromStr},
-};
+use crate::name::Name;
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, fmt, str::FromStr};
 
 /// The number of a primary's period; each promotion uses a greater one.
 #[derive(
--- a/fulmargw_model/src/request.rs
+++ b/fulmargw_model/src/request.rs
@@ -1,11 +1,9 @@
 //! Requests of callers, independent of any protocol.
 
-use {
-    crate::{name::Name, position::Position},
-    serde::{Deserialize, Serialize},
-    std::{fmt, sync::Arc, time::Duration},
-    tokio::time::Instant,
-};
+use crate::{name::Name, position::Position};
+use serde::{Deserialize, Serialize};
+use std::{fmt, sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 /// Consistency that a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/fulmargw_model/src/route.rs
+++ b/fulmargw_model/src/route.rs
@@ -1,12 +1,10 @@
 //! Routes that callers may use.
 
-use {
-    crate::{
-        name::Name,
-        request::{Class, Repeat},
-    },
-    serde::{Deserialize, Serialize},
+use crate::{
+    name::Name,
+    request::{Class, Repeat},
 };
+use serde::{Deserialize, Serialize};
 
 /// A named way to a service, with the guarantees that its requests need.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_model/src/service.rs
+++ b/fulmargw_model/src/service.rs
@@ -1,9 +1,7 @@
 //! Services, each answered by one database group.
 
-use {
-    crate::{backend_server::Server, name::Name},
-    serde::{Deserialize, Serialize},
-};
+use crate::{backend_server::Server, name::Name};
+use serde::{Deserialize, Serialize};
 
 /// A service and the backend servers of its database group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_model/tests/order.rs
+++ b/fulmargw_model/tests/order.rs
@@ -1,9 +1,7 @@
 //! The lock order of shared tables.
 
-use {
-    fulmargw_model::order::{Mutex, Rank},
-    std::panic::{AssertUnwindSafe, catch_unwind},
-};
+use fulmargw_model::order::{Mutex, Rank};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 
 fn tables() -> (Mutex<u32>, Mutex<u32>) {
     (Mutex::new(Rank::Queue, 1), Mutex::new(Rank::Server, 2))
--- a/fulmargw_model/tests/position.rs
+++ b/fulmargw_model/tests/position.rs
@@ -1,12 +1,10 @@
 //! Session positions: comparison over terms, and the text form that callers present.
 
-use {
-    fulmargw_model::{
-        name::Name,
-        position::{Error, Position, Session, Term},
-    },
-    quickcheck::{QuickCheck, TestResult},
+use fulmargw_model::{
+    name::Name,
+    position::{Error, Position, Session, Term},
 };
+use quickcheck::{QuickCheck, TestResult};
 
 fn position(term: u64, index: u64) -> Position {
     Position {
--- a/fulmargw_peer/src/client.rs
+++ b/fulmargw_peer/src/client.rs
@@ -1,26 +1,24 @@
 //! Calls to other hosts.
 
-use {
-    crate::{
-        document,
-        link::{Link, Stub, Target},
-        message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
-        service::ControlClient,
-    },
-    fulmargw_model::{
-        configuration::{Configuration, Version},
-        fleet::Fleet,
-    },
-    serde::{Deserialize, Serialize},
-    std::{
-        collections::HashMap,
-        net::{IpAddr, SocketAddr},
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
-    },
-    tarpc::{client::RpcError, context},
-    tokio::time::{Instant, timeout_at},
+use crate::{
+    document,
+    link::{Link, Stub, Target},
+    message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
+    service::ControlClient,
 };
+use fulmargw_model::{
+    configuration::{Configuration, Version},
+    fleet::Fleet,
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tarpc::{client::RpcError, context};
+use tokio::time::{Instant, timeout_at};
 
 /// Settings of the calls to other hosts.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/fulmargw_peer/src/codec.rs
+++ b/fulmargw_peer/src/codec.rs
@@ -1,15 +1,13 @@
 //! MessagePack encoding of the remote procedures, with counters per mechanism.
 
-use {
-    crate::service::{ControlRequest, ControlResponse},
-    bytes::{Bytes, BytesMut},
-    metrics::counter,
-    serde::{Deserialize, Serialize, de::DeserializeOwned, de::IgnoredAny},
-    std::{io, pin::Pin, time::Duration},
-    tarpc::{ClientMessage, Response},
-    tokio_serde::{Deserializer, Serializer},
-    tokio_util::codec::LengthDelimitedCodec,
-};
+use crate::service::{ControlRequest, ControlResponse};
+use bytes::{Bytes, BytesMut};
+use metrics::counter;
+use serde::{Deserialize, Serialize, de::DeserializeOwned, de::IgnoredAny};
+use std::{io, pin::Pin, time::Duration};
+use tarpc::{ClientMessage, Response};
+use tokio_serde::{Deserializer, Serializer};
+use tokio_util::codec::LengthDelimitedCodec;
 
 /// The largest frame, in bytes; a configuration of the target size fits.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
--- a/fulmargw_peer/src/document.rs
+++ b/fulmargw_peer/src/document.rs
@@ -1,26 +1,24 @@
 //! Documents between hosts over HTTP, encoded as MessagePack.
 
-use {
-    crate::{client::Error, service::Handler},
-    axum::{
-        Router,
-        extract::State,
-        http::StatusCode,
-        response::{IntoResponse, Response},
-        routing::get,
-    },
-    fulmargw_model::{configuration::Configuration, fleet::Fleet},
-    metrics::counter,
-    serde::{Serialize, de::DeserializeOwned},
-    std::{
-        io,
-        net::{IpAddr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::net::TcpListener,
-    tokio_util::sync::CancellationToken,
+use crate::{client::Error, service::Handler};
+use axum::{
+    Router,
+    extract::State,
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::get,
 };
+use fulmargw_model::{configuration::Configuration, fleet::Fleet};
+use metrics::counter;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 /// The largest document that is accepted, in bytes.
 const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
--- a/fulmargw_peer/src/link.rs
+++ b/fulmargw_peer/src/link.rs
@@ -1,25 +1,23 @@
 //! A connection to one peer that is reopened when it breaks or goes silent.
 
-use {
-    crate::{
-        codec::{self, Codec},
-        service::ControlClient,
-    },
-    rand::Rng,
-    std::{
-        io,
-        net::{IpAddr, SocketAddr},
-        sync::Arc,
-        time::Duration,
-    },
-    tarpc::client,
-    tokio::{
-        net::{TcpSocket, TcpStream},
-        sync::{Notify, watch},
-        time::{sleep, timeout},
-    },
-    tokio_util::codec::Framed,
+use crate::{
+    codec::{self, Codec},
+    service::ControlClient,
 };
+use rand::Rng;
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tarpc::client;
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    sync::{Notify, watch},
+    time::{sleep, timeout},
+};
+use tokio_util::codec::Framed;
 
 /// First and longest pause between attempts to connect.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
--- a/fulmargw_peer/src/message.rs
+++ b/fulmargw_peer/src/message.rs
@@ -1,15 +1,13 @@
 //! Messages between hosts.
 
-use {
-    fulmargw_decision::rate::{Grant, Settlement},
-    fulmargw_model::{
-        configuration::Version,
-        fleet::{Generation, Life},
-        name::Name,
-        position::Term,
-    },
-    serde::{Deserialize, Serialize},
+use fulmargw_decision::rate::{Grant, Settlement};
+use fulmargw_model::{
+    configuration::Version,
+    fleet::{Generation, Life},
+    name::Name,
+    position::Term,
 };
+use serde::{Deserialize, Serialize};
 
 /// Asks a witness to confirm the lease of the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_peer/src/server.rs
+++ b/fulmargw_peer/src/server.rs
@@ -1,16 +1,14 @@
 //! Serves the remote procedures to other hosts.
 
-use {
-    crate::{
-        codec::{self, Codec},
-        service::{Adapter, Control, Handler},
-    },
-    futures::StreamExt,
-    std::{io, time::Duration},
-    tarpc::server::{BaseChannel, Channel, Config},
-    tokio::net::{TcpListener, TcpStream},
-    tokio_util::{codec::Framed, sync::CancellationToken, task::TaskTracker},
+use crate::{
+    codec::{self, Codec},
+    service::{Adapter, Control, Handler},
 };
+use futures::StreamExt;
+use std::{io, time::Duration};
+use tarpc::server::{BaseChannel, Channel, Config};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{codec::Framed, sync::CancellationToken, task::TaskTracker};
 
 /// Pause after a failed accept, for example when file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/fulmargw_peer/src/service.rs
+++ b/fulmargw_peer/src/service.rs
@@ -1,14 +1,12 @@
 //! The service that each host offers to the others.
 
-use {
-    crate::message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
-    fulmargw_model::{
-        configuration::{Configuration, Version},
-        fleet::Fleet,
-    },
-    std::sync::Arc,
-    tarpc::context::Context,
+use crate::message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal};
+use fulmargw_model::{
+    configuration::{Configuration, Version},
+    fleet::Fleet,
 };
+use std::sync::Arc;
+use tarpc::context::Context;
 
 /// What a host answers to its peers. Answers come from memory, so nothing here waits.
 pub trait Handler: Clone + Send + Sync + 'static {
--- a/fulmargw_peer/tests/codec.rs
+++ b/fulmargw_peer/tests/codec.rs
@@ -3,19 +3,17 @@
 #[allow(dead_code, reason = "each test file uses a part of the fixtures")]
 mod fixture;
 
-use {
-    bytes::BytesMut,
-    fixture::{announcement, configuration, demand, note, question, removal},
-    fulmargw_peer::{
-        codec::Codec,
-        service::{ControlRequest, ControlResponse},
-    },
-    rand::{Rng, SeedableRng, rngs::StdRng},
-    std::{pin::Pin, sync::Arc, time::Duration},
-    tarpc::{ClientMessage, Request, Response, context},
-    tokio::time::Instant,
-    tokio_serde::{Deserializer, Serializer},
+use bytes::BytesMut;
+use fixture::{announcement, configuration, demand, note, question, removal};
+use fulmargw_peer::{
+    codec::Codec,
+    service::{ControlRequest, ControlResponse},
 };
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{pin::Pin, sync::Arc, time::Duration};
+use tarpc::{ClientMessage, Request, Response, context};
+use tokio::time::Instant;
+use tokio_serde::{Deserializer, Serializer};
 
 const SEED: u64 = 7;
 
--- a/fulmargw_peer/tests/peer.rs
+++ b/fulmargw_peer/tests/peer.rs
@@ -3,17 +3,15 @@
 #[allow(dead_code, reason = "each test file uses a part of the fixtures")]
 mod fixture;
 
-use {
-    fixture::{
-        Recorder, Relay, announcement, configuration, demand, note, question, removal, serve, set,
-    },
-    fulmargw_model::configuration::Version,
-    std::{net::IpAddr, sync::Arc, time::Duration},
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
-        time::Instant,
-    },
+use fixture::{
+    Recorder, Relay, announcement, configuration, demand, note, question, removal, serve, set,
+};
+use fulmargw_model::configuration::Version;
+use std::{net::IpAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::Instant,
 };
 
 /// Guards against messages that are encoded in a way that the other side does not read.
--- a/fulmargw_platform/src/client.rs
+++ b/fulmargw_platform/src/client.rs
@@ -1,20 +1,18 @@
 //! HTTP client of the platform.
 
-use {
-    crate::{
-        message::{Commit, Hosts, Read, Row, Rows, Transaction},
-        store::{Error, Store},
-    },
-    metrics::counter,
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{
-        net::{IpAddr, SocketAddr},
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::Duration,
+use crate::{
+    message::{Commit, Hosts, Read, Row, Rows, Transaction},
+    store::{Error, Store},
+};
+use metrics::counter;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 /// The largest answer that is accepted, in bytes.
--- a/fulmargw_platform/src/message.rs
+++ b/fulmargw_platform/src/message.rs
@@ -4,11 +4,9 @@
 //! [`Transaction`] and answers [`Commit`]; `GET /hosts` answers [`Hosts`]; `GET` and `PUT`
 //! of `/object/{key}` carry bytes. Status 503 means that the platform is down.
 
-use {
-    bytes::Bytes,
-    fulmargw_model::name::Name,
-    serde::{Deserialize, Serialize},
-};
+use bytes::Bytes;
+use fulmargw_model::name::Name;
+use serde::{Deserialize, Serialize};
 
 /// Asks for the rows of some keys.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/fulmargw_platform/src/store.rs
+++ b/fulmargw_platform/src/store.rs
@@ -1,9 +1,7 @@
 //! What the control code needs of the platform.
 
-use {
-    crate::message::{Commit, Hosts, Row, Transaction},
-    std::future::Future,
-};
+use crate::message::{Commit, Hosts, Row, Transaction};
+use std::future::Future;
 
 /// The platform's table service and host list.
 pub trait Store: Clone + Send + Sync + 'static {
--- a/fulmargw_platform/tests/client.rs
+++ b/fulmargw_platform/tests/client.rs
@@ -1,18 +1,16 @@
 //! The HTTP client against a small server of canned answers.
 
-use {
-    fulmargw_platform::{
-        client::{Client, Settings},
-        message::{Commit, Row, Rows, Transaction},
-        store::Store,
-    },
-    serde::Serialize,
-    std::{net::SocketAddr, time::Duration},
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
-        time::Instant,
-    },
+use fulmargw_platform::{
+    client::{Client, Settings},
+    message::{Commit, Row, Rows, Transaction},
+    store::Store,
+};
+use serde::Serialize;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::Instant,
 };
 
 /// What the server does with every request.
