--- a/fulmargw/src/cli.rs
+++ b/fulmargw/src/cli.rs
@@ -25,6 +25,8 @@
 pub enum Command {
     /// Serves callers.
     Serve(Serve),
+    /// Serves callers in front of database groups of a platform.
+    Pool(Pool),
     /// Checks a settings file.
     Check(Check),
     /// Submits a configuration patch.
@@ -52,6 +54,20 @@
     pub settings: PathBuf,
 }
 
+/// serve callers in front of the database groups of a platform, until SIGTERM or SIGINT
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "pool",
+    example = "fulmargw pool --settings /etc/fulmargw/pool.toml",
+    note = "Without the option the platform says where the settings file is."
+)]
+pub struct Pool {
+    /// settings file
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+}
+
 /// check a settings file and name each problem by file, line and key
 #[derive(Debug, PartialEq, FromArgs)]
 #[argh(
--- a/fulmargw/src/command/mod.rs
+++ b/fulmargw/src/command/mod.rs
@@ -4,6 +4,7 @@
 pub mod inspect;
 pub mod key;
 pub mod patch;
+pub mod pool;
 pub mod serve;
 pub mod version;
 
@@ -15,6 +16,7 @@
 pub fn run(command: Command) -> Exit {
     match command {
         Command::Serve(arguments) => serve::run(&arguments),
+        Command::Pool(arguments) => pool::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
         Command::Patch(arguments) => patch::run(&arguments),
         Command::Config(arguments) => inspect::configuration(&arguments),
--- /dev/null
+++ b/fulmargw/src/command/pool.rs
@@ -0,0 +1,48 @@
+//! `fulmargw pool`.
+
+use crate::{cli::Pool, command::check, exit::Exit, pool};
+use tokio::runtime::Builder;
+
+/// Serves callers until a signal stops the process.
+pub(super) fn run(arguments: &Pool) -> Exit {
+    let file = arguments
+        .settings
+        .clone()
+        .or_else(platform::location::settings);
+    let Some(file) = file else {
+        eprintln!("fulmargw: no settings file is given");
+        return Exit::Usage;
+    };
+    let settings = match pool::settings::load(&file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return check::exit(&error);
+        }
+    };
+    let runtime = if settings.limits.cores > 1 {
+        Builder::new_multi_thread()
+            .worker_threads(settings.limits.cores as usize)
+            .enable_all()
+            .build()
+    } else {
+        Builder::new_current_thread().enable_all().build()
+    };
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(cause) => {
+            eprintln!("fulmargw: start the runtime: {cause}");
+            return Exit::Failed;
+        }
+    };
+    let served = runtime.block_on(pool::run(settings, &file));
+    // Tasks that are left after a timeout must not keep the process alive.
+    runtime.shutdown_background();
+    match served {
+        Ok(()) => Exit::Done,
+        Err(error) => {
+            eprintln!("fulmargw: {error}");
+            Exit::Failed
+        }
+    }
+}
--- a/fulmargw/src/lib.rs
+++ b/fulmargw/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod exit;
 pub mod log;
 pub mod operator;
+pub mod pool;
 pub mod recorder;
 pub mod serve;
 pub mod settings;
--- a/fulmargw/src/log.rs
+++ b/fulmargw/src/log.rs
@@ -63,14 +63,19 @@
 /// Reports whether a target belongs to this program. Libraries log each call at level info;
 /// only their warnings are of use.
 fn is_own(target: &str) -> bool {
-    target.starts_with("fulmargw")
+    target.starts_with("fulmargw") || target.starts_with("platform")
 }
 
 /// Returns the formatter of the settings, without a destination.
 pub fn dispatch(log: &Log, host: &Host) -> Dispatch {
+    dispatch_for(log, host.name.clone(), host.zone.clone())
+}
+
+/// Returns the formatter for a host with this name and availability zone.
+pub fn dispatch_for(log: &Log, host: Name, zone: Name) -> Dispatch {
     let origin = Origin {
-        host: host.name.clone(),
-        zone: host.zone.clone(),
+        host,
+        zone,
         start: Instant::now(),
     };
     let format = log.format;
--- /dev/null
+++ b/fulmargw/src/pool/mod.rs
@@ -0,0 +1,83 @@
+//! A process that pools sessions in front of the database groups of a platform.
+
+pub mod error;
+pub mod lines;
+pub mod reload;
+pub mod settings;
+pub mod stop;
+
+use self::{error::Error, lines::Lines};
+use crate::{recorder, serve::signal::Signals};
+use fulmargw_peer::report;
+use fulmargw_pool::{core::Core, failover, follow, listener, probe, settings::Settings, worker};
+use platform::{client::Client, frame};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
+use tokio::net::TcpListener;
+
+/// Tasks that run statements. It is above the statements that run at the same time on all
+/// servers, so that statements which wait for a dark server leave workers to others.
+const WORKERS: usize = 192;
+/// Longest time for one report to another host.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The state of a process on the users' platform.
+type Pool = Core<frame::Lines, Client>;
+
+/// Serves callers until a signal arrives, and then stops.
+///
+/// # Errors
+///
+/// The step of the start that failed.
+pub async fn run(settings: Settings, file: &Path) -> Result<(), Error> {
+    let lines = Lines::install(&settings.host).map_err(Error::Log)?;
+    let metrics = recorder::install().map_err(Error::Metrics)?;
+    let mut signals = Signals::install().map_err(Error::Signals)?;
+    let host = settings.host.clone();
+    let client = Client::new(
+        settings.platform.store_address,
+        settings.platform.order_address,
+    )
+    .map_err(Error::Client)?;
+    let reports = report::Client::new(REPORT_TIMEOUT).map_err(Error::Client)?;
+    let peers = bind("other hosts", host.peer_address).await?;
+    let ready = bind("the balancer", host.ready_address).await?;
+    let scrapes = bind("metrics", host.metrics_address).await?;
+    let callers = bind("callers", host.front_address).await?;
+    let core = Arc::new(Pool::new(settings, client));
+    log::info!(event = "start", incarnation = core.incarnation, file:% = file.display(), version = env!("CARGO_PKG_VERSION"); "process starts");
+    let tasks = &core.tasks;
+    tasks.spawn(lines.clone().keep());
+    tasks.spawn(recorder::keep(metrics.clone()));
+    for _ in 0..WORKERS {
+        tasks.spawn(worker::run(Arc::clone(&core)));
+    }
+    tasks.spawn(follow::catalog(Arc::clone(&core)));
+    tasks.spawn(follow::registry(Arc::clone(&core)));
+    tasks.spawn(follow::membership(Arc::clone(&core)));
+    tasks.spawn(follow::reports(Arc::clone(&core), reports));
+    tasks.spawn(failover::run(Arc::clone(&core)));
+    tasks.spawn(reload::run(Arc::clone(&core), file.to_owned()));
+    let handler = follow::Handler(Arc::clone(&core));
+    tasks.spawn(report::serve(peers, handler, core.stop.clone()));
+    let readiness = Arc::clone(&core);
+    let stop = core.stop.clone();
+    tasks.spawn(probe::ready(ready, move || readiness.is_ready(), stop));
+    let stop = core.stop.clone();
+    tasks.spawn(probe::metrics(scrapes, move || metrics.render(), stop));
+    tasks.spawn(listener::run(Arc::clone(&core), callers));
+    signals.next().await;
+    stop::stop(&core).await;
+    log::info!(event = "stop", incarnation = core.incarnation; "process stops");
+    lines.flush();
+    Ok(())
+}
+
+async fn bind(listener: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| Error::Bind {
+            listener,
+            address,
+            cause,
+        })
+}
--- a/fulmargw/src/settings/mod.rs
+++ b/fulmargw/src/settings/mod.rs
@@ -13,7 +13,7 @@
 pub mod problem;
 
 use problem::{Error, Findings, Problem};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -68,18 +68,8 @@
     ///
     /// Every problem that was found.
     pub fn parse(file: &Path, text: &str) -> Result<Self, Error> {
-        let settings = decode(file, text).map_err(|problem| Error::Invalid(vec![problem]))?;
-        let problems: Vec<Problem> = settings
-            .check()
-            .into_inner()
-            .into_iter()
-            .map(|(key, cause)| Problem {
-                file: file.to_owned(),
-                line: locate::line(text, &key),
-                key,
-                cause,
-            })
-            .collect();
+        let settings: Self = decode(file, text).map_err(|problem| Error::Invalid(vec![problem]))?;
+        let problems = Problem::locate(file, text, settings.check());
         if problems.is_empty() {
             return Ok(settings);
         }
@@ -131,7 +121,8 @@
     one.port() == other.port() && (same_ip || any_ip)
 }
 
-fn decode(file: &Path, text: &str) -> Result<Settings, Problem> {
+/// Decodes a settings file; an error has the line and the key.
+pub(crate) fn decode<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T, Problem> {
     let problem = |line, key, cause| Problem {
         file: PathBuf::from(file),
         line,
--- a/fulmargw/src/settings/problem.rs
+++ b/fulmargw/src/settings/problem.rs
@@ -1,7 +1,12 @@
 //! Problems of a settings file.
 
 use serde::Serialize;
-use std::{fmt, fmt::Display, ops::RangeInclusive, path::PathBuf};
+use std::{
+    fmt,
+    fmt::Display,
+    ops::RangeInclusive,
+    path::{Path, PathBuf},
+};
 
 /// A problem with one key of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -16,6 +21,20 @@
     pub cause: String,
 }
 
+impl Problem {
+    /// Gives findings the file and the lines of their keys.
+    #[must_use]
+    pub fn locate(file: &Path, text: &str, findings: Findings) -> Vec<Self> {
+        let located = findings.0.into_iter().map(|(key, cause)| Self {
+            file: file.to_owned(),
+            line: super::locate::line(text, &key),
+            key,
+            cause,
+        });
+        located.collect()
+    }
+}
+
 impl Display for Problem {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let file = self.file.display();
@@ -49,12 +68,6 @@
             self.add(key, format!("{value} is not between {start} and {end}"));
         }
     }
-
-    /// Returns the problems as pairs of key and cause.
-    #[must_use]
-    pub fn into_inner(self) -> Vec<(String, String)> {
-        self.0
-    }
 }
 
 /// The settings cannot be used.
--- a/fulmargw_peer/src/lib.rs
+++ b/fulmargw_peer/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod document;
 mod link;
 pub mod message;
+pub mod report;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/fulmargw_peer/src/report.rs
@@ -0,0 +1,151 @@
+//! Reports that hosts exchange about themselves and what they see, over HTTP with MessagePack.
+
+use axum::{Router, body::Bytes, extract::State, http::StatusCode, routing::post};
+use fulmargw_model::name::Name;
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Path of the exchange.
+const PATH: &str = "/report";
+/// Largest body that is accepted, in bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// What a host tells of itself and of what it sees.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// Name of the host.
+    pub host: Name,
+    /// Address at which it answers reports.
+    pub address: SocketAddr,
+    /// Identifier of this life of its process.
+    pub incarnation: u64,
+    /// Version of its configuration, 0 if it has none.
+    pub version: u64,
+    /// Hosts that share rates and connections, as it knows them.
+    pub members: Vec<(Name, SocketAddr)>,
+    /// Hosts that it heard from recently.
+    pub hears: Vec<Name>,
+    /// Primaries that answered it recently.
+    pub answering: Vec<Name>,
+    /// Primaries that it knows of a promotion.
+    pub promoted: Vec<Promoted>,
+    /// Whether it is stopping.
+    pub is_stopping: bool,
+}
+
+/// A promotion that a host ordered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Promoted {
+    /// Service whose primary changed.
+    pub service: Name,
+    /// Identifier of the new primary.
+    pub server: Name,
+    /// Fencing token of the order; a greater one is newer.
+    pub token: u64,
+}
+
+/// Answer to a report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Answer {
+    /// Report of the host that answers.
+    pub report: Report,
+    /// Its configuration, encoded, if the asker's is older.
+    pub catalog: Option<Bytes>,
+}
+
+/// Answers the reports of other hosts.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Takes a report and answers with the own one.
+    fn exchange(&self, report: Report) -> Answer;
+}
+
+/// A failed exchange.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+#[displaydoc("exchange reports with host {peer}: {cause}")]
+pub struct Error {
+    /// Address of the peer.
+    pub peer: SocketAddr,
+    /// What happened.
+    pub cause: String,
+}
+
+impl std::error::Error for Error {}
+
+/// Sends reports to other hosts.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: reqwest::Client,
+}
+
+impl Client {
+    /// Makes a client whose calls take at most `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// If the HTTP client cannot be made.
+    pub fn new(timeout: Duration) -> Result<Self, reqwest::Error> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .timeout(timeout)
+            .connect_timeout(timeout)
+            .tcp_nodelay(true)
+            .build()?;
+        Ok(Self { http })
+    }
+
+    /// Sends a report and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer in time, or it cannot be decoded.
+    pub async fn exchange(&self, peer: SocketAddr, report: &Report) -> Result<Answer, Error> {
+        let failed = |cause: String| Error { peer, cause };
+        let body = rmp_serde::to_vec(report).map_err(|cause| failed(cause.to_string()))?;
+        let sent = self
+            .http
+            .post(format!("http://{peer}{PATH}"))
+            .body(body)
+            .send()
+            .await
+            .and_then(reqwest::Response::error_for_status)
+            .map_err(|cause| failed(cause.to_string()))?;
+        let body = sent
+            .bytes()
+            .await
+            .map_err(|cause| failed(cause.to_string()))?;
+        rmp_serde::from_slice(&body).map_err(|cause| failed(cause.to_string()))
+    }
+}
+
+/// Answers reports until `stop` is cancelled.
+///
+/// # Errors
+///
+/// If the listener fails.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    stop: CancellationToken,
+) -> std::io::Result<()> {
+    let router = Router::new()
+        .route(PATH, post(answer::<H>))
+        .layer(axum::extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(Arc::new(handler));
+    let served = axum::serve(listener, router).into_future();
+    stop.run_until_cancelled(served).await.unwrap_or(Ok(()))
+}
+
+async fn answer<H: Handler>(
+    State(handler): State<Arc<H>>,
+    body: Bytes,
+) -> Result<Vec<u8>, (StatusCode, String)> {
+    let report = rmp_serde::from_slice(&body)
+        .map_err(|cause| (StatusCode::BAD_REQUEST, cause.to_string()))?;
+    rmp_serde::to_vec(&handler.exchange(report))
+        .map_err(|cause| (StatusCode::INTERNAL_SERVER_ERROR, cause.to_string()))
+}
--- /dev/null
+++ b/fulmargw_pool/src/belief.rs
@@ -0,0 +1,166 @@
+//! What a host believes of one backend server from the answers it got.
+
+use crate::routing::LACK_TIME;
+use fulmargw_model::position::Position;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// Time without any answer to a waiting statement after which a server counts as silent.
+///
+/// It is above the time that a full queue of a server takes.
+pub const SILENCE: Duration = Duration::from_millis(800);
+/// Time without any answer to a waiting commit after which a primary counts as stuck.
+pub const STUCK: Duration = Duration::from_millis(1_000);
+/// First and longest pause before a server that refused a connection is tried again.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// Why a server does not work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// Connections are refused or break.
+    Unreachable,
+    /// Statements get no answer.
+    Silent,
+    /// Commits get no answer.
+    Stuck,
+}
+
+/// Record of a server's answers.
+#[derive(Debug, Clone)]
+pub struct Belief {
+    /// Statements that wait for an answer: when each was sent, and whether it commits.
+    waiting: BTreeMap<u64, (Instant, bool)>,
+    next: u64,
+    answered: Option<Instant>,
+    committed: Option<Instant>,
+    failures: u32,
+    failing_since: Option<Instant>,
+    pause_until: Option<Instant>,
+    lacked: Option<(Position, Instant)>,
+    /// Position that the server told last.
+    pub applied: Option<Position>,
+}
+
+/// A waiting statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket(u64);
+
+impl Belief {
+    /// Makes a record without answers.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            next: 0,
+            answered: None,
+            committed: None,
+            failures: 0,
+            failing_since: None,
+            pause_until: None,
+            lacked: None,
+            applied: None,
+        }
+    }
+
+    /// Notes that a statement was sent.
+    pub fn sent(&mut self, commits: bool, now: Instant) -> Ticket {
+        let ticket = self.next;
+        self.next += 1;
+        self.waiting.insert(ticket, (now, commits));
+        Ticket(ticket)
+    }
+
+    /// Notes the answer to a statement.
+    pub fn answered(&mut self, ticket: Ticket, now: Instant) {
+        if let Some((_, true)) = self.waiting.remove(&ticket.0) {
+            self.committed = Some(now);
+        }
+        self.answered = Some(now);
+        self.failures = 0;
+        self.failing_since = None;
+        self.pause_until = None;
+    }
+
+    /// Notes that a statement is no longer waited for.
+    pub fn abandoned(&mut self, ticket: Ticket) {
+        self.waiting.remove(&ticket.0);
+    }
+
+    /// Notes a connection that could not be opened or that broke.
+    pub fn failed(&mut self, now: Instant) {
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(6));
+        self.failures += 1;
+        self.failing_since.get_or_insert(now);
+        self.pause_until = Some(now + pause.min(LONGEST_PAUSE));
+    }
+
+    /// Keeps new work away for a time.
+    pub fn pause(&mut self, until: Instant) {
+        self.pause_until = Some(self.pause_until.map_or(until, |known| known.max(until)));
+    }
+
+    /// Notes that the server lacked a position.
+    pub fn lacked(&mut self, position: Position, now: Instant) {
+        self.lacked = Some((position, now));
+    }
+
+    /// Returns the position that the server lacked recently, and how long ago.
+    #[must_use]
+    pub fn recent_lack(&self, now: Instant) -> Option<(Position, Duration)> {
+        let (position, at) = self.lacked?;
+        let ago = now.saturating_duration_since(at);
+        (ago < LACK_TIME).then_some((position, ago))
+    }
+
+    /// Reports whether new work may go to the server.
+    #[must_use]
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.pause_until.is_none_or(|until| until <= now) && self.silence(now) < SILENCE
+    }
+
+    /// Returns since when the server has been in trouble, and why.
+    #[must_use]
+    pub fn trouble(&self, now: Instant) -> Option<(Trouble, Duration)> {
+        if let Some(since) = self.failing_since {
+            return Some((Trouble::Unreachable, now.saturating_duration_since(since)));
+        }
+        let silence = self.silence(now);
+        if silence >= SILENCE {
+            return Some((Trouble::Silent, silence));
+        }
+        let stuck = oldest(self.waiting.values().filter(|it| it.1), self.committed, now);
+        (stuck >= STUCK).then_some((Trouble::Stuck, stuck))
+    }
+
+    /// Reports whether the server answered within a time.
+    #[must_use]
+    pub fn has_answered(&self, within: Duration, now: Instant) -> bool {
+        self.answered
+            .is_some_and(|at| now.saturating_duration_since(at) <= within)
+    }
+
+    /// Returns for how long statements have waited without any answer.
+    fn silence(&self, now: Instant) -> Duration {
+        oldest(self.waiting.values(), self.answered, now)
+    }
+}
+
+impl Default for Belief {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the time since the oldest sending, or since the last answer if that is shorter.
+fn oldest<'a>(
+    waiting: impl Iterator<Item = &'a (Instant, bool)>,
+    answered: Option<Instant>,
+    now: Instant,
+) -> Duration {
+    let sent = waiting.map(|(sent, _)| *sent).min();
+    sent.map_or(Duration::ZERO, |sent| {
+        let since = answered.map_or(sent, |answered| answered.max(sent));
+        now.saturating_duration_since(since)
+    })
+}
--- /dev/null
+++ b/fulmargw_pool/src/connection.rs
@@ -0,0 +1,221 @@
+//! One connection to a backend server.
+
+use crate::{
+    backend::Server,
+    dialect::Dialect,
+    message::{Answer, Code, Command, State, Text},
+    statement::Shape,
+};
+use fulmargw_model::{name::Name, position::Position};
+use futures::{SinkExt as _, StreamExt as _};
+use socket2::{SockRef, TcpKeepalive};
+use std::{
+    collections::{BTreeMap, HashSet},
+    io,
+    time::Duration,
+};
+use tokio::{net::TcpStream, time::Instant};
+use tokio_util::codec::Framed;
+
+/// Time after which unacknowledged bytes close a connection to a dark server.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle time before the first keep-alive probe, and time between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection is closed.
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// Values of a session by name.
+pub type Values = BTreeMap<Text, Text>;
+
+/// The whole answer to one command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// Rows of the result.
+    pub rows: Vec<Text>,
+    /// Signature of the server, or the error.
+    pub end: Result<Text, (Code, Text)>,
+    /// State of the connection's transaction afterwards.
+    pub state: State,
+    /// Last position of the server's log.
+    pub position: Option<Position>,
+}
+
+/// An open connection. After an error it must be dropped.
+#[derive(Debug)]
+pub struct Connection<D: Dialect> {
+    framed: Framed<TcpStream, D::Back>,
+    /// Account on whose behalf it was opened.
+    pub account: Name,
+    /// Time of the last answer.
+    pub used: Instant,
+    /// Position that the server told last.
+    pub position: Option<Position>,
+    values: Values,
+    prepared: HashSet<Text>,
+}
+
+/// Failures to open a connection.
+#[derive(Debug)]
+pub enum Error {
+    /// The server gave this code.
+    Refused(Code),
+    /// The stream failed.
+    Stream(io::Error),
+}
+
+impl From<io::Error> for Error {
+    fn from(cause: io::Error) -> Self {
+        Self::Stream(cause)
+    }
+}
+
+impl<D: Dialect> Connection<D> {
+    /// Opens a connection to a server on behalf of an account.
+    ///
+    /// # Errors
+    ///
+    /// The stream cannot be opened, or the server refuses.
+    pub async fn open(server: &Server, account: Name) -> Result<Self, Error> {
+        let stream = TcpStream::connect(server.address).await?;
+        prepare(&stream)?;
+        let start = Command::Start {
+            service: server.service.clone(),
+            account: account.clone(),
+            server: server.id.clone(),
+        };
+        let mut connection = Self {
+            framed: Framed::new(stream, D::Back::default()),
+            account,
+            used: Instant::now(),
+            position: None,
+            values: Values::new(),
+            prepared: HashSet::new(),
+        };
+        connection.framed.send(start).await?;
+        match connection.next().await? {
+            Answer::Ready(State::Idle, position) => {
+                connection.position = position;
+                Ok(connection)
+            }
+            Answer::Error(code, _) => Err(Error::Refused(code)),
+            other => Err(unexpected(&other).into()),
+        }
+    }
+
+    /// Runs commands in order and reads the whole answer to each.
+    ///
+    /// # Errors
+    ///
+    /// The stream failed; what the server ran of the commands is unknown.
+    pub async fn run(&mut self, commands: Vec<Command>) -> io::Result<Vec<Reply>> {
+        let count = commands.len();
+        for command in commands {
+            self.framed.feed(command).await?;
+        }
+        self.framed.flush().await?;
+        let mut replies = Vec::with_capacity(count);
+        for _ in 0..count {
+            replies.push(self.reply().await?);
+        }
+        Ok(replies)
+    }
+
+    /// Returns the commands that give the connection a session's values and a shape.
+    #[must_use]
+    pub fn adapt(&self, values: &Values, shape: Option<&Shape>) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let is_foreign = |name: &Text| !values.contains_key(name);
+        let reset = self.values.keys().any(is_foreign);
+        if reset {
+            commands.push(Command::Reset);
+        }
+        let differs =
+            |(name, value): &(&Text, &Text)| reset || self.values.get(*name) != Some(*value);
+        let set = values.iter().filter(differs);
+        commands.extend(set.map(|(name, value)| Command::Set(name.clone(), value.clone())));
+        let shape = shape.filter(|shape| reset || !self.prepared.contains(&shape.shared_name));
+        commands.extend(
+            shape.map(|shape| Command::Prepare(shape.shared_name.clone(), shape.text.clone())),
+        );
+        commands
+    }
+
+    /// Notes that the commands of [`Self::adapt`] were answered with success.
+    pub fn adapted(&mut self, values: &Values, shape: Option<&Shape>, commands: &[Command]) {
+        if commands.contains(&Command::Reset) {
+            self.prepared.clear();
+        }
+        self.values.clone_from(values);
+        if let Some(shape) = shape {
+            self.prepared.insert(shape.shared_name.clone());
+        }
+    }
+
+    /// Reports whether the far end has closed the connection or sent something unasked.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        let mut byte = [0];
+        !matches!(
+            self.framed.get_ref().try_read(&mut byte),
+            Err(cause) if cause.kind() == io::ErrorKind::WouldBlock
+        )
+    }
+
+    async fn reply(&mut self) -> io::Result<Reply> {
+        let mut rows = Vec::new();
+        let mut end = None;
+        loop {
+            match self.next().await? {
+                Answer::Row(row) if end.is_none() => rows.push(row),
+                Answer::Complete(signature) if end.is_none() => end = Some(Ok(signature)),
+                Answer::Error(code, text) if end.is_none() => end = Some(Err((code, text))),
+                Answer::Ready(state, position) if end.is_some() => {
+                    self.used = Instant::now();
+                    self.position = position;
+                    let end = end.unwrap_or(Ok(Text::new()));
+                    return Ok(Reply {
+                        rows,
+                        end,
+                        state,
+                        position,
+                    });
+                }
+                other => return Err(unexpected(&other)),
+            }
+        }
+    }
+
+    async fn next(&mut self) -> io::Result<Answer> {
+        let next = self.framed.next().await;
+        next.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()))
+    }
+}
+
+fn unexpected(answer: &Answer) -> io::Error {
+    let kind = match answer {
+        Answer::Row(_) => "row",
+        Answer::Complete(_) => "completion",
+        Answer::Error(..) => "error",
+        Answer::Ready(..) => "ready",
+    };
+    io::Error::new(
+        io::ErrorKind::InvalidData,
+        format!("unexpected message: {kind}"),
+    )
+}
+
+/// Makes a stream notice a far end that is gone without a word.
+///
+/// # Errors
+///
+/// The operating system refuses an option.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/fulmargw_pool/src/core.rs
@@ -0,0 +1,263 @@
+//! State that the tasks of the pool share.
+
+use crate::{
+    admission::Admission,
+    catalog::{Catalog, Keyring},
+    dialect::Dialect,
+    job::{Done, Held, Job},
+    member::Members,
+    settings::Settings,
+    store::Platform,
+    table::{Key, Member, Queues, Servers},
+};
+use fulmargw_decision::queue::{Bound, Entry, Urgency};
+use fulmargw_model::{
+    name::Name,
+    order::{Mutex, Rank},
+};
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// Most waiting jobs of one account and urgency, and of a service.
+const QUEUE_BOUND: Bound = Bound {
+    lane: 256,
+    total: 1024,
+};
+
+/// A configuration in force, with the index of its keys.
+#[derive(Debug)]
+pub struct Policy {
+    /// The configuration.
+    pub catalog: Catalog,
+    /// Accounts by key.
+    pub keys: Keyring,
+}
+
+/// The shared state. Tables are locked in the order of their ranks.
+#[derive(Debug)]
+pub struct Core<D: Dialect, P: Platform> {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Identifier of this life of the process.
+    pub incarnation: u64,
+    /// The platform.
+    pub platform: P,
+    /// Configuration in force.
+    pub policy: watch::Sender<Option<Arc<Policy>>>,
+    /// Other hosts and what they report.
+    pub members: Mutex<Members>,
+    /// Token buckets.
+    pub admission: Mutex<Admission>,
+    /// Waiting jobs.
+    pub queues: Mutex<Queues<D>>,
+    /// Backend servers.
+    pub servers: Mutex<Servers<D>>,
+    /// Announces that a job waits or a server has room.
+    pub work: Notify,
+    /// Announces that a primary may need to be replaced.
+    pub suspicion: Notify,
+    /// Announces that other hosts should hear a report at once.
+    pub announce: Notify,
+    /// Cancelled when the host takes no new sessions.
+    pub draining: CancellationToken,
+    /// Cancelled when idle sessions are to be closed.
+    pub closing: CancellationToken,
+    /// Cancelled when open transactions are to be ended.
+    pub ending: CancellationToken,
+    /// Cancelled when everything stops.
+    pub stop: CancellationToken,
+    /// Tasks of sessions.
+    pub sessions: TaskTracker,
+    /// All other tasks.
+    pub tasks: TaskTracker,
+    /// Whether the registry has been read.
+    pub registered: watch::Sender<bool>,
+    next_session: AtomicU64,
+}
+
+impl<D: Dialect, P: Platform> Core<D, P> {
+    /// Makes the state of a host that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, platform: P) -> Self {
+        let incarnation = rand::random();
+        let members = Members::new(settings.host.name.clone());
+        Self {
+            settings,
+            incarnation,
+            platform,
+            policy: watch::Sender::new(None),
+            members: Mutex::new(Rank::Fleet, members),
+            admission: Mutex::new(Rank::Account, Admission::new(incarnation)),
+            queues: Mutex::new(Rank::Queue, Queues::new(QUEUE_BOUND)),
+            servers: Mutex::new(Rank::Server, Servers::new()),
+            work: Notify::new(),
+            suspicion: Notify::new(),
+            announce: Notify::new(),
+            draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            ending: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            sessions: TaskTracker::new(),
+            tasks: TaskTracker::new(),
+            registered: watch::Sender::new(false),
+            next_session: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the number of a new session.
+    pub fn open_session(&self) -> u64 {
+        self.next_session.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn policy(&self) -> Option<Arc<Policy>> {
+        self.policy.borrow().clone()
+    }
+
+    /// Reports whether the host can serve new sessions.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let knows = self.policy.borrow().is_some() && *self.registered.borrow();
+        knows && !self.draining.is_cancelled()
+    }
+
+    /// Takes a configuration if it is newer than the one in force.
+    pub fn adopt(&self, catalog: Catalog, source: &str) -> bool {
+        let hosts = self.members.lock().count();
+        let version = catalog.version;
+        let previous = self.policy().map_or(0, |policy| policy.catalog.version);
+        if version <= previous {
+            return false;
+        }
+        {
+            let mut admission = self.admission.lock();
+            admission.configure(&catalog, hosts, Instant::now());
+        }
+        let keys = Keyring::of(&catalog);
+        let policy = Arc::new(Policy { catalog, keys });
+        let adopted = self.policy.send_if_modified(|known| {
+            let newer = known
+                .as_ref()
+                .is_none_or(|known| known.catalog.version < version);
+            if newer {
+                *known = Some(policy);
+            }
+            newer
+        });
+        if adopted {
+            metrics::gauge!("fulmargw_pool_configuration_version").set(to_f64(version));
+            log::info!(event = "configuration", version, previous, source; "configuration in force");
+        }
+        adopted
+    }
+
+    /// Returns the most connections of this host to one server of a service.
+    #[must_use]
+    pub fn connection_cap(&self, service: &Name) -> u32 {
+        let hosts = self.members.lock().count();
+        let limit = self
+            .policy()
+            .and_then(|policy| {
+                let service = policy.catalog.services.get(service)?;
+                Some(service.connection_limit)
+            })
+            .unwrap_or(u32::MAX);
+        self.settings.limits.connection_share(limit, hosts)
+    }
+
+    /// Adds a job to the queue; a job that was shed for it is dropped, which its submitter
+    /// sees. Returns the ticket that removes it.
+    pub fn enqueue(
+        &self,
+        job: Job<D>,
+        urgency: Urgency,
+        cost: u32,
+    ) -> Option<fulmargw_decision::queue::Ticket> {
+        let mut queues = self.queues.lock();
+        if job.held.is_some() {
+            queues.held.push_back(job);
+            drop(queues);
+            self.work.notify_one();
+            return None;
+        }
+        let service = job.service.clone();
+        let entry = Entry {
+            account: job.account.clone(),
+            urgency,
+            cost,
+            deadline: job.deadline,
+            item: job,
+        };
+        let (ticket, shed) = queues.service(&service).push(entry);
+        drop(queues);
+        drop(shed);
+        self.work.notify_one();
+        Some(ticket)
+    }
+
+    /// Calls `change` with a server, if it is still registered.
+    pub fn with_member<T>(&self, key: &Key, change: impl FnOnce(&mut Member<D>) -> T) -> Option<T> {
+        self.servers.lock().member(key).map(change)
+    }
+
+    /// Closes the connection of a transaction, which rolls it back.
+    pub fn discard(&self, held: Held<D>) {
+        self.with_member(&held.key, Member::closed);
+        drop(held);
+        self.work.notify_one();
+    }
+
+    /// Takes back a connection without an open transaction.
+    pub fn give_back(&self, held: Held<D>) {
+        let Held { key, connection } = held;
+        self.with_member(&key, |member| member.restore(*connection));
+        self.work.notify_one();
+    }
+
+    /// Removes a job that no worker has taken.
+    pub fn withdraw(
+        &self,
+        service: &Name,
+        ticket: fulmargw_decision::queue::Ticket,
+    ) -> Option<Job<D>> {
+        self.queues.lock().service(service).remove(ticket)
+    }
+
+    /// Reports whether a service has no primary that takes work now.
+    #[must_use]
+    pub fn lacks_primary(&self, service: &Name) -> bool {
+        let now = Instant::now();
+        let servers = self.servers.lock();
+        let group = servers.groups.get(service);
+        let primary = group.and_then(|group| group.primary());
+        primary.is_none_or(|primary| !primary.belief.is_usable(now))
+    }
+
+    /// Answers a job whose submitter may have gone.
+    pub fn answer(&self, job: Job<D>, done: Done<D>) {
+        if let Err(Done::Answered {
+            held: Some(held), ..
+        }) = job.reply.send(done)
+        {
+            self.discard(held);
+        }
+    }
+}
+
+/// Converts a number for a gauge; versions are far below 2^52.
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "a gauge has no more precise type"
+)]
+#[must_use]
+pub fn to_f64(number: u64) -> f64 {
+    number as f64
+}
--- /dev/null
+++ b/fulmargw_pool/src/exchange.rs
@@ -0,0 +1,458 @@
+//! Runs one job on one connection.
+
+use crate::{
+    belief::Ticket,
+    catalog::Consistency,
+    clock,
+    connection::{self, Connection, Reply},
+    core::Core,
+    dialect::Dialect,
+    freshness::Sample,
+    job::{Done, Held, Job, Kind, NotRun, Place},
+    message::{Code, Command, State},
+    store::Platform,
+    table::{Lent, Member},
+    worker::{Ready, remaining},
+};
+use fulmargw_model::position::Position;
+use std::{io, time::Duration};
+use tokio::time::{Instant, timeout};
+
+/// Longest time for opening a connection. Opening waits for a slot of the server.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for which a server that has too many connections is left alone.
+const TOO_MANY_PAUSE: Duration = Duration::from_millis(60);
+/// Time for which a server that does not lead, or is another one, is left alone.
+const WRONG_SERVER_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a server without free slots is left alone.
+const BUSY_PAUSE: Duration = Duration::from_millis(15);
+
+/// What ended an exchange without an answer to the statement.
+enum Failure {
+    /// The statement was not sent; the server gave this code.
+    Turned(Code),
+    /// The statement was sent, or may have been.
+    Lost(io::Error),
+    /// The statement was not sent, and the connection failed.
+    Unsent,
+}
+
+/// Runs a job and reports how it ended.
+pub(crate) async fn run<D: Dialect, P: Platform>(core: &Core<D, P>, ready: Ready<D>) {
+    let Ready {
+        job,
+        server,
+        lent,
+        place,
+    } = ready;
+    let opened = match (lent, &server) {
+        (Lent::Idle(connection), _) => Ok(connection),
+        (Lent::Open(replaced), Some(server)) => {
+            drop(replaced);
+            open(core, server, &job, &place).await
+        }
+        (Lent::Open(_), None) => Err(Code::TooMany),
+    };
+    let connection = match opened {
+        Ok(connection) => connection,
+        Err(code) => {
+            core.with_member(&place.key, |member| {
+                member.finished();
+                member.closed();
+            });
+            core.work.notify_one();
+            core.answer(job, not_run(&place, code));
+            return;
+        }
+    };
+    converse(core, job, *connection, place).await;
+}
+
+fn not_run<D: Dialect>(place: &Place, code: Code) -> Done<D> {
+    Done::NotRun(NotRun {
+        server: Some(place.key.server.clone()),
+        code,
+    })
+}
+
+async fn open<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    server: &crate::backend::Server,
+    job: &Job<D>,
+    place: &Place,
+) -> Result<Box<Connection<D>>, Code> {
+    metrics::counter!("fulmargw_pool_connections_opened_total").increment(1);
+    let ticket = core.with_member(&place.key, |member| {
+        member.belief.sent(false, Instant::now())
+    });
+    let limit = OPEN_TIMEOUT.min(remaining(job.deadline));
+    let opened = timeout(limit, Connection::open(server, job.account.clone())).await;
+    let now = Instant::now();
+    let noted = |change: &dyn Fn(&mut Member<D>)| {
+        core.with_member(&place.key, |member| {
+            if let Some(ticket) = ticket {
+                member.belief.abandoned(ticket);
+            }
+            change(member);
+        });
+    };
+    match opened {
+        Ok(Ok(connection)) => {
+            core.with_member(&place.key, |member| {
+                if let Some(ticket) = ticket {
+                    member.belief.answered(ticket, now);
+                }
+                if !place.as_primary {
+                    member.belief.applied = connection.position.or(member.belief.applied);
+                }
+            });
+            Ok(Box::new(connection))
+        }
+        Ok(Err(connection::Error::Refused(code))) => {
+            let pause = match code {
+                Code::TooMany => TOO_MANY_PAUSE,
+                _ => WRONG_SERVER_PAUSE,
+            };
+            noted(&|member| member.belief.pause(now + pause));
+            log::info!(event = "connection_refused", server = place.key.server.as_str(), code = code.label(); "backend server refused a connection");
+            Err(code)
+        }
+        Ok(Err(connection::Error::Stream(cause))) => {
+            noted(&|member| member.belief.failed(now));
+            core.suspicion.notify_one();
+            log::info!(event = "connection_failed", server = place.key.server.as_str(), cause:% = cause; "cannot open a connection");
+            Err(Code::Busy)
+        }
+        Err(_) => {
+            noted(&|member| member.belief.failed(now));
+            core.suspicion.notify_one();
+            log::info!(event = "connection_failed", server = place.key.server.as_str(), cause = "timeout"; "cannot open a connection");
+            Err(Code::Busy)
+        }
+    }
+}
+
+async fn converse<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    job: Job<D>,
+    mut connection: Connection<D>,
+    place: Place,
+) {
+    let asked = Instant::now();
+    let asked_since_boot = clock::since_boot();
+    let ticket = core
+        .with_member(&place.key, |member| {
+            member.belief.sent(job.work.kind.commits(), asked)
+        })
+        .unwrap_or_else(|| crate::belief::Belief::new().sent(false, asked));
+    let limit = remaining(job.deadline);
+    let spoken = timeout(limit, speak(&mut connection, &job, &place)).await;
+    let reply = match spoken {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(Failure::Turned(code))) => {
+            core.with_member(&place.key, |member| {
+                answered(member, ticket, &connection, &place, &code);
+                member.finished();
+            });
+            refute(core, &place, &code);
+            let is_idle = !matches!(job.work.kind, Kind::Inside | Kind::Commit | Kind::Rollback);
+            settle(core, connection, &place, is_idle);
+            core.answer(job, not_run(&place, code));
+            return;
+        }
+        Ok(Err(failure)) => {
+            fail(core, ticket, &place, &failure);
+            drop(connection);
+            let done = match failure {
+                Failure::Unsent if !in_transaction(job.work.kind) => not_run(&place, Code::Busy),
+                _ => Done::Lost {
+                    place,
+                    timed_out: false,
+                },
+            };
+            core.answer(job, done);
+            return;
+        }
+        Err(_) => {
+            let now = Instant::now();
+            core.with_member(&place.key, |member| {
+                member.finished();
+                member.closed();
+                let silent = !member
+                    .belief
+                    .has_answered(now.saturating_duration_since(asked), now);
+                member.belief.abandoned(ticket);
+                // A connection that went silent says nothing of a server that answers others,
+                // but others that were idle meanwhile may have gone silent with it.
+                member.close_idle();
+                if silent {
+                    member.belief.failed(now);
+                }
+            });
+            core.suspicion.notify_one();
+            core.work.notify_one();
+            drop(connection);
+            let done = Done::Lost {
+                place,
+                timed_out: true,
+            };
+            core.answer(job, done);
+            return;
+        }
+    };
+    finish(
+        core,
+        job,
+        connection,
+        place,
+        reply,
+        Sent {
+            ticket,
+            asked,
+            asked_since_boot,
+        },
+    );
+}
+
+/// When a statement was sent.
+struct Sent {
+    ticket: Ticket,
+    asked: Instant,
+    asked_since_boot: Duration,
+}
+
+fn in_transaction(kind: Kind) -> bool {
+    matches!(kind, Kind::Inside | Kind::Commit | Kind::Rollback)
+}
+
+fn finish<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    job: Job<D>,
+    connection: Connection<D>,
+    place: Place,
+    reply: Reply,
+    sent: Sent,
+) {
+    let elapsed = sent.asked.elapsed();
+    metrics::histogram!("fulmargw_pool_statement_seconds").record(elapsed);
+    let proves = proves_lead(&job, &place, &reply);
+    {
+        let mut servers = core.servers.lock();
+        if let Some(group) = servers.groups.get_mut(&place.key.service) {
+            if let (true, Some(position)) = (proves, reply.position) {
+                group.freshness.add(Sample {
+                    asked: sent.asked,
+                    asked_since_boot: sent.asked_since_boot,
+                    position,
+                });
+            }
+            if let Some(member) = group.members.get_mut(&place.key.server) {
+                let code = reply.end.as_ref().err().map(|(code, _)| code);
+                let code = code.unwrap_or(&Code::Failed);
+                answered(member, sent.ticket, &connection, &place, code);
+                member.finished();
+            }
+        }
+    }
+    if let Err((code, _)) = &reply.end {
+        refute(core, &place, code);
+    }
+    let held = Held {
+        key: place.key.clone(),
+        connection: Box::new(connection),
+    };
+    let held = if reply.state == State::Idle {
+        core.give_back(held);
+        None
+    } else if matches!(job.work.kind, Kind::First { .. } | Kind::Inside) {
+        Some(held)
+    } else {
+        core.discard(held);
+        None
+    };
+    core.work.notify_one();
+    core.answer(job, Done::Answered { reply, place, held });
+}
+
+/// Turns to another primary if the server says that it does not lead.
+fn refute<D: Dialect, P: Platform>(core: &Core<D, P>, place: &Place, code: &Code) {
+    if *code != Code::ReadOnly || !place.as_primary {
+        return;
+    }
+    let other = {
+        let mut servers = core.servers.lock();
+        let group = servers.groups.get_mut(&place.key.service);
+        group.and_then(|group| group.refuted(&place.key.server))
+    };
+    if let Some(other) = other {
+        log::info!(event = "primary_refuted", server = place.key.server.as_str(), primary = other.as_str(); "another server leads");
+    }
+}
+
+/// Reports whether the answer proves that the server led when it was asked.
+fn proves_lead<D: Dialect>(job: &Job<D>, place: &Place, reply: &Reply) -> bool {
+    let succeeded = reply.end.is_ok();
+    match job.work.kind {
+        Kind::Write => succeeded,
+        Kind::Read => succeeded && place.as_primary,
+        Kind::First { read_only } => succeeded && place.as_primary && !read_only,
+        Kind::Inside | Kind::Commit | Kind::Rollback => false,
+    }
+}
+
+/// Notes what an answer says of its server.
+fn answered<D: Dialect>(
+    member: &mut Member<D>,
+    ticket: Ticket,
+    connection: &Connection<D>,
+    place: &Place,
+    code: &Code,
+) {
+    let now = Instant::now();
+    member.belief.answered(ticket, now);
+    member.belief.applied = connection.position.or(member.belief.applied);
+    match code {
+        Code::Lagging => {
+            if let Some(position) = place.after {
+                member.belief.lacked(position, now);
+            }
+        }
+        Code::Busy => member.belief.pause(now + BUSY_PAUSE),
+        Code::ReadOnly if place.as_primary => member.belief.pause(now + WRONG_SERVER_PAUSE),
+        _ => {}
+    }
+}
+
+fn settle<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    connection: Connection<D>,
+    place: &Place,
+    is_idle: bool,
+) {
+    let held = Held {
+        key: place.key.clone(),
+        connection: Box::new(connection),
+    };
+    if is_idle {
+        core.give_back(held);
+    } else {
+        core.discard(held);
+    }
+}
+
+fn fail<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    ticket: Ticket,
+    place: &Place,
+    failure: &Failure,
+) {
+    let now = Instant::now();
+    core.with_member(&place.key, |member| {
+        member.finished();
+        member.closed();
+        member.belief.abandoned(ticket);
+        member.belief.failed(now);
+    });
+    let cause = match failure {
+        Failure::Lost(cause) => cause.to_string(),
+        Failure::Unsent | Failure::Turned(_) => "not sent".to_owned(),
+    };
+    log::info!(event = "connection_lost", server = place.key.server.as_str(), cause:% = cause; "connection to a backend server broke");
+    core.suspicion.notify_one();
+    core.work.notify_one();
+}
+
+/// Brings the connection into the session's state and runs the statement.
+async fn speak<D: Dialect>(
+    connection: &mut Connection<D>,
+    job: &Job<D>,
+    place: &Place,
+) -> Result<Reply, Failure> {
+    let commands = connection.adapt(&job.values, job.work.shape.as_ref());
+    if !commands.is_empty() {
+        let replies = connection.run(commands.clone()).await;
+        let replies = replies.map_err(|_| Failure::Unsent)?;
+        if replies.iter().any(|reply| reply.end.is_err()) {
+            return Err(Failure::Unsent);
+        }
+        connection.adapted(&job.values, job.work.shape.as_ref(), &commands);
+    }
+    let current = matches!(job.sight.consistency, Consistency::Current);
+    match job.work.kind {
+        Kind::Read if place.as_primary => led_read(connection, job).await,
+        Kind::Read => last(connection, vec![statement(job, place.after)]).await,
+        Kind::First { read_only } => {
+            // A transaction on the primary is a plain one even if it only reads, because only
+            // such a one fails once the server has lost the lead.
+            let read_only = read_only && !place.as_primary && !current;
+            begin(connection, read_only, place.after).await?;
+            last(connection, vec![statement(job, None)]).await
+        }
+        Kind::Write | Kind::Inside | Kind::Commit | Kind::Rollback => {
+            last(connection, vec![statement(job, None)]).await
+        }
+    }
+}
+
+fn statement<D: Dialect>(job: &Job<D>, after: Option<Position>) -> Command {
+    Command::Run {
+        id: job.work.id.clone(),
+        after,
+        text: job.work.text.clone(),
+    }
+}
+
+/// Reads inside a transaction of its own, which fails on a server that has lost the lead.
+async fn led_read<D: Dialect>(
+    connection: &mut Connection<D>,
+    job: &Job<D>,
+) -> Result<Reply, Failure> {
+    begin(connection, false, None).await?;
+    let commands = vec![statement(job, None), Command::Rollback];
+    let replies = connection.run(commands).await.map_err(Failure::Lost)?;
+    let mut replies = replies.into_iter();
+    let (Some(read), Some(end)) = (replies.next(), replies.next()) else {
+        return Err(Failure::Lost(io::ErrorKind::InvalidData.into()));
+    };
+    if end.state != State::Idle {
+        return Err(Failure::Lost(io::ErrorKind::InvalidData.into()));
+    }
+    Ok(Reply {
+        state: State::Idle,
+        ..read
+    })
+}
+
+async fn begin<D: Dialect>(
+    connection: &mut Connection<D>,
+    read_only: bool,
+    after: Option<Position>,
+) -> Result<(), Failure> {
+    let begin = Command::Begin { read_only, after };
+    let replies = connection.run(vec![begin]).await;
+    let reply = replies.map_err(|_| Failure::Unsent)?.into_iter().next();
+    match reply {
+        Some(Reply {
+            end: Ok(_),
+            state: State::Open,
+            ..
+        }) => Ok(()),
+        Some(Reply {
+            end: Err((code, _)),
+            state: State::Idle,
+            ..
+        }) => Err(Failure::Turned(code)),
+        _ => Err(Failure::Unsent),
+    }
+}
+
+async fn last<D: Dialect>(
+    connection: &mut Connection<D>,
+    commands: Vec<Command>,
+) -> Result<Reply, Failure> {
+    let replies = connection.run(commands).await.map_err(Failure::Lost)?;
+    replies
+        .into_iter()
+        .next_back()
+        .ok_or_else(|| Failure::Lost(io::ErrorKind::InvalidData.into()))
+}
--- /dev/null
+++ b/fulmargw_pool/src/failover.rs
@@ -0,0 +1,673 @@
+//! Replaces a primary that is gone, does not answer or leaves.
+
+use crate::{
+    backend::{Server, Status},
+    belief::Trouble,
+    connection::Connection,
+    core::Core,
+    dialect::Dialect,
+    freshness::{Moment, Sample},
+    message::{Code, Command, State},
+    promotion::{self, Candidate, Voter},
+    store::{Order, Platform, Verdict},
+    table::Key,
+};
+use fulmargw_decision::rendezvous;
+use fulmargw_model::{
+    name::Name,
+    position::{Position, Term},
+};
+use fulmargw_peer::report::Promoted;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::task::TaskTracker;
+
+/// Time between two looks at the primaries.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Delay before the host of the next rank acts.
+const RANK_DELAY: Duration = Duration::from_millis(500);
+/// Time for which connections to a primary must fail before it is replaced.
+const UNREACHABLE: Duration = Duration::from_millis(350);
+/// The same if another host still gets answers from it.
+const UNREACHABLE_HERE: Duration = Duration::from_millis(2_000);
+/// Time without a known primary after which one is promoted.
+const LEADERLESS: Duration = Duration::from_millis(1_200);
+/// Longest time for one question to a replica.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause between two questions to a replica.
+const ASK_PAUSE: Duration = Duration::from_millis(25);
+/// Questions to a replica that has no free slot.
+const ASK_TRIES: u32 = 4;
+/// Longest time for the candidate to receive what the others hold.
+const CATCH_UP: Duration = Duration::from_millis(600);
+/// Calls for one promotion; each has a token of its own.
+const ORDER_TRIES: u32 = 6;
+/// Time for which another host that claimed a service is left alone.
+const CLAIM_TIME: Duration = Duration::from_millis(2_500);
+/// Time after a promotion in which the new primary takes over.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Age of the newest sample after which the primary is asked for its position.
+const SAMPLE_AGE: Duration = Duration::from_millis(400);
+/// Time after the last read for which samples are taken.
+const SAMPLE_DEMAND: Duration = Duration::from_secs(2);
+
+/// Prefix of the keys of claims.
+const KEY_PREFIX: &str = "promotion/";
+
+/// Content of the row that hosts claim before a promotion.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Claim {
+    holder: Name,
+    is_done: bool,
+}
+
+/// Why a primary should be replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reason {
+    Leaderless,
+    Draining,
+    Trouble(Trouble),
+    /// An order without an answer may be carried out at any time, until one with a greater token
+    /// is accepted.
+    Unsettled,
+}
+
+/// Why an attempt ended without a new primary.
+#[derive(Debug, displaydoc::Display)]
+enum Stop {
+    /// another host has claimed the service
+    Claimed,
+    /// the primary works again
+    Recovered,
+    /// {0}
+    Store(crate::store::Error),
+    /// {0}
+    Obstacle(promotion::Obstacle),
+    /// replica {0} could not be paused
+    NotPaused(Name),
+    /// the platform refused the order
+    Refused,
+    /// an order has no answer and may be carried out later
+    Unsettled,
+    /// the claim cannot be encoded: {0}
+    Encode(String),
+}
+
+/// Looks after the primaries until the process stops.
+pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
+    let mut watch = Watch::default();
+    let tasks = TaskTracker::new();
+    loop {
+        tokio::select! {
+            () = sleep(INTERVAL) => {}
+            () = core.stop.cancelled() => return,
+        }
+        core.work.notify_one();
+        sample(&core);
+        for (service, reason) in watch.assess(&core) {
+            let core = Arc::clone(&core);
+            let attempts = Arc::clone(&watch.attempts);
+            tasks.spawn(async move {
+                let started = Instant::now();
+                let result = attempt(&core, &service, reason).await;
+                report(&service, reason, started, &result);
+                lock(&attempts).ended(&service, &result);
+                let pause = if result.is_ok() {
+                    SETTLE_TIME
+                } else {
+                    INTERVAL * 2
+                };
+                sleep(pause).await;
+                lock(&attempts).running.remove(&service);
+            });
+        }
+    }
+}
+
+fn report(service: &Name, reason: Reason, started: Instant, result: &Result<Name, Stop>) {
+    let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    match result {
+        Ok(server) => {
+            metrics::counter!("fulmargw_pool_promotions_total").increment(1);
+            log::info!(event = "promoted", service = service.as_str(), server = server.as_str(), reason:? = reason, elapsed_ms; "primary replaced");
+        }
+        Err(stop) => {
+            log::info!(event = "promotion_stopped", service = service.as_str(), reason:? = reason, cause:% = stop, elapsed_ms; "primary not replaced");
+        }
+    }
+}
+
+/// What the monitor remembers between two looks.
+#[derive(Debug, Default)]
+struct Watch {
+    leaderless: BTreeMap<Name, Instant>,
+    /// Nothing else is locked while this is locked, so it needs no rank.
+    attempts: Arc<Mutex<Attempts>>,
+}
+
+/// Services with an attempt.
+#[derive(Debug, Default)]
+struct Attempts {
+    running: BTreeSet<Name>,
+    unsettled: BTreeSet<Name>,
+}
+
+impl Attempts {
+    fn ended(&mut self, service: &Name, result: &Result<Name, Stop>) {
+        match result {
+            Ok(_) => self.unsettled.remove(service),
+            Err(Stop::Unsettled) => self.unsettled.insert(service.clone()),
+            Err(_) => false,
+        };
+    }
+}
+
+fn lock(attempts: &Mutex<Attempts>) -> MutexGuard<'_, Attempts> {
+    attempts.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Watch {
+    fn assess<D: Dialect, P: Platform>(&mut self, core: &Core<D, P>) -> Vec<(Name, Reason)> {
+        let now = Instant::now();
+        if core.draining.is_cancelled() {
+            return Vec::new();
+        }
+        let names: Vec<Name> = core.servers.lock().groups.keys().cloned().collect();
+        let mut due = Vec::new();
+        for service in names {
+            let reason = assess(core, &service, now);
+            let mut attempts = lock(&self.attempts);
+            let unsettled = attempts.unsettled.contains(&service);
+            let reason = reason.or(unsettled.then_some(Reason::Unsettled));
+            if reason != Some(Reason::Leaderless) {
+                self.leaderless.remove(&service);
+            } else {
+                let since = *self.leaderless.entry(service.clone()).or_insert(now);
+                if now.saturating_duration_since(since) < LEADERLESS {
+                    continue;
+                }
+            }
+            if let Some(reason) = reason
+                && attempts.running.insert(service.clone())
+            {
+                due.push((service, reason));
+            }
+        }
+        due
+    }
+}
+
+fn assess<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    now: Instant,
+) -> Option<Reason> {
+    let (lead, draining, trouble) = {
+        let servers = core.servers.lock();
+        let group = servers.groups.get(service)?;
+        if group.members.is_empty() {
+            return None;
+        }
+        let Some(primary) = group.primary() else {
+            return Some(Reason::Leaderless);
+        };
+        let id = primary.server.id.clone();
+        (id, primary.server.is_draining, primary.belief.trouble(now))
+    };
+    if draining {
+        return Some(Reason::Draining);
+    }
+    let (trouble, age) = trouble?;
+    let answers_others = core.members.lock().answers_others(&lead, now);
+    let patience = match trouble {
+        Trouble::Unreachable if !answers_others => UNREACHABLE,
+        Trouble::Stuck => Duration::ZERO,
+        Trouble::Silent if !answers_others => Duration::ZERO,
+        Trouble::Unreachable | Trouble::Silent => UNREACHABLE_HERE,
+    };
+    (age >= patience).then_some(Reason::Trouble(trouble))
+}
+
+/// Believes that a server leads.
+pub fn lead<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    server: &Name,
+    source: &'static str,
+) {
+    let changed = {
+        let mut servers = core.servers.lock();
+        let group = servers.groups.get_mut(service);
+        group.is_some_and(|group| {
+            let known = group.members.contains_key(server);
+            let changes = known && group.lead.as_ref() != Some(server);
+            if changes {
+                group.lead = Some(server.clone());
+            }
+            changes
+        })
+    };
+    if changed {
+        log::info!(event = "primary_believed", service = service.as_str(), server = server.as_str(), source; "another server leads");
+        core.work.notify_one();
+    }
+}
+
+/// A replica with a connection for questions.
+struct Asked<D: Dialect> {
+    server: Server,
+    connection: Option<Connection<D>>,
+    status: Option<Status>,
+}
+
+async fn attempt<D: Dialect, P: Platform>(
+    core: &Arc<Core<D, P>>,
+    service: &Name,
+    reason: Reason,
+) -> Result<Name, Stop> {
+    wait_for_turn(core, service).await;
+    if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
+        return Err(Stop::Recovered);
+    }
+    let token = claim(core, service, None).await?;
+    log::info!(event = "promotion_claimed", service = service.as_str(), token, reason:? = reason; "replacing a primary");
+    let mut asked = survey(core, service).await;
+    let result = take_over(core, service, token, &mut asked).await;
+    match result {
+        // The replicas stay paused, so that the candidate of the open order keeps receiving every
+        // commit that is acknowledged.
+        Err(Stop::Unsettled) => return result,
+        Err(_) => resume(&mut asked).await,
+        Ok(_) => {}
+    }
+    finish(core, service).await;
+    result
+}
+
+async fn wait_for_turn<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) {
+    let alive = core.members.lock().alive(Instant::now());
+    let host = &core.settings.host.name;
+    let rank = rendezvous::rank(service.as_str().as_bytes(), host, &alive);
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    sleep(RANK_DELAY.saturating_mul(rank)).await;
+}
+
+/// Claims a service. The version of the written row is the fencing token: it is unique and
+/// greater than that of every earlier claim.
+async fn claim<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    held: Option<u64>,
+) -> Result<u64, Stop> {
+    let key = format!("{KEY_PREFIX}{service}");
+    let expected = match held {
+        Some(held) => held,
+        None => claimable(core, &key).await?,
+    };
+    let value = encode(core, false)?;
+    let put = core.platform.put(&key, value.into(), Some(expected)).await;
+    match put {
+        Ok(Some(token)) => Ok(token),
+        Ok(None) => Err(Stop::Claimed),
+        Err(error) => Err(Stop::Store(error)),
+    }
+}
+
+fn encode<D: Dialect, P: Platform>(core: &Core<D, P>, is_done: bool) -> Result<Vec<u8>, Stop> {
+    let claim = Claim {
+        holder: core.settings.host.name.clone(),
+        is_done,
+    };
+    rmp_serde::to_vec(&claim).map_err(|cause| Stop::Encode(cause.to_string()))
+}
+
+/// Returns the version of a claim that may be replaced, 0 if there is none.
+///
+/// A claim of another host that is not done is respected while that host is alive, and waited
+/// for otherwise.
+async fn claimable<D: Dialect, P: Platform>(core: &Core<D, P>, key: &str) -> Result<u64, Stop> {
+    let started = Instant::now();
+    let mut seen = None;
+    loop {
+        let rows = core.platform.rows().await.map_err(Stop::Store)?;
+        let Some(row) = rows.into_iter().find(|row| row.key == key) else {
+            return Ok(0);
+        };
+        let free = match rmp_serde::from_slice::<Claim>(&row.value) {
+            Ok(claim) => claim.is_done || claim.holder == core.settings.host.name,
+            Err(cause) => {
+                log::warn!(event = "row_undecodable", key, cause:% = cause; "replacing a row of the store");
+                true
+            }
+        };
+        let unchanged = *seen.get_or_insert(row.revision) == row.revision;
+        if free || (unchanged && started.elapsed() >= CLAIM_TIME) {
+            return Ok(row.revision);
+        }
+        if !unchanged {
+            return Err(Stop::Claimed);
+        }
+        sleep(CLAIM_TIME / 5).await;
+    }
+}
+
+/// Marks the claim as done, so that the next promotion need not wait.
+async fn finish<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) {
+    let key = format!("{KEY_PREFIX}{service}");
+    let Ok(value) = encode(core, true) else {
+        return;
+    };
+    if let Err(error) = core.platform.put(&key, value.into(), None).await {
+        log::warn!(event = "claim_left", service = service.as_str(), cause:% = error; "cannot release a claim; it runs out");
+    }
+}
+
+/// Asks all servers of a service but the present primary for their state.
+async fn survey<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Vec<Asked<D>> {
+    let replicas: Vec<Server> = {
+        let servers = core.servers.lock();
+        let group = servers.groups.get(service);
+        group.map_or_else(Vec::new, |group| {
+            let others = group.members.values();
+            let others = others.filter(|member| group.lead.as_ref() != Some(&member.server.id));
+            others.map(|member| member.server.clone()).collect()
+        })
+    };
+    let asks = replicas.into_iter().map(|server| async {
+        let mut asked = Asked {
+            connection: connect(core, &server).await,
+            server,
+            status: None,
+        };
+        asked.status = ask(&mut asked, &Command::Status).await;
+        asked
+    });
+    futures::future::join_all(asks).await
+}
+
+async fn connect<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    server: &Server,
+) -> Option<Connection<D>> {
+    let key = Key {
+        service: server.service.clone(),
+        server: server.id.clone(),
+    };
+    let idle = core.with_member(&key, |member| {
+        let idle = member.take_any();
+        if idle.is_some() {
+            member.closed();
+        }
+        idle
+    });
+    if let Some(Some(connection)) = idle {
+        return Some(connection);
+    }
+    let account = core
+        .policy()
+        .and_then(|policy| policy.catalog.accounts.keys().next().cloned())?;
+    let opened = timeout(ASK_TIMEOUT, Connection::open(server, account)).await;
+    match opened {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(error)) => {
+            log::info!(event = "replica_unreachable", server = server.id.as_str(), cause:? = error; "cannot ask a replica");
+            None
+        }
+        Err(_) => {
+            log::info!(event = "replica_unreachable", server = server.id.as_str(), cause = "timeout"; "cannot ask a replica");
+            None
+        }
+    }
+}
+
+/// Sends a question and reads the state that it is answered with.
+async fn ask<D: Dialect>(asked: &mut Asked<D>, command: &Command) -> Option<Status> {
+    for _ in 0..ASK_TRIES {
+        let connection = asked.connection.as_mut()?;
+        let run = timeout(ASK_TIMEOUT, connection.run(vec![command.clone()])).await;
+        let Ok(Ok(replies)) = run else {
+            log::info!(event = "replica_silent", server = asked.server.id.as_str(), command:? = command; "replica did not answer");
+            asked.connection = None;
+            return None;
+        };
+        let reply = replies.into_iter().next()?;
+        match reply.end {
+            Ok(_) => return reply.rows.first().and_then(D::status),
+            Err((Code::Busy, _)) => sleep(ASK_PAUSE).await,
+            Err((code, _)) => {
+                log::info!(event = "replica_refused", server = asked.server.id.as_str(), command:? = command, code = code.label(); "replica refused a question");
+                return None;
+            }
+        }
+    }
+    None
+}
+
+async fn take_over<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    token: u64,
+    asked: &mut [Asked<D>],
+) -> Result<Name, Stop> {
+    let voters: Vec<Voter> = asked
+        .iter()
+        .map(|asked| Voter {
+            server: asked.server.id.clone(),
+            is_draining: asked.server.is_draining,
+            status: asked.status,
+        })
+        .collect();
+    let candidate = match promotion::candidate(&voters, Term(0)) {
+        Ok(candidate) => candidate,
+        Err(promotion::Obstacle::Leads(server, term)) => {
+            lead(core, service, &server, "survey");
+            return Err(Stop::Obstacle(promotion::Obstacle::Leads(server, term)));
+        }
+        Err(obstacle) => return Err(Stop::Obstacle(obstacle)),
+    };
+    let candidate = gather(asked, candidate).await?;
+    log::info!(
+        event = "promotion_candidate", service = service.as_str(),
+        server = candidate.server.as_str(), token,
+        received:? = (candidate.received.term.0, candidate.received.index);
+        "replica with every acknowledged commit"
+    );
+    order(core, service, &candidate, token).await?;
+    let promoted = Promoted {
+        service: service.clone(),
+        server: candidate.server.clone(),
+        token,
+    };
+    core.members.lock().promoted(&promoted);
+    lead(core, service, &candidate.server, "own order");
+    core.announce.notify_one();
+    Ok(candidate.server)
+}
+
+/// Stops the other replicas from receiving and waits until the candidate has all they hold.
+///
+/// From then on a commit is acknowledged only through the candidate, so the old primary may go
+/// on until it is replaced.
+async fn gather<D: Dialect>(
+    asked: &mut [Asked<D>],
+    candidate: Candidate,
+) -> Result<Candidate, Stop> {
+    let pause = Command::Pause(candidate.pause_term);
+    let mut held: Vec<(Name, Position)> = Vec::new();
+    for other in asked
+        .iter_mut()
+        .filter(|other| other.server.id != candidate.server)
+    {
+        let status = ask(other, &pause).await;
+        let status = status.ok_or_else(|| Stop::NotPaused(other.server.id.clone()))?;
+        held.push((other.server.id.clone(), status.received));
+    }
+    let positions: Vec<Position> = held.iter().map(|(_, position)| *position).collect();
+    let own = asked
+        .iter_mut()
+        .find(|asked| asked.server.id == candidate.server);
+    let Some(own) = own else {
+        return Err(Stop::NotPaused(candidate.server));
+    };
+    let limit = Instant::now() + CATCH_UP;
+    let mut received = candidate.received;
+    while !promotion::includes_all(received, &positions) && Instant::now() < limit {
+        sleep(ASK_PAUSE).await;
+        let status = ask(own, &Command::Status).await;
+        received = status.map_or(received, |status| status.received);
+    }
+    if promotion::includes_all(received, &positions) {
+        return Ok(Candidate {
+            received,
+            ..candidate
+        });
+    }
+    // The candidate does not catch up. With all replicas paused, the longest log has all.
+    let status = ask(own, &pause).await;
+    let status = status.ok_or_else(|| Stop::NotPaused(candidate.server.clone()))?;
+    held.push((candidate.server.clone(), status.received));
+    let all: Vec<Position> = held.iter().map(|(_, position)| *position).collect();
+    let best = held
+        .into_iter()
+        .find(|(_, position)| promotion::includes_all(*position, &all));
+    let (server, received) = best.ok_or(Stop::Obstacle(promotion::Obstacle::NoCandidate))?;
+    Ok(Candidate {
+        server,
+        received,
+        ..candidate
+    })
+}
+
+/// Orders the promotion. A call without an answer may be carried out later, so it is repeated
+/// with a greater token, which makes the earlier call harmless.
+async fn order<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    candidate: &Candidate,
+    token: u64,
+) -> Result<(), Stop> {
+    let mut token = token;
+    let mut is_open = false;
+    for _ in 0..ORDER_TRIES {
+        let order = Order {
+            holder: core.settings.host.name.clone(),
+            token,
+            service: service.clone(),
+            server: candidate.server.clone(),
+        };
+        match core.platform.promote(&order).await {
+            Ok(Verdict::Accepted) => return Ok(()),
+            Ok(Verdict::Refused) if is_open => return Err(Stop::Unsettled),
+            Ok(Verdict::Refused) => return Err(Stop::Refused),
+            Ok(Verdict::Throttled) => sleep(ASK_PAUSE * 4).await,
+            Err(error) => {
+                log::warn!(event = "order_unanswered", service = service.as_str(), token, cause:% = error; "repeating the order with a greater token");
+                is_open = true;
+                token = claim(core, service, Some(token)).await.map_err(|stop| {
+                    log::warn!(event = "order_open", service = service.as_str(), token, cause:% = stop; "cannot repeat the order now");
+                    Stop::Unsettled
+                })?;
+            }
+        }
+    }
+    Err(if is_open {
+        Stop::Unsettled
+    } else {
+        Stop::Refused
+    })
+}
+
+/// Lets paused replicas receive again.
+async fn resume<D: Dialect>(asked: &mut [Asked<D>]) {
+    for replica in asked
+        .iter_mut()
+        .filter(|replica| replica.connection.is_some())
+    {
+        if ask(replica, &Command::Resume).await.is_none() {
+            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(); "cannot resume a replica");
+        }
+    }
+}
+
+/// Asks primaries for their positions where reads need newer ones than statements brought.
+fn sample<D: Dialect, P: Platform>(core: &Arc<Core<D, P>>) {
+    let moment = Moment::now();
+    let mut due = Vec::new();
+    {
+        let mut servers = core.servers.lock();
+        for (service, group) in &mut servers.groups {
+            let wanted = group
+                .demanded
+                .is_some_and(|at| moment.now.saturating_duration_since(at) < SAMPLE_DEMAND);
+            let age = group.freshness.newest_age(moment);
+            let Some(lead) = group
+                .lead
+                .clone()
+                .filter(|_| wanted && age.is_none_or(|age| age >= SAMPLE_AGE))
+            else {
+                continue;
+            };
+            let member = group.members.get_mut(&lead);
+            let usable = member.filter(|member| member.belief.is_usable(moment.now));
+            if let Some(connection) = usable.and_then(|member| member.take_any()) {
+                let key = Key {
+                    service: service.clone(),
+                    server: lead,
+                };
+                due.push((key, connection));
+            }
+        }
+    }
+    for (key, connection) in due {
+        core.tasks
+            .spawn(ask_position(Arc::clone(core), key, connection));
+    }
+}
+
+/// Begins and ends a transaction, which a server that has lost the lead refuses.
+async fn ask_position<D: Dialect, P: Platform>(
+    core: Arc<Core<D, P>>,
+    key: Key,
+    mut connection: Connection<D>,
+) {
+    let moment = Moment::now();
+    let begin = Command::Begin {
+        read_only: false,
+        after: None,
+    };
+    let run = timeout(ASK_TIMEOUT, connection.run(vec![begin, Command::Rollback])).await;
+    let Ok(Ok(replies)) = run else {
+        core.with_member(&key, |member| {
+            member.closed();
+            member.belief.failed(Instant::now());
+        });
+        core.suspicion.notify_one();
+        return;
+    };
+    let mut replies = replies.into_iter();
+    if let (Some(begun), Some(ended)) = (replies.next(), replies.next())
+        && ended.state == State::Idle
+    {
+        let mut servers = core.servers.lock();
+        if let Some(group) = servers.groups.get_mut(&key.service) {
+            if let (Ok(_), Some(position)) = (&begun.end, begun.position) {
+                group.freshness.add(Sample {
+                    asked: moment.now,
+                    asked_since_boot: moment.since_boot,
+                    position,
+                });
+            }
+            if let Some(member) = group.members.get_mut(&key.server) {
+                member.restore(connection);
+            }
+        }
+        return;
+    }
+    core.with_member(&key, crate::table::Member::closed);
+}
--- /dev/null
+++ b/fulmargw_pool/src/listener.rs
@@ -0,0 +1,30 @@
+//! Accepts callers and starts their sessions.
+
+use crate::{connection, core::Core, dialect::Dialect, session, store::Platform};
+use std::{sync::Arc, time::Duration};
+use tokio::net::TcpListener;
+
+/// Pause after a failed accept, for example when file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers until the pool closes idle sessions.
+pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = core.closing.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                if let Err(cause) = connection::prepare(&stream) {
+                    log::warn!(event = "socket_option", cause:% = cause; "cannot set socket options");
+                }
+                core.sessions.spawn(session::run(Arc::clone(&core), stream));
+            }
+            Err(cause) => {
+                log::warn!(event = "accept_failed", cause:% = cause; "cannot accept a caller");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fulmargw_pool/src/member.rs
@@ -0,0 +1,214 @@
+//! The hosts that share rates and connections, and what they report.
+
+use fulmargw_model::name::Name;
+use fulmargw_peer::report::{Promoted, Report};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+/// Time for which a host that reported counts as alive.
+pub const HEARD: Duration = Duration::from_millis(1_600);
+/// Time without a sign of life after which a host is taken off the list.
+pub const VANISHED: Duration = Duration::from_secs(15);
+/// Time without renewal or contact after which a host uses no share: others may take it off
+/// the list after [`VANISHED`].
+pub const EXPIRED: Duration = Duration::from_secs(10);
+/// Time after joining before the own share is used, in which the others learn of it.
+pub const JOIN_DELAY: Duration = Duration::from_secs(3);
+
+/// Prefix of the keys of members' rows.
+pub const KEY_PREFIX: &str = "member/";
+
+/// Content of a member's row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Address for reports.
+    pub address: SocketAddr,
+    /// Identifier of the life of its process.
+    pub incarnation: u64,
+}
+
+/// Another host.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Address for reports.
+    pub address: SocketAddr,
+    /// Last report and its time.
+    pub report: Option<(Report, Instant)>,
+    /// Version of its row, and when this host first saw it.
+    pub row: Option<(u64, Instant)>,
+    /// Time at which this host learned of it.
+    pub known: Instant,
+}
+
+/// All hosts.
+#[derive(Debug)]
+pub struct Members {
+    own: Name,
+    /// Other hosts by name.
+    pub peers: BTreeMap<Name, Peer>,
+    /// Time of the last renewal of the own row.
+    pub renewed: Option<Instant>,
+    /// Time at which the own row was written first, or a peer confirmed that it counts this host.
+    pub joined: Option<Instant>,
+    /// Promotions that this host knows, by service.
+    pub promoted: BTreeMap<Name, Promoted>,
+}
+
+impl Peer {
+    /// Reports whether the host was heard within a time.
+    #[must_use]
+    pub fn is_heard(&self, within: Duration, now: Instant) -> bool {
+        self.report
+            .as_ref()
+            .is_some_and(|(_, at)| now.saturating_duration_since(*at) <= within)
+    }
+}
+
+impl Members {
+    /// Makes a list of this host alone.
+    #[must_use]
+    pub fn new(own: Name) -> Self {
+        Self {
+            own,
+            peers: BTreeMap::new(),
+            renewed: None,
+            joined: None,
+            promoted: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of hosts that share, with this one.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the names of hosts that are alive, with this one.
+    #[must_use]
+    pub fn alive(&self, now: Instant) -> Vec<Name> {
+        let heard = self.peers.iter().filter(|(_, peer)| {
+            let stopping = peer
+                .report
+                .as_ref()
+                .is_some_and(|(report, _)| report.is_stopping);
+            peer.is_heard(HEARD, now) && !stopping
+        });
+        let mut names: Vec<Name> = heard.map(|(name, _)| name.clone()).collect();
+        names.push(self.own.clone());
+        names
+    }
+
+    /// Adds a host, or notes its new address.
+    pub fn learn(&mut self, name: &Name, address: SocketAddr, now: Instant) -> bool {
+        if *name == self.own {
+            return false;
+        }
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.address = address;
+            return false;
+        }
+        let peer = Peer {
+            address,
+            report: None,
+            row: None,
+            known: now,
+        };
+        self.peers.insert(name.clone(), peer);
+        true
+    }
+
+    /// Notes a report. Returns whether the list of hosts changed.
+    pub fn heard(&mut self, report: Report, now: Instant) -> bool {
+        let mut changed = self.learn(&report.host, report.address, now);
+        let counts_this_host = report.members.iter().any(|(name, _)| *name == self.own);
+        if counts_this_host && self.joined.is_none() {
+            // The others have kept this host's share since its earlier life.
+            self.joined = Some(now.checked_sub(JOIN_DELAY).unwrap_or(now));
+        }
+        for (name, address) in &report.members {
+            if !self.peers.contains_key(name) {
+                changed |= self.learn(name, *address, now);
+            }
+        }
+        if let Some(peer) = self.peers.get_mut(&report.host) {
+            peer.report = Some((report, now));
+        }
+        changed
+    }
+
+    /// Notes the rows of members. Returns whether the list of hosts changed.
+    pub fn listed(&mut self, rows: &BTreeMap<Name, (Record, u64)>, now: Instant) -> bool {
+        let mut changed = false;
+        for (name, (record, revision)) in rows {
+            changed |= self.learn(name, record.address, now);
+            if let Some(peer) = self.peers.get_mut(name)
+                && peer.row.is_none_or(|(known, _)| known != *revision)
+            {
+                peer.row = Some((*revision, now));
+            }
+        }
+        let own = &self.own;
+        let before = self.peers.len();
+        self.peers.retain(|name, peer| {
+            let is_new = now.saturating_duration_since(peer.known) < VANISHED;
+            name == own || rows.contains_key(name) || peer.is_heard(HEARD, now) || is_new
+        });
+        changed || self.peers.len() != before
+    }
+
+    /// Returns members without a sign of life, with the versions of their rows.
+    #[must_use]
+    pub fn vanished(&self, now: Instant) -> Vec<(Name, u64)> {
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let heard_by_others = |name: &Name| {
+            self.peers.values().any(|peer| {
+                peer.report.as_ref().is_some_and(|(report, at)| {
+                    elapsed(*at) <= HEARD && report.hears.contains(name)
+                })
+            })
+        };
+        let silent = self
+            .peers
+            .iter()
+            .filter(|(name, peer)| !peer.is_heard(VANISHED, now) && !heard_by_others(name));
+        silent
+            .filter_map(|(name, peer)| {
+                let (revision, seen) = peer.row?;
+                (elapsed(seen) >= VANISHED).then(|| (name.clone(), revision))
+            })
+            .collect()
+    }
+
+    /// Reports whether this host may use its share.
+    #[must_use]
+    pub fn has_share(&self, now: Instant) -> bool {
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let settled = self.joined.is_some_and(|at| elapsed(at) >= JOIN_DELAY);
+        let renewed = self.renewed.is_some_and(|at| elapsed(at) < EXPIRED);
+        let in_contact = self.peers.values().any(|peer| peer.is_heard(HEARD, now));
+        settled && (renewed || in_contact)
+    }
+
+    /// Notes a promotion; returns whether it is newer than the one known.
+    pub fn promoted(&mut self, promoted: &Promoted) -> bool {
+        let known = self.promoted.get(&promoted.service);
+        if known.is_some_and(|known| known.token >= promoted.token) {
+            return false;
+        }
+        self.promoted
+            .insert(promoted.service.clone(), promoted.clone());
+        true
+    }
+
+    /// Reports whether another host heard from a primary recently.
+    #[must_use]
+    pub fn answers_others(&self, server: &Name, now: Instant) -> bool {
+        self.peers.values().any(|peer| {
+            peer.report.as_ref().is_some_and(|(report, at)| {
+                now.saturating_duration_since(*at) <= HEARD && report.answering.contains(server)
+            })
+        })
+    }
+}
--- /dev/null
+++ b/fulmargw_pool/src/probe.rs
@@ -0,0 +1,52 @@
+//! Answers the balancer whether this host is ready, and serves metrics.
+
+use axum::{Router, extract::State, http::StatusCode, routing::get};
+use std::{io, sync::Arc};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers every path with 200 while `is_ready`, and with 503 otherwise.
+///
+/// # Errors
+///
+/// If the listener fails.
+pub async fn ready<F>(listener: TcpListener, is_ready: F, stop: CancellationToken) -> io::Result<()>
+where
+    F: Fn() -> bool + Send + Sync + 'static,
+{
+    let answer = async |State(is_ready): State<Arc<F>>| {
+        if is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    };
+    let router = Router::new()
+        .fallback(get(answer))
+        .with_state(Arc::new(is_ready));
+    serve(listener, router, stop).await
+}
+
+/// Serves metrics as text.
+///
+/// # Errors
+///
+/// If the listener fails.
+pub async fn metrics<F>(listener: TcpListener, render: F, stop: CancellationToken) -> io::Result<()>
+where
+    F: Fn() -> String + Send + Sync + 'static,
+{
+    let answer = async |State(render): State<Arc<F>>| render();
+    let router = Router::new()
+        .route(METRICS_PATH, get(answer))
+        .with_state(Arc::new(render));
+    serve(listener, router, stop).await
+}
+
+async fn serve(listener: TcpListener, router: Router, stop: CancellationToken) -> io::Result<()> {
+    let served = axum::serve(listener, router).into_future();
+    stop.run_until_cancelled(served).await.unwrap_or(Ok(()))
+}
--- /dev/null
+++ b/fulmargw_pool/src/worker.rs
@@ -0,0 +1,154 @@
+//! Workers, which run waiting jobs on backend servers.
+
+use crate::{backend::Server, catalog::Consistency};
+use crate::{
+    core::Core,
+    dialect::Dialect,
+    exchange,
+    freshness::Moment,
+    job::{Done, Held, Job, Kind, Place},
+    routing::{self, Choice, Need},
+    store::Platform,
+    table::{Key, Lent},
+};
+use std::{pin::pin, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// A job with the server that runs it.
+pub(crate) struct Ready<D: Dialect> {
+    pub(crate) job: Job<D>,
+    pub(crate) server: Option<Server>,
+    pub(crate) lent: Lent<D>,
+    pub(crate) place: Place,
+}
+
+/// Runs jobs until the pool stops.
+pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
+    loop {
+        let mut woken = pin!(core.work.notified());
+        woken.as_mut().enable();
+        if let Some(ready) = take(&core) {
+            // Another worker looks for the next job while this one is busy.
+            core.work.notify_one();
+            exchange::run(&core, ready).await;
+            continue;
+        }
+        tokio::select! {
+            () = core.stop.cancelled() => return,
+            () = woken => {}
+        }
+    }
+}
+
+fn take<D: Dialect, P: Platform>(core: &Core<D, P>) -> Option<Ready<D>> {
+    let moment = Moment::now();
+    let drain_use = core.settings.limits.drain_use();
+    let mut queues = core.queues.lock();
+    if let Some(job) = queues.held.pop_front() {
+        drop(queues);
+        return held(core, job);
+    }
+    let mut servers = core.servers.lock();
+    for name in queues.turn() {
+        let Some(group) = servers.groups.get_mut(&name) else {
+            continue;
+        };
+        let choose = |job: &Job<D>| {
+            let need = need(core, job, group, moment);
+            let mut views = group.views(&need.zone, &need.account, drain_use, moment.now);
+            views.retain(|view| view.is_primary || job.avoid.as_ref() != Some(&view.id));
+            routing::choose(&need, &views)
+        };
+        let Some((job, choice)) = queues.service(&name).pop(moment.now, choose) else {
+            continue;
+        };
+        if job.work.kind == Kind::Read {
+            group.demanded = Some(moment.now);
+        }
+        let member = group.members.get_mut(&choice.server)?;
+        let lent = member.lend(&job.account);
+        let server = member.server.clone();
+        let Some(lent) = lent else {
+            // The connection that the choice counted on turned out to be closed.
+            drop(servers);
+            drop(queues);
+            core.answer(job, not_run(&server));
+            return None;
+        };
+        let place = place(&job, &server, choice, Duration::ZERO);
+        return Some(Ready {
+            job,
+            server: Some(server),
+            lent,
+            place,
+        });
+    }
+    None
+}
+
+fn not_run<D: Dialect>(server: &Server) -> Done<D> {
+    Done::NotRun(crate::job::NotRun {
+        server: Some(server.id.clone()),
+        code: crate::message::Code::TooMany,
+    })
+}
+
+fn place<D: Dialect>(job: &Job<D>, server: &Server, choice: Choice, waited: Duration) -> Place {
+    Place {
+        key: Key {
+            service: job.service.clone(),
+            server: server.id.clone(),
+        },
+        as_primary: choice.as_primary,
+        after: choice.after,
+        waited,
+    }
+}
+
+/// Takes a statement of an open transaction, which runs without regard to limits: the server
+/// orders it behind others, and the transaction holds locks until it ends.
+fn held<D: Dialect, P: Platform>(core: &Core<D, P>, mut job: Job<D>) -> Option<Ready<D>> {
+    let Held { key, connection } = job.held.take()?;
+    core.with_member(&key, |member| member.running += 1);
+    Some(Ready {
+        job,
+        server: None,
+        lent: Lent::Idle(connection),
+        place: Place {
+            key,
+            as_primary: false,
+            after: None,
+            waited: Duration::ZERO,
+        },
+    })
+}
+
+fn need<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    job: &Job<D>,
+    group: &crate::table::Group<D>,
+    moment: Moment,
+) -> Need {
+    let primary_only = job.work.kind.needs_primary();
+    let bound = match job.sight.consistency {
+        Consistency::Current => None,
+        Consistency::Bounded(bound) | Consistency::Session(bound) => Some(bound),
+    };
+    let floor = bound.filter(|_| !primary_only).and_then(|bound| {
+        let usable = bound.saturating_sub(core.settings.limits.staleness_margin());
+        let sample = group.freshness.within(usable, moment)?;
+        let age = sample.age(moment);
+        routing::floor(job.sight.consistency, job.sight.session, Some(sample), age)
+    });
+    Need {
+        primary_only,
+        floor,
+        zone: core.settings.host.zone.clone(),
+        account: job.account.clone(),
+    }
+}
+
+/// Returns the time that is left until a deadline.
+pub(crate) fn remaining(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now())
+}
