Keep half of a host's connection share closed while it is not needed

Ruled out: slow start (20 ms from start to configuration and registry). Change: an idle connection above half of the share is closed.

--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -358,12 +358,21 @@
     }
 
     /// Takes back a connection for later use, or drops it if too many are open.
+    ///
+    /// Half of the share stays closed while it is not needed: a server counts the connections
+    /// of a host that lost power for seconds, and the host needs new ones as soon as it is back.
     pub fn restore(&mut self, connection: Connection<D>) {
-        if self.open > self.cap {
-            self.open -= 1;
+        let spare = self.open > self.cap.div_ceil(2);
+        if !spare {
+            self.idle.push(connection);
             return;
         }
-        self.idle.push(connection);
+        self.open = self.open.saturating_sub(1);
+        if !self.idle.is_empty() {
+            // The connection that was not used for the longest time goes.
+            self.idle.remove(0);
+            self.idle.push(connection);
+        }
     }
 
     /// Counts a connection that is closed.
