Test the line protocol, documents, routing, promotion, belief and members

Cause: the path was built without tests. Change: property tests of the codec, tables of codes and commands, documents of other writers, and the pure decisions; lints of the new crates. Conclusion: failures found from here on get a test first.

--- a/fulmargw_pool/src/belief.rs
+++ b/fulmargw_pool/src/belief.rs
@@ -10,7 +10,7 @@
 /// It is above the time that a full queue of a server takes.
 pub const SILENCE: Duration = Duration::from_millis(800);
 /// Time without any answer to a waiting commit after which a primary counts as stuck.
-pub const STUCK: Duration = Duration::from_millis(1_000);
+pub const STUCK: Duration = Duration::from_secs(1);
 /// First and longest pause before a server that refused a connection is tried again.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -55,23 +55,23 @@
     };
     let connection = match opened {
         Ok(connection) => connection,
-        Err(code) => {
+        Err(cause_code) => {
             core.with_member(&place.key, |member| {
                 member.finished();
                 member.closed();
             });
             core.work.notify_one();
-            core.answer(job, not_run(&place, code));
+            core.answer(job, not_run(&place, cause_code));
             return;
         }
     };
     converse(core, job, *connection, place).await;
 }
 
-fn not_run<D: Dialect>(place: &Place, code: Code) -> Done<D> {
+fn not_run<D: Dialect>(place: &Place, cause_code: Code) -> Done<D> {
     Done::NotRun(NotRun {
         server: Some(place.key.server.clone()),
-        code,
+        code: cause_code,
     })
 }
 
@@ -108,14 +108,14 @@
             });
             Ok(Box::new(connection))
         }
-        Ok(Err(connection::Error::Refused(code))) => {
-            let pause = match code {
+        Ok(Err(connection::Error::Refused(cause_code))) => {
+            let pause = match cause_code {
                 Code::TooMany => TOO_MANY_PAUSE,
                 _ => WRONG_SERVER_PAUSE,
             };
             noted(&|member| member.belief.pause(now + pause));
-            log::info!(event = "connection_refused", server = place.key.server.as_str(), code = code.label(); "backend server refused a connection");
-            Err(code)
+            log::info!(event = "connection_refused", server = place.key.server.as_str(), code = cause_code.label(); "backend server refused a connection");
+            Err(cause_code)
         }
         Ok(Err(connection::Error::Stream(cause))) => {
             noted(&|member| member.belief.failed(now));
@@ -149,15 +149,15 @@
     let spoken = timeout(limit, speak(&mut connection, &job, &place)).await;
     let reply = match spoken {
         Ok(Ok(reply)) => reply,
-        Ok(Err(Failure::Turned(code))) => {
+        Ok(Err(Failure::Turned(cause_code))) => {
             core.with_member(&place.key, |member| {
-                answered(member, ticket, &connection, &place, &code);
+                answered(member, ticket, &connection, &place, &cause_code);
                 member.finished();
             });
-            refute(core, &place, &code);
+            refute(core, &place, &cause_code);
             let is_idle = !matches!(job.work.kind, Kind::Inside | Kind::Commit | Kind::Rollback);
             settle(core, connection, &place, is_idle);
-            core.answer(job, not_run(&place, code));
+            core.answer(job, not_run(&place, cause_code));
             return;
         }
         Ok(Err(failure)) => {
@@ -206,7 +206,7 @@
         connection,
         place,
         reply,
-        Sent {
+        &Sent {
             ticket,
             asked,
             asked_since_boot,
@@ -231,7 +231,7 @@
     connection: Connection<D>,
     place: Place,
     reply: Reply,
-    sent: Sent,
+    sent: &Sent,
 ) {
     let elapsed = sent.asked.elapsed();
     metrics::histogram!("fulmargw_pool_statement_seconds").record(elapsed);
@@ -247,15 +247,15 @@
                 });
             }
             if let Some(member) = group.members.get_mut(&place.key.server) {
-                let code = reply.end.as_ref().err().map(|(code, _)| code);
-                let code = code.unwrap_or(&Code::Failed);
-                answered(member, sent.ticket, &connection, &place, code);
+                let cause_code = reply.end.as_ref().err().map(|(cause_code, _)| cause_code);
+                let cause_code = cause_code.unwrap_or(&Code::Failed);
+                answered(member, sent.ticket, &connection, &place, cause_code);
                 member.finished();
             }
         }
     }
-    if let Err((code, _)) = &reply.end {
-        refute(core, &place, code);
+    if let Err((cause_code, _)) = &reply.end {
+        refute(core, &place, cause_code);
     }
     let held = Held {
         key: place.key.clone(),
@@ -275,8 +275,8 @@
 }
 
 /// Turns to another primary if the server says that it does not lead.
-fn refute<D: Dialect, P: Platform>(core: &Core<D, P>, place: &Place, code: &Code) {
-    if *code != Code::ReadOnly || !place.as_primary {
+fn refute<D: Dialect, P: Platform>(core: &Core<D, P>, place: &Place, cause_code: &Code) {
+    if *cause_code != Code::ReadOnly || !place.as_primary {
         return;
     }
     let other = {
@@ -306,12 +306,12 @@
     ticket: Ticket,
     connection: &Connection<D>,
     place: &Place,
-    code: &Code,
+    cause_code: &Code,
 ) {
     let now = Instant::now();
     member.belief.answered(ticket, now);
     member.belief.applied = connection.position.or(member.belief.applied);
-    match code {
+    match cause_code {
         Code::Lagging => {
             if let Some(position) = place.after {
                 member.belief.lacked(position, now);
@@ -438,10 +438,10 @@
             ..
         }) => Ok(()),
         Some(Reply {
-            end: Err((code, _)),
+            end: Err((cause_code, _)),
             state: State::Idle,
             ..
-        }) => Err(Failure::Turned(code)),
+        }) => Err(Failure::Turned(cause_code)),
         _ => Err(Failure::Unsent),
     }
 }
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -34,7 +34,7 @@
 /// Time for which connections to a primary must fail before it is replaced.
 const UNREACHABLE: Duration = Duration::from_millis(350);
 /// The same if another host still gets answers from it.
-const UNREACHABLE_HERE: Duration = Duration::from_millis(2_000);
+const UNREACHABLE_HERE: Duration = Duration::from_secs(2);
 /// Time without a known primary after which one is promoted.
 const LEADERLESS: Duration = Duration::from_millis(1_200);
 /// Longest time for one question to a replica.
@@ -185,13 +185,13 @@
             let mut attempts = lock(&self.attempts);
             let unsettled = attempts.unsettled.contains(&service);
             let reason = reason.or(unsettled.then_some(Reason::Unsettled));
-            if reason != Some(Reason::Leaderless) {
-                self.leaderless.remove(&service);
-            } else {
+            if reason == Some(Reason::Leaderless) {
                 let since = *self.leaderless.entry(service.clone()).or_insert(now);
                 if now.saturating_duration_since(since) < LEADERLESS {
                     continue;
                 }
+            } else {
+                self.leaderless.remove(&service);
             }
             if let Some(reason) = reason
                 && attempts.running.insert(service.clone())
@@ -615,7 +615,7 @@
             };
             let member = group.members.get_mut(&lead);
             let usable = member.filter(|member| member.belief.is_usable(moment.now));
-            if let Some(connection) = usable.and_then(|member| member.take_any()) {
+            if let Some(connection) = usable.and_then(crate::table::Member::take_any) {
                 let key = Key {
                     service: service.clone(),
                     server: lead,
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -402,9 +402,9 @@
         members.push((host.name.clone(), host.peer_address));
         let heard = table.peers.iter();
         let heard = heard.filter(|(_, peer)| peer.is_heard(member::HEARD, now));
-        let hears: Vec<Name> = heard.map(|(name, _)| name.clone()).collect();
+        let audible: Vec<Name> = heard.map(|(name, _)| name.clone()).collect();
         let promoted = table.promoted.values().cloned().collect();
-        (members, hears, promoted)
+        (members, audible, promoted)
     };
     let answering = {
         let servers = core.servers.lock();
--- a/fulmargw_pool/src/job.rs
+++ b/fulmargw_pool/src/job.rs
@@ -24,6 +24,8 @@
     pub sight: Sight,
     /// Session values that must be in force.
     pub values: Arc<Values>,
+    /// Time at which it was queued.
+    pub queued: Instant,
     /// Time after which its answer is of no use.
     pub deadline: Instant,
     /// Server that just turned it away.
@@ -141,6 +143,8 @@
     pub as_primary: bool,
     /// Position that the server had to include.
     pub after: Option<Position>,
+    /// Age of that position.
+    pub age: Duration,
     /// Time in the queue.
     pub waited: Duration,
 }
--- a/fulmargw_pool/src/routing.rs
+++ b/fulmargw_pool/src/routing.rs
@@ -40,10 +40,8 @@
     pub is_near: bool,
     /// Whether new work may go there.
     pub is_usable: bool,
-    /// Whether a connection of the account is idle.
-    pub has_connection: bool,
-    /// Whether a connection could be opened or exchanged.
-    pub can_open: bool,
+    /// How work of the account gets a connection.
+    pub room: Room,
     /// Statements of this host that run there.
     pub running: u32,
     /// Most statements of this host that run there at the same time.
@@ -54,9 +52,20 @@
     pub lacked: Option<(Position, Duration)>,
 }
 
+/// How work of an account gets a connection to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// A connection of the account is idle.
+    Idle,
+    /// One can be opened, maybe in exchange for one of another account.
+    Opening,
+    /// All connections of this host are in use.
+    Full,
+}
+
 impl View {
     fn is_free(&self) -> bool {
-        self.is_usable && self.running < self.limit && (self.has_connection || self.can_open)
+        self.is_usable && self.running < self.limit && self.room != Room::Full
     }
 
     /// Reports whether a replica is expected to include a position.
@@ -84,8 +93,8 @@
     pub server: Name,
     /// Whether it is asked as the primary.
     pub as_primary: bool,
-    /// Position that the server must confirm to include.
-    pub after: Option<Position>,
+    /// Position that the server must confirm to include, with its age.
+    pub after: Option<Floor>,
 }
 
 /// Returns the position that a read of a route needs on a replica; `None` if only the primary
@@ -126,7 +135,7 @@
         Some(Choice {
             server: best.id.clone(),
             as_primary: false,
-            after: Some(floor.position),
+            after: Some(floor),
         })
     });
     replica.or_else(|| {
@@ -157,10 +166,6 @@
 
 /// Fewer running statements first, then an open connection, then the same zone.
 fn preference(view: &View) -> (u32, bool, bool) {
-    let load = if view.has_connection {
-        view.running
-    } else {
-        view.running + 1
-    };
-    (load, !view.has_connection, !view.is_near)
+    let opens = view.room != Room::Idle;
+    (view.running + u32::from(opens), opens, !view.is_near)
 }
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -560,10 +560,7 @@
             match done {
                 Done::Answered { reply, place, held } => {
                     let turned = match &reply.end {
-                        Err((code, _)) => {
-                            code.is_not_run() && work.kind != Kind::Write
-                                || matches!(code, Code::Busy | Code::Lagging | Code::ReadOnly)
-                        }
+                        Err((code, _)) => code.is_not_run(),
                         Ok(_) => false,
                     };
                     if turned && Instant::now() < last_try {
@@ -685,6 +682,7 @@
             work,
             sight,
             values: Arc::clone(&self.session.values),
+            queued: Instant::now(),
             deadline,
             avoid,
             held,
@@ -731,6 +729,7 @@
             event = "answered", request:% = display(&query.id), session = self.session.number,
             server = place.key.server.as_str(), as_primary = place.as_primary,
             after:? = place.after.map(|it| (it.term.0, it.index)),
+            after_age_ms = millis(place.age), waited_ms = millis(place.waited),
             version = policy.catalog.version, outcome, elapsed_ms = millis(received.elapsed());
             "request answered"
         );
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -7,7 +7,7 @@
     dialect::Dialect,
     freshness::Freshness,
     job::Job,
-    routing::View,
+    routing::{Room, View},
 };
 use fulmargw_decision::queue::{Bound, Queue};
 use fulmargw_model::name::Name;
@@ -265,6 +265,7 @@
     }
 
     /// Returns the servers as routing sees them, for work of an account.
+    #[must_use]
     pub fn views(
         &self,
         zone: &Name,
@@ -284,8 +285,7 @@
             is_primary: self.lead.as_ref() == Some(&member.server.id),
             is_near: member.server.zone == *zone,
             is_usable: member.belief.is_usable(now) && stays(member),
-            has_connection: member.idle.iter().any(|idle| idle.account == *account),
-            can_open: member.open < member.cap || !member.idle.is_empty(),
+            room: member.room(account),
             running: member.running,
             limit: member.server.slots.max(LEAST_RUNNING),
             applied: member.belief.applied,
@@ -324,6 +324,16 @@
         self.server = server;
     }
 
+    fn room(&self, account: &Name) -> Room {
+        if self.idle.iter().any(|idle| idle.account == *account) {
+            Room::Idle
+        } else if self.open < self.cap || !self.idle.is_empty() {
+            Room::Opening
+        } else {
+            Room::Full
+        }
+    }
+
     /// Lends a connection of an account, or the permission to open one.
     pub fn lend(&mut self, account: &Name) -> Option<Lent<D>> {
         while let Some(place) = self.idle.iter().rposition(|idle| idle.account == *account) {
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -75,7 +75,7 @@
             core.answer(job, not_run(&server));
             return None;
         };
-        let place = place(&job, &server, choice, Duration::ZERO);
+        let place = place(&job, &server, &choice);
         return Some(Ready {
             job,
             server: Some(server),
@@ -93,15 +93,16 @@
     })
 }
 
-fn place<D: Dialect>(job: &Job<D>, server: &Server, choice: Choice, waited: Duration) -> Place {
+fn place<D: Dialect>(job: &Job<D>, server: &Server, choice: &Choice) -> Place {
     Place {
         key: Key {
             service: job.service.clone(),
             server: server.id.clone(),
         },
         as_primary: choice.as_primary,
-        after: choice.after,
-        waited,
+        after: choice.after.map(|floor| floor.position),
+        age: choice.after.map_or(Duration::ZERO, |floor| floor.age),
+        waited: job.queued.elapsed(),
     }
 }
 
@@ -118,6 +119,7 @@
             key,
             as_primary: false,
             after: None,
+            age: Duration::ZERO,
             waited: Duration::ZERO,
         },
     })
--- /dev/null
+++ b/fulmargw_pool/tests/belief.rs
@@ -0,0 +1,61 @@
+//! What answers say of a backend server.
+
+use fulmargw_pool::belief::{Belief, SILENCE, STUCK, Trouble};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Guards against a dark server that keeps getting work.
+#[tokio::test(start_paused = true)]
+async fn a_server_without_any_answer_is_silent() {
+    let base = Instant::now();
+    let mut belief = Belief::new();
+    belief.sent(false, base);
+
+    assert!(belief.is_usable(base + SILENCE / 2));
+    let later = base + SILENCE;
+    assert!(!belief.is_usable(later));
+    assert_eq!(belief.trouble(later), Some((Trouble::Silent, SILENCE)));
+}
+
+/// Guards against one slow statement that makes a server look dark.
+#[tokio::test(start_paused = true)]
+async fn answers_to_others_show_that_a_server_is_alive() {
+    let base = Instant::now();
+    let mut belief = Belief::new();
+    belief.sent(false, base);
+    let other = belief.sent(false, base);
+    belief.answered(other, base + SILENCE / 2);
+
+    assert_eq!(belief.trouble(base + SILENCE), None);
+}
+
+/// Guards against a primary without replicas, which answers reads but acknowledges nothing.
+#[tokio::test(start_paused = true)]
+async fn a_primary_that_acknowledges_no_commit_is_stuck() {
+    let base = Instant::now();
+    let mut belief = Belief::new();
+    belief.sent(true, base);
+    let read = belief.sent(false, base + STUCK / 2);
+    belief.answered(read, base + STUCK * 9 / 10);
+
+    let trouble = belief.trouble(base + STUCK);
+
+    assert_eq!(trouble.map(|(kind, _)| kind), Some(Trouble::Stuck));
+}
+
+/// Guards against a server that is tried without pause, and against one that never is again.
+#[tokio::test(start_paused = true)]
+async fn failures_pause_a_server_until_it_answers() {
+    let base = Instant::now();
+    let mut belief = Belief::new();
+    belief.failed(base);
+
+    assert!(!belief.is_usable(base));
+    let second = base + Duration::from_secs(1);
+    assert!(belief.is_usable(second));
+    let age = Duration::from_secs(1);
+    assert_eq!(belief.trouble(second), Some((Trouble::Unreachable, age)));
+    let ticket = belief.sent(false, second);
+    belief.answered(ticket, second);
+    assert_eq!(belief.trouble(second), None);
+}
