Ask longer questions for changes where many hosts watch

Change: with ten hosts or more, questions for changes wait longer and rows are renewed every 7 s; reports carry a newer configuration anyway.

--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -20,7 +20,14 @@
 
 /// Longest wait of one question for changes. A connection that went silent is noticed a
 /// little later, which is inside the time in which a configuration must be in force.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+const WATCH_WAIT: Duration = Duration::from_millis(1_800);
+/// The same where many hosts watch: reports of any of them bring a newer configuration.
+const SHARED_CATALOG_WAIT: Duration = Duration::from_secs(8);
+/// The same for the registry, which reports do not carry: it stays well inside the time in
+/// which a leaving server may get work.
+const SHARED_REGISTRY_WAIT: Duration = Duration::from_secs(4);
+/// Hosts from which on questions wait longer and the own row is renewed less often.
+const MANY_HOSTS: u32 = 10;
 /// Pause after a failed call to the platform.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time for which a server whose entry lapsed is kept: entries that lapsed while the store
@@ -28,6 +35,8 @@
 const LAPSE_TIME: Duration = Duration::from_millis(2_500);
 /// Time between two renewals of the own row.
 const RENEW_INTERVAL: Duration = Duration::from_secs(4);
+/// The same with many hosts; it stays well below the time after which the row has expired.
+const SHARED_RENEW_INTERVAL: Duration = Duration::from_secs(7);
 /// Time within which a primary must have answered to count as answering.
 const ANSWERING: Duration = Duration::from_millis(600);
 
@@ -67,7 +76,10 @@
     loop {
         let answer = match revision {
             None => core.platform.catalog().await,
-            Some(revision) => core.platform.watch_catalog(revision, WATCH_WAIT).await,
+            Some(revision) => {
+                let wait = paced(&core, WATCH_WAIT, SHARED_CATALOG_WAIT);
+                core.platform.watch_catalog(revision, wait).await
+            }
         };
         match answer {
             Ok((catalog, seen)) => {
@@ -91,6 +103,15 @@
     }
 }
 
+/// Returns the time for a few or for many hosts, so that calls do not grow with their number.
+fn paced<D: Dialect, P: Platform>(core: &Core<D, P>, few: Duration, many: Duration) -> Duration {
+    if core.members.lock().count() < MANY_HOSTS {
+        few
+    } else {
+        many
+    }
+}
+
 /// After a forgotten history everything is read anew.
 fn after_failure(revision: Option<u64>, error: &Error) -> Option<u64> {
     match error.kind {
@@ -149,9 +170,12 @@
                 seen
             }),
             Some(revision) => {
-                let watched = core
-                    .platform
-                    .watch_registry(&mut listed, revision, WATCH_WAIT);
+                let wait = if roster.lapsed.is_empty() {
+                    paced(&core, WATCH_WAIT, SHARED_REGISTRY_WAIT)
+                } else {
+                    LAPSE_TIME / 2
+                };
+                let watched = core.platform.watch_registry(&mut listed, revision, wait);
                 watched.await
             }
         };
@@ -248,7 +272,7 @@
         match renew(&core).await {
             Ok(()) => {
                 dependency.succeeded();
-                sleep(RENEW_INTERVAL).await;
+                sleep(paced(&core, RENEW_INTERVAL, SHARED_RENEW_INTERVAL)).await;
             }
             Err(error) => {
                 dependency.failed(&error);
