Do not take dropped new connections for a dead primary

Ruled out: loss of tokens or equal tokens; each claim had its own. Change: only a connection that cannot be opened counts as unreachable; a server that turned one away gets idle connections' work only, with growing pauses; a claim stands for 5 s for other hosts.

--- a/fulmargw_pool/src/belief.rs
+++ b/fulmargw_pool/src/belief.rs
@@ -37,6 +37,8 @@
     failures: u32,
     failing_since: Option<Instant>,
     pause_until: Option<Instant>,
+    turned_away: u32,
+    open_after: Option<Instant>,
     lacked: Option<(Position, Instant)>,
     /// Position that the server told last.
     pub applied: Option<Position>,
@@ -58,6 +60,8 @@
             failures: 0,
             failing_since: None,
             pause_until: None,
+            turned_away: 0,
+            open_after: None,
             lacked: None,
             applied: None,
         }
@@ -95,6 +99,25 @@
         self.pause_until = Some(now + pause.min(LONGEST_PAUSE));
     }
 
+    /// Notes that the server has too many connections to open another one.
+    pub fn turned_away(&mut self, now: Instant) {
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.turned_away.min(6));
+        self.turned_away += 1;
+        self.open_after = Some(now + pause.min(LONGEST_PAUSE));
+    }
+
+    /// Notes that the server took another connection.
+    pub fn opened(&mut self) {
+        self.turned_away = 0;
+        self.open_after = None;
+    }
+
+    /// Reports whether a connection may be opened.
+    #[must_use]
+    pub fn may_open(&self, now: Instant) -> bool {
+        self.open_after.is_none_or(|after| after <= now)
+    }
+
     /// Keeps new work away for a time.
     pub fn pause(&mut self, until: Instant) {
         self.pause_until = Some(self.pause_until.map_or(until, |known| known.max(until)));
--- a/fulmargw_pool/src/connection.rs
+++ b/fulmargw_pool/src/connection.rs
@@ -59,14 +59,10 @@
 pub enum Error {
     /// The server gave this code.
     Refused(Code),
-    /// The stream failed.
-    Stream(io::Error),
-}
-
-impl From<io::Error> for Error {
-    fn from(cause: io::Error) -> Self {
-        Self::Stream(cause)
-    }
+    /// The server cannot be reached.
+    Unreachable(io::Error),
+    /// The server accepted the stream and dropped it, as it does with too many connections.
+    Dropped(io::Error),
 }
 
 impl<D: Dialect> Connection<D> {
@@ -76,8 +72,9 @@
     ///
     /// The stream cannot be opened, or the server refuses.
     pub async fn open(server: &Server, account: Name) -> Result<Self, Error> {
-        let stream = TcpStream::connect(server.address).await?;
-        prepare(&stream)?;
+        let stream = TcpStream::connect(server.address).await;
+        let stream = stream.map_err(Error::Unreachable)?;
+        prepare(&stream).map_err(Error::Unreachable)?;
         let start = Command::Start {
             service: server.service.clone(),
             account: account.clone(),
@@ -91,14 +88,15 @@
             values: Values::new(),
             prepared: HashSet::new(),
         };
-        connection.framed.send(start).await?;
-        match connection.next().await? {
+        let sent = connection.framed.send(start).await;
+        sent.map_err(Error::Dropped)?;
+        match connection.next().await.map_err(Error::Dropped)? {
             Answer::Ready(State::Idle, position) => {
                 connection.position = position;
                 Ok(connection)
             }
             Answer::Error(code, _) => Err(Error::Refused(code)),
-            other => Err(unexpected(&other).into()),
+            other => Err(Error::Dropped(unexpected(&other))),
         }
     }
 
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -20,8 +20,6 @@
 
 /// Longest time for opening a connection. Opening waits for a slot of the server.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time for which a server that has too many connections is left alone.
-const TOO_MANY_PAUSE: Duration = Duration::from_millis(60);
 /// Time for which a server that does not lead, or is another one, is left alone.
 const WRONG_SERVER_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which a server without free slots is left alone.
@@ -102,6 +100,7 @@
                 if let Some(ticket) = ticket {
                     member.belief.answered(ticket, now);
                 }
+                member.belief.opened();
                 if !place.as_primary {
                     member.belief.applied = connection.position.or(member.belief.applied);
                 }
@@ -109,15 +108,19 @@
             Ok(Box::new(connection))
         }
         Ok(Err(connection::Error::Refused(cause_code))) => {
-            let pause = match cause_code {
-                Code::TooMany => TOO_MANY_PAUSE,
-                _ => WRONG_SERVER_PAUSE,
-            };
-            noted(&|member| member.belief.pause(now + pause));
+            noted(&|member| match cause_code {
+                Code::TooMany => member.belief.turned_away(now),
+                _ => member.belief.pause(now + WRONG_SERVER_PAUSE),
+            });
             log::info!(event = "connection_refused", server = place.key.server.as_str(), code = cause_code.label(); "backend server refused a connection");
             Err(cause_code)
         }
-        Ok(Err(connection::Error::Stream(cause))) => {
+        Ok(Err(connection::Error::Dropped(cause))) => {
+            noted(&|member| member.belief.turned_away(now));
+            log::info!(event = "connection_dropped", server = place.key.server.as_str(), cause:% = cause; "backend server dropped a new connection");
+            Err(Code::TooMany)
+        }
+        Ok(Err(connection::Error::Unreachable(cause))) => {
             noted(&|member| member.belief.failed(now));
             core.suspicion.notify_one();
             log::info!(event = "connection_failed", server = place.key.server.as_str(), cause:% = cause; "cannot open a connection");
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -47,8 +47,11 @@
 const CATCH_UP: Duration = Duration::from_millis(600);
 /// Calls for one promotion; each has a token of its own.
 const ORDER_TRIES: u32 = 6;
-/// Time for which another host that claimed a service is left alone.
-const CLAIM_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which a service stays with the host that claimed it last, so that two hosts do not
+/// replace a primary in turn.
+const CLAIM_TIME: Duration = Duration::from_secs(5);
+/// Pause between two looks at a claim of another host.
+const CLAIM_LOOK: Duration = Duration::from_millis(500);
 /// Time after a promotion in which the new primary takes over.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Age of the newest sample after which the primary is asked for its position.
@@ -57,14 +60,13 @@
 const SAMPLE_DEMAND: Duration = Duration::from_secs(2);
 
 /// Prefix of the keys of claims.
-const KEY_PREFIX: &str = "promotion/";
+pub(crate) const KEY_PREFIX: &str = "promotion/";
 
 /// Content of the row that hosts claim before a promotion.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Claim {
     holder: Name,
-    is_done: bool,
 }
 
 /// Why a primary should be replaced.
@@ -275,7 +277,12 @@
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
         return Err(Stop::Recovered);
     }
-    let token = claim(core, service, None).await?;
+    let key = format!("{KEY_PREFIX}{service}");
+    let expected = claimable(core, &key).await?;
+    if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
+        return Err(Stop::Recovered);
+    }
+    let token = claim(core, service, expected).await?;
     log::info!(event = "promotion_claimed", service = service.as_str(), token, reason:? = reason; "replacing a primary");
     let mut asked = survey(core, service).await;
     let result = take_over(core, service, token, &mut asked).await;
@@ -286,7 +293,6 @@
         Err(_) => resume(&mut asked).await,
         Ok(_) => {}
     }
-    finish(core, service).await;
     result
 }
 
@@ -303,14 +309,10 @@
 async fn claim<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
-    held: Option<u64>,
+    expected: u64,
 ) -> Result<u64, Stop> {
     let key = format!("{KEY_PREFIX}{service}");
-    let expected = match held {
-        Some(held) => held,
-        None => claimable(core, &key).await?,
-    };
-    let value = encode(core, false)?;
+    let value = encode(core)?;
     let put = core.platform.put(&key, value.into(), Some(expected)).await;
     match put {
         Ok(Some(token)) => Ok(token),
@@ -319,52 +321,39 @@
     }
 }
 
-fn encode<D: Dialect, P: Platform>(core: &Core<D, P>, is_done: bool) -> Result<Vec<u8>, Stop> {
+fn encode<D: Dialect, P: Platform>(core: &Core<D, P>) -> Result<Vec<u8>, Stop> {
     let claim = Claim {
         holder: core.settings.host.name.clone(),
-        is_done,
     };
     rmp_serde::to_vec(&claim).map_err(|cause| Stop::Encode(cause.to_string()))
 }
 
 /// Returns the version of a claim that may be replaced, 0 if there is none.
 ///
-/// A claim of another host that is not done is respected while that host is alive, and waited
-/// for otherwise.
+/// A claim of another host stands for a time after it was last written.
 async fn claimable<D: Dialect, P: Platform>(core: &Core<D, P>, key: &str) -> Result<u64, Stop> {
-    let started = Instant::now();
     let mut seen = None;
     loop {
         let rows = core.platform.rows().await.map_err(Stop::Store)?;
         let Some(row) = rows.into_iter().find(|row| row.key == key) else {
             return Ok(0);
         };
-        let free = match rmp_serde::from_slice::<Claim>(&row.value) {
-            Ok(claim) => claim.is_done || claim.holder == core.settings.host.name,
+        if *seen.get_or_insert(row.revision) != row.revision {
+            return Err(Stop::Claimed);
+        }
+        let now = Instant::now();
+        let age = core.members.lock().claim_age(key, row.revision, now);
+        let is_own = match rmp_serde::from_slice::<Claim>(&row.value) {
+            Ok(claim) => claim.holder == core.settings.host.name,
             Err(cause) => {
                 log::warn!(event = "row_undecodable", key, cause:% = cause; "replacing a row of the store");
-                true
+                false
             }
         };
-        let unchanged = *seen.get_or_insert(row.revision) == row.revision;
-        if free || (unchanged && started.elapsed() >= CLAIM_TIME) {
+        if is_own || age >= CLAIM_TIME {
             return Ok(row.revision);
         }
-        if !unchanged {
-            return Err(Stop::Claimed);
-        }
-        sleep(CLAIM_TIME / 5).await;
-    }
-}
-
-/// Marks the claim as done, so that the next promotion need not wait.
-async fn finish<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) {
-    let key = format!("{KEY_PREFIX}{service}");
-    let Ok(value) = encode(core, true) else {
-        return;
-    };
-    if let Err(error) = core.platform.put(&key, value.into(), None).await {
-        log::warn!(event = "claim_left", service = service.as_str(), cause:% = error; "cannot release a claim; it runs out");
+        sleep(CLAIM_LOOK).await;
     }
 }
 
@@ -569,7 +558,7 @@
             Err(error) => {
                 log::warn!(event = "order_unanswered", service = service.as_str(), token, cause:% = error; "repeating the order with a greater token");
                 is_open = true;
-                token = claim(core, service, Some(token)).await.map_err(|stop| {
+                token = claim(core, service, token).await.map_err(|stop| {
                     log::warn!(event = "order_open", service = service.as_str(), token, cause:% = stop; "cannot repeat the order now");
                     Stop::Unsettled
                 })?;
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -299,6 +299,11 @@
     let rows = core.platform.rows().await?;
     let mut records = BTreeMap::new();
     for row in &rows {
+        if row.key.starts_with(crate::failover::KEY_PREFIX) {
+            let now = Instant::now();
+            core.members.lock().claim_age(&row.key, row.revision, now);
+            continue;
+        }
         let Some(name) = row.key.strip_prefix(member::KEY_PREFIX) else {
             continue;
         };
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -65,6 +65,8 @@
     pub joined: Option<Instant>,
     /// Promotions that this host knows, by service.
     pub promoted: BTreeMap<Name, Promoted>,
+    /// Versions of claims of services by key, and when this host first saw them.
+    pub claims: BTreeMap<String, (u64, Instant)>,
 }
 
 impl Peer {
@@ -88,6 +90,7 @@
             renewed: None,
             joined: None,
             promoted: BTreeMap::new(),
+            claims: BTreeMap::new(),
         }
     }
 
@@ -243,6 +246,15 @@
         settled && (renewed || in_contact)
     }
 
+    /// Notes the version of a claim, and returns for how long this host has known it.
+    pub fn claim_age(&mut self, key: &str, revision: u64, now: Instant) -> Duration {
+        let known = self.claims.entry(key.to_owned()).or_insert((revision, now));
+        if known.0 != revision {
+            *known = (revision, now);
+        }
+        now.saturating_duration_since(known.1)
+    }
+
     /// Notes a promotion; returns whether it is newer than the one known.
     pub fn promoted(&mut self, promoted: &Promoted) -> bool {
         let known = self.promoted.get(&promoted.service);
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -285,7 +285,7 @@
             is_primary: self.lead.as_ref() == Some(&member.server.id),
             is_near: member.server.zone == *zone,
             is_usable: member.belief.is_usable(now) && stays(member),
-            room: member.room(account),
+            room: member.room(account, now),
             running: member.running,
             limit: member.server.slots.max(LEAST_RUNNING),
             applied: member.belief.applied,
@@ -324,9 +324,11 @@
         self.server = server;
     }
 
-    fn room(&self, account: &Name) -> Room {
+    fn room(&self, account: &Name, now: Instant) -> Room {
         if self.idle.iter().any(|idle| idle.account == *account) {
             Room::Idle
+        } else if !self.belief.may_open(now) {
+            Room::Full
         } else if self.open < self.cap || !self.idle.is_empty() {
             Room::Opening
         } else {
--- a/fulmargw_pool/tests/belief.rs
+++ b/fulmargw_pool/tests/belief.rs
@@ -59,3 +59,18 @@
     belief.answered(ticket, second);
     assert_eq!(belief.trouble(second), None);
 }
+
+/// Guards against a promotion because a server with too many connections drops new ones.
+#[tokio::test(start_paused = true)]
+async fn a_server_that_turns_connections_away_is_not_in_trouble() {
+    let base = Instant::now();
+    let mut belief = Belief::new();
+    belief.turned_away(base);
+    belief.turned_away(base);
+
+    let later = base + Duration::from_secs(5);
+    assert_eq!(belief.trouble(later), None);
+    assert!(belief.is_usable(base));
+    assert!(!belief.may_open(base + Duration::from_millis(99)));
+    assert!(belief.may_open(base + Duration::from_millis(100)));
+}
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -120,3 +120,15 @@
     assert!(!members.promoted(&promoted("y", 4)));
     assert!(members.promoted(&promoted("y", 6)));
 }
+
+/// Guards against two hosts that replace a primary in turn: a new version of a claim counts
+/// from when it was seen first.
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_is_written_again_is_young() {
+    let base = Instant::now();
+    let mut members = Members::new("a".into());
+
+    assert_eq!(members.claim_age("s", 5, base), Duration::ZERO);
+    assert_eq!(members.claim_age("s", 5, base + HEARD), HEARD);
+    assert_eq!(members.claim_age("s", 6, base + HEARD), Duration::ZERO);
+}
