--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -29,8 +29,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(8);
 /// Most times that a statement is tried again.
 const MOST_RETRIES: u32 = 60;
-/// Part of the timeout of a statement after which it is not tried again.
-const RETRY_SHARE: f64 = 0.8;
+/// Part of the timeout of a statement after which it is not tried again, and for which it waits
+/// while no primary is known. What is refused then can still be tried elsewhere in time.
+const RETRY_SHARE: f64 = 0.5;
 /// Priorities up to this one go before others.
 const URGENT_PRIORITY: u32 = 1;
 /// Time after which a refused caller may come back when no better time is known.
@@ -695,7 +696,8 @@
         };
         let now = Instant::now();
         let patience = deadline.saturating_duration_since(now);
-        let limits = [now + objective.min(patience), deadline];
+        let longest = now + patience.mul_f64(RETRY_SHARE);
+        let limits = [longest.min(now + objective), longest];
         for (index, limit) in limits.into_iter().enumerate() {
             match timeout_at(limit, &mut outcome).await {
                 Ok(done) => return done.unwrap_or_else(|_| not_run(Code::Busy)),
