Send a read to the primary after two replicas lacked its position

Ruled out: a shorter staleness margin; the oldest sample in the bound is used already. Change: after two lagging answers only the primary is asked; a replica that lacked a position is left alone for 300 ms.

--- a/fulmargw_pool/src/job.rs
+++ b/fulmargw_pool/src/job.rs
@@ -55,6 +55,15 @@
     pub session: Option<Position>,
 }
 
+impl Sight {
+    /// Asks for every commit, which only the primary has for certain, if `to_primary`.
+    pub fn settle(&mut self, to_primary: bool) {
+        if to_primary {
+            self.consistency = Consistency::Current;
+        }
+    }
+}
+
 /// A statement to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Work {
--- a/fulmargw_pool/src/routing.rs
+++ b/fulmargw_pool/src/routing.rs
@@ -84,7 +84,7 @@
 }
 
 /// Time for which a replica that lacked a position is not asked for it or a later one again.
-pub const LACK_TIME: Duration = Duration::from_millis(120);
+pub const LACK_TIME: Duration = Duration::from_millis(300);
 
 /// Where a statement runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -32,6 +32,8 @@
 /// Part of the timeout of a statement after which it is not tried again, and for which it waits
 /// while no primary is known. What is refused then can still be tried elsewhere in time.
 const RETRY_SHARE: f64 = 0.5;
+/// Replicas that may lack the position before a read goes to the primary.
+const MOST_LAGGING: u32 = 2;
 /// Priorities up to this one go before others.
 const URGENT_PRIORITY: u32 = 1;
 /// Time after which a refused caller may come back when no better time is known.
@@ -536,7 +538,7 @@
         self.session.service = Some(route.service.clone());
         let deadline = received + route.timeout;
         let last_try = received + route.timeout.mul_f64(RETRY_SHARE);
-        let sight = Sight {
+        let mut sight = Sight {
             consistency: route.consistency,
             session: self.session.position,
         };
@@ -544,6 +546,7 @@
             open.consistency = route.consistency;
         }
         let mut avoid = None;
+        let mut lagging = 0;
         for _ in 0..MOST_RETRIES {
             let done = self
                 .submit(
@@ -565,6 +568,9 @@
                         if let Some(held) = held {
                             self.core.discard(held);
                         }
+                        let lags = matches!(&reply.end, Err((Code::Lagging, _)));
+                        lagging += u32::from(lags);
+                        sight.settle(lagging >= MOST_LAGGING);
                         avoid = Some(place.key.server.clone());
                         sleep(RETRY_PAUSE).await;
                         continue;
@@ -573,6 +579,8 @@
                 }
                 Done::NotRun(NotRun { server, code }) => {
                     if server.is_some() && Instant::now() < last_try {
+                        lagging += u32::from(code == Code::Lagging);
+                        sight.settle(lagging >= MOST_LAGGING);
                         avoid = server;
                         sleep(RETRY_PAUSE).await;
                         continue;
