--- a/fulmargw/src/cli.rs
+++ b/fulmargw/src/cli.rs
@@ -27,6 +27,8 @@
     Serve(Serve),
     /// Serves callers in front of database groups of a platform.
     Pool(Pool),
+    /// Finds the lines of a request in logs.
+    Explain(Explain),
     /// Checks a settings file.
     Check(Check),
     /// Submits a configuration patch.
@@ -68,6 +70,25 @@
     pub settings: Option<PathBuf>,
 }
 
+/// print the log lines of a request, and the changes of belief around it
+#[derive(Debug, PartialEq, FromArgs)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "fulmargw explain 5c0e7a21d94b36f8 host-a.log host-b.log"
+)]
+pub struct Explain {
+    /// identifier of the request
+    #[argh(positional)]
+    pub request: String,
+    /// log files of `fulmargw pool`
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+    /// time around the request's lines for which changes of belief are shown, in milliseconds
+    #[argh(option, default = "3000")]
+    pub around_ms: u64,
+}
+
 /// check a settings file and name each problem by file, line and key
 #[derive(Debug, PartialEq, FromArgs)]
 #[argh(
@@ -79,6 +100,9 @@
     /// settings file
     #[argh(option)]
     pub settings: PathBuf,
+    /// check settings of `fulmargw pool`
+    #[argh(switch)]
+    pub pool: bool,
     /// print problems as JSON on standard output
     #[argh(switch)]
     pub json: bool,
--- a/fulmargw/src/command/check.rs
+++ b/fulmargw/src/command/check.rs
@@ -4,17 +4,22 @@
     cli::Check,
     command::print_json,
     exit::Exit,
+    pool,
     settings::{Settings, problem::Error},
 };
 
 /// Checks a settings file and prints each problem.
 pub(super) fn run(arguments: &Check) -> Exit {
-    let result = Settings::load(&arguments.settings);
+    let result = if arguments.pool {
+        pool::settings::load(&arguments.settings).map(drop)
+    } else {
+        Settings::load(&arguments.settings).map(drop)
+    };
     if arguments.json {
         return check_json(result.err());
     }
     match result {
-        Ok(_) => {
+        Ok(()) => {
             println!("{}: valid", arguments.settings.display());
             Exit::Done
         }
--- a/fulmargw/src/command/mod.rs
+++ b/fulmargw/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! Execution of commands.
 
 pub mod check;
+pub mod explain;
 pub mod inspect;
 pub mod key;
 pub mod patch;
@@ -17,6 +18,7 @@
     match command {
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Pool(arguments) => pool::run(&arguments),
+        Command::Explain(arguments) => explain::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
         Command::Patch(arguments) => patch::run(&arguments),
         Command::Config(arguments) => inspect::configuration(&arguments),
--- a/fulmargw_pool/src/admission.rs
+++ b/fulmargw_pool/src/admission.rs
@@ -66,6 +66,10 @@
 /// A refusal because of an account's rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Refusal {
+    /// Rate of the account over all hosts, in operations per second.
+    pub rate: f64,
+    /// Whether this host has a share of it.
+    pub has_share: bool,
     /// Tokens that are available.
     pub available: f64,
     /// Time until this host has a token.
@@ -159,6 +163,8 @@
         let own = self.own.clone();
         let Some(entry) = self.entries.get_mut(account) else {
             return Err(Refusal {
+                rate: 0.0,
+                has_share,
                 available: 0.0,
                 retry_after: LONGEST_RETRY,
             });
@@ -171,6 +177,8 @@
         entry.bucket.take(share, now).map_err(|shortage| {
             let refill = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(LONGEST_RETRY);
             Refusal {
+                rate,
+                has_share: share.rate > 0.0,
                 available: entry.bucket.available(),
                 retry_after: shortage
                     .wait
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -358,7 +358,13 @@
             None => return Err(Failure::new(Code::Denied, "the key was withdrawn")),
         };
         let taken = borrow::admit(&self.core, &account).await;
-        taken.map(|()| account).map_err(|refusal| {
+        taken.map(|()| account.clone()).map_err(|refusal| {
+            log::info!(
+                event = "rate_exceeded", session = self.session.number,
+                account = account.as_str(), rate = refusal.rate, has_share = refusal.has_share,
+                available = refusal.available, version = policy.catalog.version;
+                "no token of the account"
+            );
             Failure::later(
                 Code::Busy,
                 "the rate of the account is exceeded",
