Give a promoted server time to take over

The primary went dark at 2.9 s and was replaced at 4.1 s within 52 ms, but the new primary leads only 600 ms after the order; its first READONLY answer made hosts return to the dead primary, which was still registered, until the registry told them (4.7 s), and the host whose store was silent stayed there until 11.7 s. Ruled out: the order and the survey, which took 52 ms; the peers' report, which arrived within 20 ms.

--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -285,7 +285,7 @@
     let other = {
         let mut servers = core.servers.lock();
         let group = servers.groups.get_mut(&place.key.service);
-        group.and_then(|group| group.refuted(&place.key.server))
+        group.and_then(|group| group.refuted(&place.key.server, Instant::now()))
     };
     if let Some(other) = other {
         log::info!(event = "primary_refuted", server = place.key.server.as_str(), primary = other.as_str(); "another server leads");
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -246,14 +246,7 @@
     let changed = {
         let mut servers = core.servers.lock();
         let group = servers.groups.get_mut(service);
-        group.is_some_and(|group| {
-            let known = group.members.contains_key(server);
-            let changes = known && group.lead.as_ref() != Some(server);
-            if changes {
-                group.lead = Some(server.clone());
-            }
-            changes
-        })
+        group.is_some_and(|group| group.order(server, Instant::now()))
     };
     if changed {
         log::info!(event = "primary_believed", service = service.as_str(), server = server.as_str(), source; "another server leads");
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -21,6 +21,9 @@
 /// keeps the server busy while an answer is on its way.
 const LEAST_RUNNING: u32 = 2;
 
+/// Time for which a server whose promotion was ordered may still say that it does not lead.
+pub const TAKEOVER_TIME: Duration = Duration::from_secs(4);
+
 /// Waiting jobs, by service.
 #[derive(Debug)]
 pub struct Queues<D: Dialect> {
@@ -89,6 +92,8 @@
 pub struct Group<D: Dialect> {
     /// Server that is believed to lead.
     pub lead: Option<Name>,
+    /// Time at which its promotion was ordered, if it was.
+    ordered: Option<Instant>,
     /// Samples of the primary's position.
     pub freshness: Freshness,
     /// Time of the last read that needed a sample.
@@ -196,6 +201,7 @@
     fn default() -> Self {
         Self {
             lead: None,
+            ordered: None,
             freshness: Freshness::default(),
             demanded: None,
             members: BTreeMap::new(),
@@ -244,16 +250,30 @@
             .map(|member| member.server.id.clone());
     }
 
+    /// Believes that a server leads because its promotion was ordered. Returns whether that is
+    /// new.
+    pub fn order(&mut self, server: &Name, now: Instant) -> bool {
+        let changes = self.members.contains_key(server) && self.lead.as_ref() != Some(server);
+        if changes {
+            self.lead = Some(server.clone());
+            self.ordered = Some(now);
+        }
+        changes
+    }
+
     /// Notes that a server which was believed to lead does not, and returns the server that
     /// registered as the primary, if another one did.
-    pub fn refuted(&mut self, server: &Name) -> Option<Name> {
-        if self.lead.as_ref() != Some(server) {
+    pub fn refuted(&mut self, server: &Name, now: Instant) -> Option<Name> {
+        let taking_over = self
+            .ordered
+            .is_some_and(|at| now.saturating_duration_since(at) < TAKEOVER_TIME);
+        if self.lead.as_ref() != Some(server) || taking_over {
             return None;
         }
-        let other = self
-            .members
-            .values()
-            .find(|member| member.server.role == Role::Primary && member.server.id != *server)?;
+        let other = self.members.values().find(|member| {
+            let registered = member.server.role == Role::Primary && member.server.id != *server;
+            registered && member.belief.trouble(now).is_none()
+        })?;
         self.lead = Some(other.server.id.clone());
         self.lead.clone()
     }
