--- a/extra/fulmargw.bash
+++ b/extra/fulmargw.bash
@@ -7,7 +7,7 @@
     COMPREPLY=()
     if [ "$COMP_CWORD" -eq 1 ]; then
         mapfile -t COMPREPLY < <(
-            compgen -W "serve check patch config state key version --help" -- "$current")
+            compgen -W "serve pool explain check patch config state key version --help" -- "$current")
         return
     fi
     case $previous in
@@ -21,14 +21,16 @@
     esac
     case ${COMP_WORDS[1]} in
     serve) options="--settings --help" ;;
-    check) options="--settings --json --help" ;;
+    pool) options="--settings --help" ;;
+    explain) options="--around-ms --help" ;;
+    check) options="--settings --pool --json --help" ;;
     patch | config) options="--operator --credential-file --json --help" ;;
     state) options="--operator --credential-file --request --service --json --help" ;;
     key) options="--stdin --json --help" ;;
     version) options="--json --help" ;;
     *) return ;;
     esac
-    if [ "${COMP_WORDS[1]}" = patch ] && [[ $current != -* ]]; then
+    if [[ ${COMP_WORDS[1]} =~ ^(patch|explain)$ ]] && [[ $current != -* ]]; then
         mapfile -t COMPREPLY < <(compgen -f -- "$current")
         return
     fi
