Fit the statements of all hosts into a server's slots and queue

Ruled out: rates, whose refusals were the callers' further tries; a wrong primary (no READONLY after 14 s). Change: a host runs slots x 6 / hosts statements on a server, at least two, or one with more than 16 hosts; refusals in a row lengthen the pause to 60 ms.

--- a/fulmargw_pool/src/belief.rs
+++ b/fulmargw_pool/src/belief.rs
@@ -11,6 +11,10 @@
 pub const SILENCE: Duration = Duration::from_millis(800);
 /// Time without any answer to a waiting commit after which a primary counts as stuck.
 pub const STUCK: Duration = Duration::from_secs(1);
+/// First pause before a server without a free slot is tried again.
+const BUSY_PAUSE: Duration = Duration::from_millis(15);
+/// Times that this pause doubles. A longer one would leave slots empty that became free.
+const BUSY_DOUBLINGS: u32 = 2;
 /// First and longest pause before a server that refused a connection is tried again.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
@@ -38,6 +42,7 @@
     failing_since: Option<Instant>,
     pause_until: Option<Instant>,
     turned_away: u32,
+    busy: u32,
     open_after: Option<Instant>,
     lacked: Option<(Position, Instant)>,
     /// Position that the server told last.
@@ -61,6 +66,7 @@
             failing_since: None,
             pause_until: None,
             turned_away: 0,
+            busy: 0,
             open_after: None,
             lacked: None,
             applied: None,
@@ -106,6 +112,19 @@
         self.open_after = Some(now + pause.min(LONGEST_PAUSE));
     }
 
+    /// Notes that the server had no free slot, after [`Self::answered`]. Each time in a row
+    /// makes the pause longer, so that hosts do not keep it busy with refusals.
+    pub fn was_busy(&mut self, now: Instant) {
+        let pause = BUSY_PAUSE.saturating_mul(1 << self.busy.min(BUSY_DOUBLINGS));
+        self.busy += 1;
+        self.pause(now + pause);
+    }
+
+    /// Notes that the server had a free slot.
+    pub fn was_free(&mut self) {
+        self.busy = 0;
+    }
+
     /// Notes that the server took another connection.
     pub fn opened(&mut self) {
         self.turned_away = 0;
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     admission::Admission,
+    backend::Server,
     catalog::{Catalog, Keyring},
     dialect::Dialect,
     job::{Done, Held, Job},
     member::Members,
     settings::Settings,
     store::Platform,
-    table::{Key, Member, Queues, Servers},
+    table::{Key, Member, Queues, Servers, Share},
 };
 use fulmargw_decision::queue::{Bound, Entry, Urgency};
 use fulmargw_model::{
@@ -164,18 +165,20 @@
         adopted
     }
 
-    /// Returns the most connections of this host to one server of a service.
-    #[must_use]
-    pub fn connection_cap(&self, service: &Name) -> u32 {
+    /// Returns what this host may use of the servers, by their connection limits and slots.
+    pub fn shares(&self) -> impl Fn(&Server) -> Share + use<D, P> {
         let hosts = self.members.lock().count();
-        let limit = self
-            .policy()
-            .and_then(|policy| {
-                let service = policy.catalog.services.get(service)?;
-                Some(service.connection_limit)
-            })
-            .unwrap_or(u32::MAX);
-        self.settings.limits.connection_share(limit, hosts)
+        let limits = self.settings.limits.clone();
+        let policy = self.policy();
+        move |server| {
+            let services = policy.as_ref().map(|policy| &policy.catalog.services);
+            let service = services.and_then(|services| services.get(&server.service));
+            let limit = service.map_or(u32::MAX, |service| service.connection_limit);
+            Share {
+                connections: limits.connection_share(limit, hosts),
+                running: limits.running_share(server.slots, hosts),
+            }
+        }
     }
 
     /// Adds a job to the queue; a job that was shed for it is dropped, which its submitter
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -22,8 +22,6 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for which a server that does not lead, or is another one, is left alone.
 const WRONG_SERVER_PAUSE: Duration = Duration::from_millis(50);
-/// Time for which a server without free slots is left alone.
-const BUSY_PAUSE: Duration = Duration::from_millis(15);
 
 /// What ended an exchange without an answer to the statement.
 enum Failure {
@@ -320,10 +318,14 @@
                 member.belief.lacked(position, now);
             }
         }
-        Code::Busy => member.belief.pause(now + BUSY_PAUSE),
+        Code::Busy => {
+            member.belief.was_busy(now);
+            return;
+        }
         Code::ReadOnly if place.as_primary => member.belief.pause(now + WRONG_SERVER_PAUSE),
         _ => {}
     }
+    member.belief.was_free();
 }
 
 fn settle<D: Dialect, P: Platform>(
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -202,17 +202,8 @@
 
 fn reconcile<D: Dialect, P: Platform>(core: &Core<D, P>, roster: &Roster) {
     let all = roster.all();
-    let mut caps: BTreeMap<Name, u32> = BTreeMap::new();
-    for server in all.values() {
-        let service = &server.service;
-        if !caps.contains_key(service) {
-            caps.insert(service.clone(), core.connection_cap(service));
-        }
-    }
-    let changes = {
-        let mut servers = core.servers.lock();
-        servers.reconcile(&all, |service| caps.get(service).copied().unwrap_or(1))
-    };
+    let shares = core.shares();
+    let changes = core.servers.lock().reconcile(&all, shares);
     for change in &changes {
         describe(change);
     }
@@ -252,16 +243,13 @@
     let hosts = names.len();
     core.admission.lock().share_among(names);
     metrics::gauge!("fulmargw_pool_hosts").set(crate::core::to_f64(hosts as u64));
-    let names: Vec<Name> = core.servers.lock().groups.keys().cloned().collect();
-    for service in names {
-        let cap = core.connection_cap(&service);
-        let mut servers = core.servers.lock();
-        if let Some(group) = servers.groups.get_mut(&service) {
-            for member in group.members.values_mut() {
-                member.cap = cap;
-            }
-        }
+    let shares = core.shares();
+    let mut servers = core.servers.lock();
+    let groups = servers.groups.values_mut();
+    for member in groups.flat_map(|group| group.members.values_mut()) {
+        member.share = shares(&member.server);
     }
+    drop(servers);
     log::info!(event = "membership", hosts; "number of hosts that share");
 }
 
--- a/fulmargw_pool/src/settings.rs
+++ b/fulmargw_pool/src/settings.rs
@@ -74,6 +74,13 @@
 const STALENESS_MARGIN: Duration = Duration::from_millis(50);
 /// Fewest connections to a server that a host can work with.
 const LEAST_CONNECTIONS: u32 = 2;
+/// Statements on a server, running and waiting there, for each of its slots.
+const QUEUE_DEPTH: u32 = 6;
+/// Least number of statements that one of a few hosts runs on one server at the same time; more
+/// than one keeps the server busy while an answer is on its way.
+const LEAST_RUNNING: u32 = 2;
+/// Number of hosts above which one statement of each is enough to keep a server busy.
+const MANY_HOSTS: u32 = 16;
 /// Time before the end of the drain period at which a leaving server gets no new work.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -108,6 +115,17 @@
         self.quota_slack.max(0.0) * USED_TOLERANCE
     }
 
+    /// Returns the most statements of this host that run on a server at the same time.
+    ///
+    /// All hosts together fill the slots of a server and part of its own queue; more would be
+    /// turned away, and tried again at the cost of others.
+    #[must_use]
+    pub fn running_share(&self, slots: u32, hosts: u32) -> u32 {
+        let part = slots.saturating_mul(QUEUE_DEPTH) / hosts.max(1);
+        let least = if hosts > MANY_HOSTS { 1 } else { LEAST_RUNNING };
+        part.clamp(least, slots.max(least))
+    }
+
     /// Returns this host's part of a connection limit.
     #[must_use]
     pub fn connection_share(&self, limit: u32, hosts: u32) -> u32 {
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -17,10 +17,6 @@
 };
 use tokio::time::Instant;
 
-/// Least number of statements that a host runs on one server at the same time; more than one
-/// keeps the server busy while an answer is on its way.
-const LEAST_RUNNING: u32 = 2;
-
 /// Time for which a server whose promotion was ordered may still say that it does not lead.
 pub const TAKEOVER_TIME: Duration = Duration::from_secs(4);
 
@@ -124,11 +120,20 @@
     pub running: u32,
     /// Connections that are open or about to be.
     pub open: u32,
-    /// Most connections of this host.
-    pub cap: u32,
+    /// What this host may use of it.
+    pub share: Share,
     idle: Vec<Connection<D>>,
 }
 
+/// What one host may use of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// Most connections.
+    pub connections: u32,
+    /// Most statements at the same time.
+    pub running: u32,
+}
+
 /// A connection to use, or the permission to open one.
 #[derive(Debug)]
 pub enum Lent<D: Dialect> {
@@ -154,11 +159,15 @@
     }
 
     /// Brings the table in line with the registry and returns the changes of belief.
-    pub fn reconcile(&mut self, registry: &Registry, cap: impl Fn(&Name) -> u32) -> Vec<Change> {
+    pub fn reconcile(
+        &mut self,
+        registry: &Registry,
+        share: impl Fn(&Server) -> Share,
+    ) -> Vec<Change> {
         let mut changes = Vec::new();
         for server in registry.values() {
             let group = self.groups.entry(server.service.clone()).or_default();
-            group.update(server, cap(&server.service), &mut changes);
+            group.update(server, share(server), &mut changes);
         }
         for group in self.groups.values_mut() {
             group.members.retain(|id, member| {
@@ -210,16 +219,16 @@
 }
 
 impl<D: Dialect> Group<D> {
-    fn update(&mut self, server: &Server, cap: u32, changes: &mut Vec<Change>) {
+    fn update(&mut self, server: &Server, share: Share, changes: &mut Vec<Change>) {
         let became_primary = match self.members.get_mut(&server.id) {
             None => {
-                let member = Member::new(server.clone(), cap);
+                let member = Member::new(server.clone(), share);
                 self.members.insert(server.id.clone(), member);
                 changes.push(Change::Added(server.clone()));
                 server.role == Role::Primary && self.lead.is_none()
             }
             Some(member) => {
-                member.cap = cap;
+                member.share = share;
                 if member.server == *server {
                     return;
                 }
@@ -307,7 +316,7 @@
             is_usable: member.belief.is_usable(now) && stays(member),
             room: member.room(account, now),
             running: member.running,
-            limit: member.server.slots.max(LEAST_RUNNING),
+            limit: member.share.running,
             applied: member.belief.applied,
             lacked: member.belief.recent_lack(now),
         };
@@ -316,14 +325,14 @@
 }
 
 impl<D: Dialect> Member<D> {
-    fn new(server: Server, cap: u32) -> Self {
+    fn new(server: Server, share: Share) -> Self {
         Self {
             draining: server.is_draining.then(Instant::now),
             server,
             belief: Belief::new(),
             running: 0,
             open: 0,
-            cap,
+            share,
             idle: Vec::new(),
         }
     }
@@ -349,7 +358,7 @@
             Room::Idle
         } else if !self.belief.may_open(now) {
             Room::Full
-        } else if self.open < self.cap || !self.idle.is_empty() {
+        } else if self.open < self.share.connections || !self.idle.is_empty() {
             Room::Opening
         } else {
             Room::Full
@@ -366,7 +375,7 @@
             }
             self.open = self.open.saturating_sub(1);
         }
-        let replaced = if self.open < self.cap {
+        let replaced = if self.open < self.share.connections {
             self.open += 1;
             None
         } else if self.idle.is_empty() {
@@ -394,7 +403,7 @@
     /// Half of the share stays closed while it is not needed: a server counts the connections
     /// of a host that lost power for seconds, and the host needs new ones as soon as it is back.
     pub fn restore(&mut self, connection: Connection<D>) {
-        let spare = self.open > self.cap.div_ceil(2);
+        let spare = self.open > self.share.connections.div_ceil(2);
         if !spare {
             self.idle.push(connection);
             return;
--- a/fulmargw_pool/tests/belief.rs
+++ b/fulmargw_pool/tests/belief.rs
@@ -74,3 +74,20 @@
     assert!(!belief.may_open(base + Duration::from_millis(99)));
     assert!(belief.may_open(base + Duration::from_millis(100)));
 }
+
+/// Guards against hosts that keep a full server busy with statements that it refuses.
+#[tokio::test(start_paused = true)]
+async fn each_refusal_in_a_row_makes_the_pause_longer() {
+    let base = Instant::now();
+    let mut belief = Belief::new();
+    for _ in 0..4 {
+        belief.was_busy(base);
+    }
+
+    assert!(!belief.is_usable(base + Duration::from_millis(59)));
+    assert!(belief.is_usable(base + Duration::from_millis(60)));
+    belief.was_free();
+    let later = base + Duration::from_secs(1);
+    belief.was_busy(later);
+    assert!(belief.is_usable(later + Duration::from_millis(15)));
+}
