Split sessions, failover and following into modules of one job

Cause: session.rs, failover.rs and follow.rs had grown to 500 to 800 lines. Change: session (execute, failure, trace), failover (takeover), sampling, follow (registry, membership, report); no dyn in exchange. Code moved only.

--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -52,12 +52,12 @@
         tasks.spawn(worker::run(Arc::clone(&core)));
     }
     tasks.spawn(follow::catalog(Arc::clone(&core)));
-    tasks.spawn(follow::registry(Arc::clone(&core)));
-    tasks.spawn(follow::membership(Arc::clone(&core)));
-    tasks.spawn(follow::reports(Arc::clone(&core)));
+    tasks.spawn(follow::registry::run(Arc::clone(&core)));
+    tasks.spawn(follow::membership::run(Arc::clone(&core)));
+    tasks.spawn(follow::report::run(Arc::clone(&core)));
     tasks.spawn(failover::run(Arc::clone(&core)));
     tasks.spawn(reload::run(Arc::clone(&core), file.to_owned()));
-    let handler = follow::Handler(Arc::clone(&core));
+    let handler = follow::report::Handler(Arc::clone(&core));
     tasks.spawn(report::serve(peers, handler, core.stop.clone()));
     let readiness = Arc::clone(&core);
     let stop = core.stop.clone();
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Runs one job on one connection.
 
 use crate::{
-    belief::Ticket,
+    belief::{Belief, Ticket},
     catalog::Consistency,
     clock,
     connection::{self, Connection, Reply},
@@ -84,12 +84,12 @@
     let limit = OPEN_TIMEOUT.min(remaining(job.deadline));
     let opened = timeout(limit, Connection::open(server, job.account.clone())).await;
     let now = Instant::now();
-    let noted = |change: &dyn Fn(&mut Member<D>)| {
+    let noted = |change: fn(&mut Belief, Instant)| {
         core.with_member(&place.key, |member| {
             if let Some(ticket) = ticket {
                 member.belief.abandoned(ticket);
             }
-            change(member);
+            change(&mut member.belief, now);
         });
     };
     match opened {
@@ -106,26 +106,26 @@
             Ok(Box::new(connection))
         }
         Ok(Err(connection::Error::Refused(cause_code))) => {
-            noted(&|member| match cause_code {
-                Code::TooMany => member.belief.turned_away(now),
-                _ => member.belief.pause(now + WRONG_SERVER_PAUSE),
+            noted(match cause_code {
+                Code::TooMany => Belief::turned_away,
+                _ => |belief, now| belief.pause(now + WRONG_SERVER_PAUSE),
             });
             log::info!(event = "connection_refused", server = place.key.server.as_str(), code = cause_code.label(); "backend server refused a connection");
             Err(cause_code)
         }
         Ok(Err(connection::Error::Dropped(cause))) => {
-            noted(&|member| member.belief.turned_away(now));
+            noted(Belief::turned_away);
             log::info!(event = "connection_dropped", server = place.key.server.as_str(), cause:% = cause; "backend server dropped a new connection");
             Err(Code::TooMany)
         }
         Ok(Err(connection::Error::Unreachable(cause))) => {
-            noted(&|member| member.belief.failed(now));
+            noted(Belief::failed);
             core.suspicion.notify_one();
             log::info!(event = "connection_failed", server = place.key.server.as_str(), cause:% = cause; "cannot open a connection");
             Err(Code::Busy)
         }
         Err(_) => {
-            noted(&|member| member.belief.failed(now));
+            noted(Belief::failed);
             core.suspicion.notify_one();
             log::info!(event = "connection_failed", server = place.key.server.as_str(), cause = "timeout"; "cannot open a connection");
             Err(Code::Busy)
@@ -145,7 +145,7 @@
         .with_member(&place.key, |member| {
             member.belief.sent(job.work.kind.commits(), asked)
         })
-        .unwrap_or_else(|| crate::belief::Belief::new().sent(false, asked));
+        .unwrap_or_else(|| Belief::new().sent(false, asked));
     let limit = remaining(job.deadline);
     let spoken = timeout(limit, speak(&mut connection, &job, &place)).await;
     let reply = match spoken {
--- /dev/null
+++ b/fulmargw_pool/src/failover/takeover.rs
@@ -0,0 +1,394 @@
+//! Replaces a primary by a replica that has every acknowledged commit.
+
+use super::{Reason, assess, lead};
+use crate::{
+    backend::{Server, Status},
+    connection::Connection,
+    core::Core,
+    dialect::Dialect,
+    message::{Code, Command},
+    promotion::{self, Candidate, Voter},
+    store::{Order, Platform, Verdict},
+    table::Key,
+};
+use fulmargw_decision::rendezvous;
+use fulmargw_model::{
+    name::Name,
+    position::{Position, Term},
+};
+use fulmargw_peer::report::Promoted;
+use serde::{Deserialize, Serialize};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Delay before the host of the next rank acts.
+const RANK_DELAY: Duration = Duration::from_millis(500);
+/// Longest time for one question to a replica.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause between two questions to a replica.
+const ASK_PAUSE: Duration = Duration::from_millis(25);
+/// Questions to a replica that has no free slot.
+const ASK_TRIES: u32 = 4;
+/// Longest time for the candidate to receive what the others hold.
+const CATCH_UP: Duration = Duration::from_millis(600);
+/// Calls for one promotion; each has a token of its own.
+const ORDER_TRIES: u32 = 6;
+/// Time for which a service stays with the host that claimed it last, so that two hosts do not
+/// replace a primary in turn.
+const CLAIM_TIME: Duration = Duration::from_secs(5);
+/// Pause between two looks at a claim of another host.
+const CLAIM_LOOK: Duration = Duration::from_millis(500);
+/// Prefix of the keys of claims.
+pub(crate) const KEY_PREFIX: &str = "promotion/";
+
+/// Content of the row that hosts claim before a promotion.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Claim {
+    holder: Name,
+}
+
+/// Why an attempt ended without a new primary.
+#[derive(Debug, displaydoc::Display)]
+pub(super) enum Stop {
+    /// another host has claimed the service
+    Claimed,
+    /// the primary works again
+    Recovered,
+    /// {0}
+    Store(crate::store::Error),
+    /// {0}
+    Obstacle(promotion::Obstacle),
+    /// replica {0} could not be paused
+    NotPaused(Name),
+    /// the platform refused the order
+    Refused,
+    /// an order has no answer and may be carried out later
+    Unsettled,
+    /// the claim cannot be encoded: {0}
+    Encode(String),
+}
+
+/// A replica with a connection for questions.
+struct Asked<D: Dialect> {
+    server: Server,
+    connection: Option<Connection<D>>,
+    status: Option<Status>,
+}
+
+/// Replaces the primary of a service and returns the new one.
+pub(super) async fn attempt<D: Dialect, P: Platform>(
+    core: &Arc<Core<D, P>>,
+    service: &Name,
+    reason: Reason,
+) -> Result<Name, Stop> {
+    wait_for_turn(core, service).await;
+    if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
+        return Err(Stop::Recovered);
+    }
+    let key = format!("{KEY_PREFIX}{service}");
+    let expected = claimable(core, &key).await?;
+    if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
+        return Err(Stop::Recovered);
+    }
+    let token = claim(core, service, expected).await?;
+    log::info!(event = "promotion_claimed", service = service.as_str(), token, reason:? = reason; "replacing a primary");
+    let mut asked = survey(core, service).await;
+    let result = take_over(core, service, token, &mut asked).await;
+    match result {
+        // The replicas stay paused, so that the candidate of the open order keeps receiving every
+        // commit that is acknowledged.
+        Err(Stop::Unsettled) => return result,
+        Err(_) => resume(&mut asked).await,
+        Ok(_) => {}
+    }
+    result
+}
+
+async fn wait_for_turn<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) {
+    let alive = core.members.lock().alive(Instant::now());
+    let host = &core.settings.host.name;
+    let rank = rendezvous::rank(service.as_str().as_bytes(), host, &alive);
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    sleep(RANK_DELAY.saturating_mul(rank)).await;
+}
+
+/// Claims a service. The version of the written row is the fencing token: it is unique and
+/// greater than that of every earlier claim.
+async fn claim<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    expected: u64,
+) -> Result<u64, Stop> {
+    let key = format!("{KEY_PREFIX}{service}");
+    let value = encode(core)?;
+    let put = core.platform.put(&key, value.into(), Some(expected)).await;
+    match put {
+        Ok(Some(token)) => Ok(token),
+        Ok(None) => Err(Stop::Claimed),
+        Err(error) => Err(Stop::Store(error)),
+    }
+}
+
+fn encode<D: Dialect, P: Platform>(core: &Core<D, P>) -> Result<Vec<u8>, Stop> {
+    let claim = Claim {
+        holder: core.settings.host.name.clone(),
+    };
+    rmp_serde::to_vec(&claim).map_err(|cause| Stop::Encode(cause.to_string()))
+}
+
+/// Returns the version of a claim that may be replaced, 0 if there is none.
+///
+/// A claim of another host stands for a time after it was last written.
+async fn claimable<D: Dialect, P: Platform>(core: &Core<D, P>, key: &str) -> Result<u64, Stop> {
+    let mut seen = None;
+    loop {
+        let rows = core.platform.rows().await.map_err(Stop::Store)?;
+        let Some(row) = rows.into_iter().find(|row| row.key == key) else {
+            return Ok(0);
+        };
+        if *seen.get_or_insert(row.revision) != row.revision {
+            return Err(Stop::Claimed);
+        }
+        let now = Instant::now();
+        let age = core.members.lock().claim_age(key, row.revision, now);
+        let is_own = match rmp_serde::from_slice::<Claim>(&row.value) {
+            Ok(claim) => claim.holder == core.settings.host.name,
+            Err(cause) => {
+                log::warn!(event = "row_undecodable", key, cause:% = cause; "replacing a row of the store");
+                false
+            }
+        };
+        if is_own || age >= CLAIM_TIME {
+            return Ok(row.revision);
+        }
+        sleep(CLAIM_LOOK).await;
+    }
+}
+
+/// Asks all servers of a service but the present primary for their state.
+async fn survey<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Vec<Asked<D>> {
+    let replicas: Vec<Server> = {
+        let servers = core.servers.lock();
+        let group = servers.groups.get(service);
+        group.map_or_else(Vec::new, |group| {
+            let others = group.members.values();
+            let others = others.filter(|member| group.lead.as_ref() != Some(&member.server.id));
+            others.map(|member| member.server.clone()).collect()
+        })
+    };
+    let asks = replicas.into_iter().map(|server| async {
+        let mut asked = Asked {
+            connection: connect(core, &server).await,
+            server,
+            status: None,
+        };
+        asked.status = ask(&mut asked, &Command::Status).await;
+        asked
+    });
+    futures::future::join_all(asks).await
+}
+
+async fn connect<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    server: &Server,
+) -> Option<Connection<D>> {
+    let key = Key {
+        service: server.service.clone(),
+        server: server.id.clone(),
+    };
+    let idle = core.with_member(&key, |member| {
+        let idle = member.take_any();
+        if idle.is_some() {
+            member.closed();
+        }
+        idle
+    });
+    if let Some(Some(connection)) = idle {
+        return Some(connection);
+    }
+    let account = core
+        .policy()
+        .and_then(|policy| policy.catalog.accounts.keys().next().cloned())?;
+    let opened = timeout(ASK_TIMEOUT, Connection::open(server, account)).await;
+    match opened {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(error)) => {
+            log::info!(event = "replica_unreachable", server = server.id.as_str(), cause:? = error; "cannot ask a replica");
+            None
+        }
+        Err(_) => {
+            log::info!(event = "replica_unreachable", server = server.id.as_str(), cause = "timeout"; "cannot ask a replica");
+            None
+        }
+    }
+}
+
+/// Sends a question and reads the state that it is answered with.
+async fn ask<D: Dialect>(asked: &mut Asked<D>, command: &Command) -> Option<Status> {
+    for _ in 0..ASK_TRIES {
+        let connection = asked.connection.as_mut()?;
+        let run = timeout(ASK_TIMEOUT, connection.run(vec![command.clone()])).await;
+        let Ok(Ok(replies)) = run else {
+            log::info!(event = "replica_silent", server = asked.server.id.as_str(), command:? = command; "replica did not answer");
+            asked.connection = None;
+            return None;
+        };
+        let reply = replies.into_iter().next()?;
+        match reply.end {
+            Ok(_) => return reply.rows.first().and_then(D::status),
+            Err((Code::Busy, _)) => sleep(ASK_PAUSE).await,
+            Err((code, _)) => {
+                log::info!(event = "replica_refused", server = asked.server.id.as_str(), command:? = command, code = code.label(); "replica refused a question");
+                return None;
+            }
+        }
+    }
+    None
+}
+
+async fn take_over<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    token: u64,
+    asked: &mut [Asked<D>],
+) -> Result<Name, Stop> {
+    let voters: Vec<Voter> = asked
+        .iter()
+        .map(|asked| Voter {
+            server: asked.server.id.clone(),
+            is_draining: asked.server.is_draining,
+            status: asked.status,
+        })
+        .collect();
+    let candidate = match promotion::candidate(&voters, Term(0)) {
+        Ok(candidate) => candidate,
+        Err(promotion::Obstacle::Leads(server, term)) => {
+            lead(core, service, &server, "survey");
+            return Err(Stop::Obstacle(promotion::Obstacle::Leads(server, term)));
+        }
+        Err(obstacle) => return Err(Stop::Obstacle(obstacle)),
+    };
+    let candidate = gather(asked, candidate).await?;
+    log::info!(
+        event = "promotion_candidate", service = service.as_str(),
+        server = candidate.server.as_str(), token,
+        received:? = (candidate.received.term.0, candidate.received.index);
+        "replica with every acknowledged commit"
+    );
+    order(core, service, &candidate, token).await?;
+    let promoted = Promoted {
+        service: service.clone(),
+        server: candidate.server.clone(),
+        token,
+    };
+    core.members.lock().promoted(&promoted);
+    lead(core, service, &candidate.server, "own order");
+    core.announce.notify_one();
+    Ok(candidate.server)
+}
+
+/// Stops the other replicas from receiving and waits until the candidate has all they hold.
+///
+/// From then on a commit is acknowledged only through the candidate, so the old primary may go
+/// on until it is replaced.
+async fn gather<D: Dialect>(
+    asked: &mut [Asked<D>],
+    candidate: Candidate,
+) -> Result<Candidate, Stop> {
+    let pause = Command::Pause(candidate.pause_term);
+    let mut held: Vec<(Name, Position)> = Vec::new();
+    for other in asked
+        .iter_mut()
+        .filter(|other| other.server.id != candidate.server)
+    {
+        let status = ask(other, &pause).await;
+        let status = status.ok_or_else(|| Stop::NotPaused(other.server.id.clone()))?;
+        held.push((other.server.id.clone(), status.received));
+    }
+    let positions: Vec<Position> = held.iter().map(|(_, position)| *position).collect();
+    let own = asked
+        .iter_mut()
+        .find(|asked| asked.server.id == candidate.server);
+    let Some(own) = own else {
+        return Err(Stop::NotPaused(candidate.server));
+    };
+    let limit = Instant::now() + CATCH_UP;
+    let mut received = candidate.received;
+    while !promotion::includes_all(received, &positions) && Instant::now() < limit {
+        sleep(ASK_PAUSE).await;
+        let status = ask(own, &Command::Status).await;
+        received = status.map_or(received, |status| status.received);
+    }
+    if promotion::includes_all(received, &positions) {
+        return Ok(Candidate {
+            received,
+            ..candidate
+        });
+    }
+    // The candidate does not catch up. With all replicas paused, the longest log has all.
+    let status = ask(own, &pause).await;
+    let status = status.ok_or_else(|| Stop::NotPaused(candidate.server.clone()))?;
+    held.push((candidate.server.clone(), status.received));
+    let all: Vec<Position> = held.iter().map(|(_, position)| *position).collect();
+    let best = held
+        .into_iter()
+        .find(|(_, position)| promotion::includes_all(*position, &all));
+    let (server, received) = best.ok_or(Stop::Obstacle(promotion::Obstacle::NoCandidate))?;
+    Ok(Candidate {
+        server,
+        received,
+        ..candidate
+    })
+}
+
+/// Orders the promotion. A call without an answer may be carried out later, so it is repeated
+/// with a greater token, which makes the earlier call harmless.
+async fn order<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    candidate: &Candidate,
+    token: u64,
+) -> Result<(), Stop> {
+    let mut token = token;
+    let mut is_open = false;
+    for _ in 0..ORDER_TRIES {
+        let order = Order {
+            holder: core.settings.host.name.clone(),
+            token,
+            service: service.clone(),
+            server: candidate.server.clone(),
+        };
+        match core.platform.promote(&order).await {
+            Ok(Verdict::Accepted) => return Ok(()),
+            Ok(Verdict::Refused) if is_open => return Err(Stop::Unsettled),
+            Ok(Verdict::Refused) => return Err(Stop::Refused),
+            Ok(Verdict::Throttled) => sleep(ASK_PAUSE * 4).await,
+            Err(error) => {
+                log::warn!(event = "order_unanswered", service = service.as_str(), token, cause:% = error; "repeating the order with a greater token");
+                is_open = true;
+                token = claim(core, service, token).await.map_err(|stop| {
+                    log::warn!(event = "order_open", service = service.as_str(), token, cause:% = stop; "cannot repeat the order now");
+                    Stop::Unsettled
+                })?;
+            }
+        }
+    }
+    Err(if is_open {
+        Stop::Unsettled
+    } else {
+        Stop::Refused
+    })
+}
+
+/// Lets paused replicas receive again.
+async fn resume<D: Dialect>(asked: &mut [Asked<D>]) {
+    for replica in asked
+        .iter_mut()
+        .filter(|replica| replica.connection.is_some())
+    {
+        if ask(replica, &Command::Resume).await.is_none() {
+            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(); "cannot resume a replica");
+        }
+    }
+}
--- /dev/null
+++ b/fulmargw_pool/src/follow/report.rs
@@ -0,0 +1,174 @@
+//! Exchanges reports with the other hosts, and lends them tokens.
+
+use super::apply_membership;
+use crate::{catalog::Catalog, core::Core, dialect::Dialect, failover, store::Platform};
+use fulmargw_model::name::Name;
+use fulmargw_peer::{
+    message::{Demand, Loan},
+    report::{self, Answer, Report},
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// Time within which a primary must have answered to count as answering.
+const ANSWERING: Duration = Duration::from_millis(600);
+
+/// Exchanges reports with the other hosts until the process stops.
+pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
+    loop {
+        let sent = own(&core);
+        for address in addresses(&core) {
+            core.tasks
+                .spawn(exchange(Arc::clone(&core), address, sent.clone()));
+        }
+        let interval = core.members.lock().report_interval();
+        tokio::select! {
+            () = sleep(interval) => {}
+            () = core.announce.notified() => {}
+        }
+    }
+}
+
+fn addresses<D: Dialect, P: Platform>(core: &Core<D, P>) -> Vec<SocketAddr> {
+    let mut addresses = core.members.lock().next_round();
+    let host = &core.settings.host;
+    if core.policy.borrow().is_none() || addresses.is_empty() {
+        addresses.extend(&host.seeds);
+    }
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses.retain(|address| *address != host.peer_address);
+    addresses
+}
+
+async fn exchange<D: Dialect, P: Platform>(core: Arc<Core<D, P>>, peer: SocketAddr, own: Report) {
+    match core.peers.exchange(peer, &own).await {
+        Ok(answer) => take(&core, answer),
+        Err(error) => {
+            metrics::counter!("fulmargw_pool_report_failures_total").increment(1);
+            log::debug!(event = "report_failed", cause:% = error; "host did not answer");
+        }
+    }
+}
+
+fn take<D: Dialect, P: Platform>(core: &Core<D, P>, answer: Answer) {
+    if let Some(bytes) = answer.catalog {
+        match rmp_serde::from_slice::<Catalog>(&bytes) {
+            Ok(catalog) => {
+                if core.adopt(catalog, answer.report.host.as_str()) {
+                    apply_membership(core);
+                }
+            }
+            Err(cause) => {
+                log::warn!(event = "configuration_undecodable", host = answer.report.host.as_str(), cause:% = cause; "ignoring the configuration of a host");
+            }
+        }
+    }
+    hear(core, answer.report);
+}
+
+/// Takes the report of another host.
+fn hear<D: Dialect, P: Platform>(core: &Core<D, P>, report: Report) {
+    let promoted = report.promoted.clone();
+    let (changed, newer) = {
+        let mut members = core.members.lock();
+        let newer: Vec<_> = promoted
+            .into_iter()
+            .filter(|promoted| members.promoted(promoted))
+            .collect();
+        (members.heard(report, Instant::now()), newer)
+    };
+    if changed {
+        apply_membership(core);
+    }
+    for promoted in newer {
+        failover::lead(core, &promoted.service, &promoted.server, "peer");
+    }
+}
+
+/// Returns what this host reports.
+fn own<D: Dialect, P: Platform>(core: &Core<D, P>) -> Report {
+    let now = Instant::now();
+    let version = core.policy().map_or(0, |policy| policy.catalog.version);
+    let host = &core.settings.host;
+    let (members, hears, promoted) = {
+        let table = core.members.lock();
+        let peers = table.peers.iter();
+        let members = peers.map(|(name, peer)| (name.clone(), peer.address));
+        let mut members: Vec<_> = members.collect();
+        members.push((host.name.clone(), host.peer_address));
+        let hearing = table.hearing();
+        let heard = table.peers.iter();
+        let heard = heard.filter(|(_, peer)| peer.is_heard(hearing, now));
+        let audible: Vec<Name> = heard.map(|(name, _)| name.clone()).collect();
+        let promoted = table.promoted.values().cloned().collect();
+        (members, audible, promoted)
+    };
+    let answering = {
+        let servers = core.servers.lock();
+        let primaries = servers.groups.values().filter_map(|group| group.primary());
+        let alive = primaries.filter(|primary| primary.belief.has_answered(ANSWERING, now));
+        alive.map(|primary| primary.server.id.clone()).collect()
+    };
+    Report {
+        host: host.name.clone(),
+        address: host.peer_address,
+        incarnation: core.incarnation,
+        version,
+        members,
+        hears,
+        answering,
+        promoted,
+        is_stopping: core.draining.is_cancelled(),
+    }
+}
+
+/// Answers the reports of other hosts.
+#[derive(Debug)]
+pub struct Handler<D: Dialect, P: Platform>(pub Arc<Core<D, P>>);
+
+impl<D: Dialect, P: Platform> Clone for Handler<D, P> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<D: Dialect, P: Platform> report::Handler for Handler<D, P> {
+    fn exchange(&self, asked: Report) -> Answer {
+        let version = asked.version;
+        hear(&self.0, asked);
+        let own = own(&self.0);
+        let newer = self
+            .0
+            .policy()
+            .filter(|policy| policy.catalog.version > version);
+        let catalog = newer.and_then(|policy| match rmp_serde::to_vec(&policy.catalog) {
+            Ok(bytes) => Some(bytes.into()),
+            Err(cause) => {
+                log::warn!(event = "configuration_unencodable", cause:% = cause; "cannot pass the configuration on");
+                None
+            }
+        });
+        Answer {
+            report: own,
+            catalog,
+        }
+    }
+
+    fn lend(&self, demand: Demand) -> Loan {
+        let now = Instant::now();
+        let has_share = self.0.members.lock().has_share(now);
+        let (grant, remaining) = self.0.admission.lock().lend(
+            &demand.account,
+            demand.tokens,
+            &demand.settled,
+            has_share,
+            now,
+        );
+        Loan {
+            grant,
+            remaining,
+            offered: 0.0,
+        }
+    }
+}
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod probe;
 pub mod promotion;
 pub mod routing;
+pub mod sampling;
 pub mod session;
 pub mod settings;
 pub mod statement;
--- /dev/null
+++ b/fulmargw_pool/src/sampling.rs
@@ -0,0 +1,97 @@
+//! Asks primaries for their positions where reads need newer ones than statements brought.
+
+use crate::{
+    connection::Connection,
+    core::Core,
+    dialect::Dialect,
+    freshness::{Moment, Sample},
+    message::{Command, State},
+    store::Platform,
+    table::Key,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, timeout};
+
+/// Longest time for one question to a primary.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Age of the newest sample after which the primary is asked for its position.
+const SAMPLE_AGE: Duration = Duration::from_millis(400);
+/// Time after the last read for which samples are taken.
+const SAMPLE_DEMAND: Duration = Duration::from_secs(2);
+
+/// Takes the samples that are due.
+pub fn run<D: Dialect, P: Platform>(core: &Arc<Core<D, P>>) {
+    let moment = Moment::now();
+    let mut due = Vec::new();
+    {
+        let mut servers = core.servers.lock();
+        for (service, group) in &mut servers.groups {
+            let wanted = group
+                .demanded
+                .is_some_and(|at| moment.now.saturating_duration_since(at) < SAMPLE_DEMAND);
+            let age = group.freshness.newest_age(moment);
+            let Some(lead) = group
+                .lead
+                .clone()
+                .filter(|_| wanted && age.is_none_or(|age| age >= SAMPLE_AGE))
+            else {
+                continue;
+            };
+            let member = group.members.get_mut(&lead);
+            let usable = member.filter(|member| member.belief.is_usable(moment.now));
+            if let Some(connection) = usable.and_then(crate::table::Member::take_any) {
+                let key = Key {
+                    service: service.clone(),
+                    server: lead,
+                };
+                due.push((key, connection));
+            }
+        }
+    }
+    for (key, connection) in due {
+        core.tasks
+            .spawn(ask_position(Arc::clone(core), key, connection));
+    }
+}
+
+/// Begins and ends a transaction, which a server that has lost the lead refuses.
+async fn ask_position<D: Dialect, P: Platform>(
+    core: Arc<Core<D, P>>,
+    key: Key,
+    mut connection: Connection<D>,
+) {
+    let moment = Moment::now();
+    let begin = Command::Begin {
+        read_only: false,
+        after: None,
+    };
+    let run = timeout(ASK_TIMEOUT, connection.run(vec![begin, Command::Rollback])).await;
+    let Ok(Ok(replies)) = run else {
+        core.with_member(&key, |member| {
+            member.closed();
+            member.belief.failed(Instant::now());
+        });
+        core.suspicion.notify_one();
+        return;
+    };
+    let mut replies = replies.into_iter();
+    if let (Some(begun), Some(ended)) = (replies.next(), replies.next())
+        && ended.state == State::Idle
+    {
+        let mut servers = core.servers.lock();
+        if let Some(group) = servers.groups.get_mut(&key.service) {
+            if let (Ok(_), Some(position)) = (&begun.end, begun.position) {
+                group.freshness.add(Sample {
+                    asked: moment.now,
+                    asked_since_boot: moment.since_boot,
+                    position,
+                });
+            }
+            if let Some(member) = group.members.get_mut(&key.server) {
+                member.restore(connection);
+            }
+        }
+        return;
+    }
+    core.with_member(&key, crate::table::Member::closed);
+}
--- /dev/null
+++ b/fulmargw_pool/src/session/execute.rs
@@ -0,0 +1,334 @@
+//! Statements on their way to a worker and back.
+
+use super::{
+    Output, RETRY_AFTER, Service,
+    failure::{self, Failure},
+    trace::{count, display, millis},
+};
+use crate::{
+    connection::Reply,
+    core::Policy,
+    dialect::Dialect,
+    job::{Done, Held, Job, Kind, NotRun, Place, Sight, Work},
+    message::{Answer, Code, State as Transaction, Text},
+    statement::{Query, Shape},
+    store::Platform,
+};
+use fulmargw_decision::queue::Urgency;
+use fulmargw_model::name::Name;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, timeout_at},
+};
+
+/// Pause before a statement that was turned away is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(8);
+/// Most times that a statement is tried again.
+const MOST_RETRIES: u32 = 60;
+/// Part of the timeout of a statement after which it is not tried again, and for which it waits
+/// while no primary is known. What is refused then can still be tried elsewhere in time.
+const RETRY_SHARE: f64 = 0.5;
+/// Replicas that may lack the position before a read goes to the primary.
+const MOST_LAGGING: u32 = 2;
+/// Priorities up to this one go before others.
+const URGENT_PRIORITY: u32 = 1;
+
+impl<D: Dialect, P: Platform> Service<D, P> {
+    /// Runs a read or write, inside the open transaction or as one of its own.
+    pub(super) async fn execute(
+        &mut self,
+        query: Query,
+        writes: bool,
+        (text, shape): (Text, Option<Shape>),
+        received: Instant,
+        policy: &Policy,
+    ) -> Output {
+        let mut work = Work {
+            id: query.id.clone(),
+            text,
+            shape,
+            kind: if writes { Kind::Write } else { Kind::Read },
+        };
+        let Some(open) = &mut self.session.open else {
+            let account = match self.admit(policy).await {
+                Ok(account) => account,
+                Err(failure) => {
+                    self.log_refusal(&query, &failure, policy);
+                    let closes = matches!(failure.code, Code::Denied | Code::UnknownDatabase);
+                    return Output {
+                        closes,
+                        ..self.refuse(&failure)
+                    };
+                }
+            };
+            return self.persist(query, work, account, received, policy).await;
+        };
+        open.wrote |= writes;
+        let account = open.account.clone();
+        match open.held.take() {
+            None => {
+                work.kind = Kind::First {
+                    read_only: open.read_only,
+                };
+                self.persist(query, work, account, received, policy).await
+            }
+            Some(held) => {
+                work.kind = Kind::Inside;
+                let sight = Sight {
+                    consistency: open.consistency,
+                    session: None,
+                };
+                let deadline = received + self.timeout(policy);
+                let done = self
+                    .submit(work, sight, account, Some(held), deadline, None)
+                    .await;
+                self.inside(&query, done, received, policy)
+            }
+        }
+    }
+
+    /// Answers a later statement of a transaction.
+    fn inside(
+        &mut self,
+        query: &Query,
+        done: Done<D>,
+        received: Instant,
+        policy: &Policy,
+    ) -> Output {
+        match done {
+            Done::Answered { reply, place, held } => {
+                self.log_answer(query, &place, &reply, received, policy);
+                match (&mut self.session.open, held) {
+                    (Some(open), Some(held)) => {
+                        open.failed = reply.state == Transaction::Failed;
+                        open.held = Some(held);
+                    }
+                    _ => self.session.open = None,
+                }
+                self.relay(reply)
+            }
+            Done::NotRun(_) => {
+                self.session.open = None;
+                self.refuse(&Failure::new(Code::Aborted, "the connection was lost"))
+            }
+            Done::Lost { place, timed_out } => {
+                self.session.open = None;
+                let cause = if timed_out {
+                    "the statement got no answer in time"
+                } else {
+                    "the connection was lost"
+                };
+                let failure = Failure::new(Code::Aborted, cause);
+                self.log_lost(query, &place, &failure, received);
+                self.refuse(&failure)
+            }
+        }
+    }
+
+    /// Runs a statement that has no connection yet, and tries again while it certainly has not
+    /// run and there is time.
+    async fn persist(
+        &mut self,
+        query: Query,
+        work: Work,
+        account: Name,
+        received: Instant,
+        policy: &Policy,
+    ) -> Output {
+        let Some(route) = policy.catalog.routes.get(&self.session.database) else {
+            self.session.open = None;
+            return self.refuse(&Failure::new(
+                Code::UnknownDatabase,
+                "the route was removed",
+            ));
+        };
+        self.session.service = Some(route.service.clone());
+        let deadline = received + route.timeout;
+        let last_try = received + route.timeout.mul_f64(RETRY_SHARE);
+        let mut sight = Sight {
+            consistency: route.consistency,
+            session: self.session.position,
+        };
+        if let Some(open) = &mut self.session.open {
+            open.consistency = route.consistency;
+        }
+        let mut avoid = None;
+        let mut lagging = 0;
+        for _ in 0..MOST_RETRIES {
+            let done = self
+                .submit(
+                    work.clone(),
+                    sight,
+                    account.clone(),
+                    None,
+                    deadline,
+                    avoid.take(),
+                )
+                .await;
+            match done {
+                Done::Answered { reply, place, held } => {
+                    let turned = match &reply.end {
+                        Err((code, _)) => code.is_not_run(),
+                        Ok(_) => false,
+                    };
+                    if turned && Instant::now() < last_try {
+                        if let Some(held) = held {
+                            self.core.discard(held);
+                        }
+                        let lags = matches!(&reply.end, Err((Code::Lagging, _)));
+                        lagging += u32::from(lags);
+                        sight.settle(lagging >= MOST_LAGGING);
+                        avoid = Some(place.key.server.clone());
+                        sleep(RETRY_PAUSE).await;
+                        continue;
+                    }
+                    return self.answered(&query, &work, reply, &place, held, received, policy);
+                }
+                Done::NotRun(NotRun { server, code }) => {
+                    if server.is_some() && Instant::now() < last_try {
+                        lagging += u32::from(code == Code::Lagging);
+                        sight.settle(lagging >= MOST_LAGGING);
+                        avoid = server;
+                        sleep(RETRY_PAUSE).await;
+                        continue;
+                    }
+                    let failure =
+                        Failure::later(Code::Busy, "no backend server is free", RETRY_AFTER);
+                    log::info!(event = "not_run", request:% = display(&query.id), session = self.session.number, service = route.service.as_str(), code = code.label(), elapsed_ms = millis(received.elapsed()); "request refused");
+                    return self.fail(&failure);
+                }
+                Done::Lost { place, timed_out } => {
+                    let again = work.kind == Kind::Read && !timed_out && Instant::now() < last_try;
+                    if again {
+                        avoid = Some(place.key.server.clone());
+                        continue;
+                    }
+                    let failure = failure::lost(&work, timed_out);
+                    self.log_lost(&query, &place, &failure, received);
+                    return self.fail(&failure);
+                }
+            }
+        }
+        self.fail(&Failure::later(
+            Code::Busy,
+            "no backend server is free",
+            RETRY_AFTER,
+        ))
+    }
+
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "the parts of one finished exchange"
+    )]
+    fn answered(
+        &mut self,
+        query: &Query,
+        work: &Work,
+        reply: Reply,
+        place: &Place,
+        held: Option<Held<D>>,
+        received: Instant,
+        policy: &Policy,
+    ) -> Output {
+        self.log_answer(query, place, &reply, received, policy);
+        if work.kind == Kind::Write && reply.end.is_ok() {
+            self.session.advance(reply.position);
+        }
+        if let Some(open) = &mut self.session.open {
+            open.failed = reply.state == Transaction::Failed;
+            open.held = held;
+            if open.held.is_none() {
+                self.session.open = None;
+            }
+        }
+        self.relay(reply)
+    }
+
+    /// Ends an open transaction that got no connection, and refuses its statement.
+    fn fail(&mut self, failure: &Failure) -> Output {
+        self.session.open = None;
+        self.refuse(failure)
+    }
+
+    pub(super) fn relay(&self, reply: Reply) -> Output {
+        let mut answers: Vec<Answer> = reply.rows.into_iter().map(Answer::Row).collect();
+        answers.push(match reply.end {
+            Ok(signature) => Answer::Complete(signature),
+            Err((code, text)) => {
+                count(&code);
+                Answer::Error(code, text)
+            }
+        });
+        answers.push(Answer::Ready(self.state(), reply.position));
+        Output {
+            answers,
+            closes: false,
+        }
+    }
+
+    pub(super) async fn submit(
+        &self,
+        work: Work,
+        sight: Sight,
+        account: Name,
+        held: Option<Held<D>>,
+        deadline: Instant,
+        avoid: Option<Name>,
+    ) -> Done<D> {
+        let service = match (&held, &self.session.service) {
+            (Some(held), _) => held.key.service.clone(),
+            (None, Some(service)) => service.clone(),
+            (None, None) => return failure::not_run(Code::Busy),
+        };
+        let policy = self.core.policy();
+        let route = policy
+            .as_ref()
+            .and_then(|policy| policy.catalog.routes.get(&self.session.database));
+        let urgent = route.is_some_and(|route| route.priority <= URGENT_PRIORITY);
+        let objective = route.map_or(Duration::MAX, |route| route.objective);
+        let needs_primary = work.kind.needs_primary();
+        let cost = if needs_primary { 2 } else { 1 };
+        let (reply, mut outcome) = oneshot::channel();
+        let job = Job {
+            service: service.clone(),
+            account,
+            work,
+            sight,
+            values: Arc::clone(&self.session.values),
+            queued: Instant::now(),
+            deadline,
+            avoid,
+            held,
+            reply,
+        };
+        let urgency = if urgent {
+            Urgency::Urgent
+        } else {
+            Urgency::Browse
+        };
+        let Some(ticket) = self.core.enqueue(job, urgency, cost) else {
+            return outcome
+                .await
+                .unwrap_or_else(|_| failure::not_run(Code::Busy));
+        };
+        let now = Instant::now();
+        let patience = deadline.saturating_duration_since(now);
+        let longest = now + patience.mul_f64(RETRY_SHARE);
+        let limits = [longest.min(now + objective), longest];
+        for (index, limit) in limits.into_iter().enumerate() {
+            match timeout_at(limit, &mut outcome).await {
+                Ok(done) => return done.unwrap_or_else(|_| failure::not_run(Code::Busy)),
+                Err(_) if index == 0 && self.core.lacks_primary(&service) => {}
+                Err(_) => break,
+            }
+        }
+        match self.core.withdraw(&service, ticket) {
+            Some(_) => failure::not_run(Code::Busy),
+            // A worker has taken it and keeps to the deadline.
+            None => outcome
+                .await
+                .unwrap_or_else(|_| failure::not_run(Code::Busy)),
+        }
+    }
+}
--- /dev/null
+++ b/fulmargw_pool/src/session/failure.rs
@@ -0,0 +1,57 @@
+//! Refusals and failures that this host itself gives.
+
+use crate::{
+    dialect::Dialect,
+    job::{Done, Kind, NotRun, Work},
+    message::{Answer, Code, Text},
+};
+use std::time::Duration;
+
+/// A refusal or failure that this host itself gives.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Failure {
+    pub(super) code: Code,
+    pub(super) cause: &'static str,
+    retry_after: Option<Duration>,
+}
+
+impl Failure {
+    pub(super) fn new(code: Code, cause: &'static str) -> Self {
+        Self {
+            code,
+            cause,
+            retry_after: None,
+        }
+    }
+
+    pub(super) fn later(code: Code, cause: &'static str, retry_after: Duration) -> Self {
+        Self {
+            code,
+            cause,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    pub(super) fn answer(&self) -> Answer {
+        let text = match self.retry_after {
+            Some(after) => format!("{}; retry after {} ms", self.cause, after.as_millis()),
+            None => self.cause.to_owned(),
+        };
+        Answer::Error(self.code.clone(), Text::from(text))
+    }
+}
+
+/// A job that no worker has taken.
+pub(super) fn not_run<D: Dialect>(code: Code) -> Done<D> {
+    Done::NotRun(NotRun { server: None, code })
+}
+
+/// Returns what a caller is told of a statement that was sent and not answered.
+pub(super) fn lost(work: &Work, timed_out: bool) -> Failure {
+    match work.kind {
+        Kind::First { .. } => Failure::new(Code::Aborted, "the connection was lost"),
+        Kind::Write => Failure::new(Code::InDoubt, "the write was sent and not answered"),
+        _ if timed_out => Failure::new(Code::Timeout, "the statement got no answer in time"),
+        _ => Failure::new(Code::Aborted, "the connection was lost"),
+    }
+}
--- /dev/null
+++ b/fulmargw_pool/src/session/trace.rs
@@ -0,0 +1,75 @@
+//! Log lines and counters of decisions on statements.
+
+use super::{Service, failure::Failure};
+use crate::{
+    connection::Reply,
+    core::Policy,
+    dialect::Dialect,
+    job::Place,
+    message::{Code, Text},
+    statement::Query,
+    store::Platform,
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+impl<D: Dialect, P: Platform> Service<D, P> {
+    pub(super) fn log_answer(
+        &self,
+        query: &Query,
+        place: &Place,
+        reply: &Reply,
+        received: Instant,
+        policy: &Policy,
+    ) {
+        let outcome = match &reply.end {
+            Ok(_) => "done",
+            Err((code, _)) => code.label(),
+        };
+        log::info!(
+            event = "answered", request:% = display(&query.id), session = self.session.number,
+            server = place.key.server.as_str(), as_primary = place.as_primary,
+            after:? = place.after.map(|it| (it.term.0, it.index)),
+            after_age_ms = millis(place.age), waited_ms = millis(place.waited),
+            version = policy.catalog.version, outcome, elapsed_ms = millis(received.elapsed());
+            "request answered"
+        );
+    }
+
+    pub(super) fn log_refusal(&self, query: &Query, failure: &Failure, policy: &Policy) {
+        log::info!(
+            event = "refused", request:% = display(&query.id), session = self.session.number,
+            database = self.session.database.as_str(), code = failure.code.label(),
+            cause = failure.cause, version = policy.catalog.version;
+            "request refused"
+        );
+    }
+
+    pub(super) fn log_lost(
+        &self,
+        query: &Query,
+        place: &Place,
+        failure: &Failure,
+        received: Instant,
+    ) {
+        log::info!(
+            event = "unanswered", request:% = display(&query.id), session = self.session.number,
+            server = place.key.server.as_str(), code = failure.code.label(),
+            cause = failure.cause, elapsed_ms = millis(received.elapsed());
+            "backend server did not answer"
+        );
+    }
+}
+
+/// Counts an answer that is an error.
+pub(super) fn count(code: &Code) {
+    metrics::counter!("fulmargw_pool_refusals_total", "code" => code.label()).increment(1);
+}
+
+pub(super) fn display(id: &Text) -> String {
+    String::from_utf8_lossy(id).into_owned()
+}
+
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/fulmargw_pool/tests/admission.rs
+++ b/fulmargw_pool/tests/admission.rs
@@ -87,6 +87,10 @@
 /// its operations are spread and tokens are lent.
 #[test]
 fn all_hosts_together_keep_to_the_rate() {
+    #[allow(
+        clippy::needless_pass_by_value,
+        reason = "the signature that quickcheck asks for"
+    )]
     fn property(steps: Vec<(u8, u8)>) -> bool {
         let start = Instant::now();
         let mut hosts = hosts(6, start);
