Refuse operations in one place, and import the own crate once

Cause: beginning a transaction and a single statement repeated the refusal of an operation that is not admitted; worker.rs had two use statements. Change: Service::refuse_operation serves both. Behaviour is unchanged.

--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -294,14 +294,16 @@
                 self.session.open = Some(Open::new(read_only, account));
                 self.local()
             }
-            Err(failure) => {
-                self.log_refusal(query, &failure, policy);
-                let closes = failure.code == Code::Denied || failure.code == Code::UnknownDatabase;
-                Output {
-                    closes,
-                    ..self.refuse(&failure)
-                }
-            }
+            Err(failure) => self.refuse_operation(query, &failure, policy),
+        }
+    }
+
+    /// Refuses an operation that is not admitted; a session without a key or route ends.
+    fn refuse_operation(&self, query: &Query, failure: &Failure, policy: &Policy) -> Output {
+        self.log_refusal(query, failure, policy);
+        Output {
+            closes: matches!(failure.code, Code::Denied | Code::UnknownDatabase),
+            ..self.refuse(failure)
         }
     }
 
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -53,14 +53,7 @@
         let Some(open) = &mut self.session.open else {
             let account = match self.admit(policy).await {
                 Ok(account) => account,
-                Err(failure) => {
-                    self.log_refusal(&query, &failure, policy);
-                    let closes = matches!(failure.code, Code::Denied | Code::UnknownDatabase);
-                    return Output {
-                        closes,
-                        ..self.refuse(&failure)
-                    };
-                }
+                Err(failure) => return self.refuse_operation(&query, &failure, policy),
             };
             return self.persist(query, work, account, received, policy).await;
         };
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -1,7 +1,8 @@
 //! Workers, which run waiting jobs on backend servers.
 
-use crate::{backend::Server, catalog::Consistency};
 use crate::{
+    backend::Server,
+    catalog::Consistency,
     core::Core,
     dialect::Dialect,
     exchange,
