--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -8,8 +8,10 @@
 
 use self::{error::Error, lines::Lines};
 use crate::{recorder, serve::signal::Signals};
-use fulmargw_peer::report;
-use fulmargw_pool::{core::Core, failover, follow, listener, probe, settings::Settings, worker};
+use fulmargw_peer::{forward as statement, report};
+use fulmargw_pool::{
+    core::Core, failover, follow, forward, listener, probe, settings::Settings, worker,
+};
 use platform::{client::Client, frame};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tokio::net::TcpListener;
@@ -40,6 +42,7 @@
     .map_err(Error::Client)?;
     let reports = report::Client::new(REPORT_TIMEOUT).map_err(Error::Client)?;
     let peers = bind("other hosts", host.peer_address).await?;
+    let statements = bind("statements of other hosts", host.statement_address).await?;
     let ready = bind("the balancer", host.ready_address).await?;
     let scrapes = bind("metrics", host.metrics_address).await?;
     let callers = bind("callers", host.front_address).await?;
@@ -59,6 +62,8 @@
     tasks.spawn(reload::run(Arc::clone(&core), file.to_owned()));
     let handler = follow::report::Handler(Arc::clone(&core));
     tasks.spawn(report::serve(peers, handler, core.stop.clone()));
+    let handler = forward::Handler(Arc::clone(&core));
+    tasks.spawn(statement::serve(statements, handler, core.stop.clone()));
     let readiness = Arc::clone(&core);
     let stop = core.stop.clone();
     tasks.spawn(probe::ready(ready, move || readiness.is_ready(), stop));
--- a/fulmargw/src/pool/stop.rs
+++ b/fulmargw/src/pool/stop.rs
@@ -17,6 +17,7 @@
     let grace = core.settings.limits.grace();
     log::info!(event = "draining", sessions = core.sessions.len(), grace_ms = u64::try_from(grace.as_millis()).unwrap_or(u64::MAX); "process stops gracefully");
     core.draining.cancel();
+    core.members.lock().is_stopping = true;
     core.announce.notify_one();
     sleep(NOTICE.min(grace / 2)).await;
     core.closing.cancel();
--- a/fulmargw_model/src/lib.rs
+++ b/fulmargw_model/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod request;
 pub mod route;
 pub mod service;
+pub mod work;
--- a/fulmargw_peer/src/client.rs
+++ b/fulmargw_peer/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     document,
-    link::{Link, Stub, Target},
+    link::{Link, Opened, Target},
     message::{Announcement, Confirmation, Demand, Loan, Note, Question, Removal},
     service::ControlClient,
 };
@@ -67,7 +67,7 @@
     settings: Settings,
     documents: document::Client,
     /// Nothing else is locked while this is locked, so it needs no rank.
-    links: Mutex<HashMap<SocketAddr, Link>>,
+    links: Mutex<HashMap<SocketAddr, Link<ControlClient>>>,
 }
 
 /// One call: what it does, where, and for how long.
@@ -225,14 +225,14 @@
         }
     }
 
-    fn links(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Link>> {
+    fn links(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Link<ControlClient>>> {
         self.shared
             .links
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn link(&self, peer: SocketAddr) -> Link {
+    fn link(&self, peer: SocketAddr) -> Link<ControlClient> {
         let target = Target {
             address: peer,
             source: self.shared.settings.source,
@@ -265,7 +265,12 @@
     }
 }
 
-fn failed(call: Call, link: &Link, stub: &Stub, cause: &impl ToString) -> Error {
+fn failed(
+    call: Call,
+    link: &Link<ControlClient>,
+    stub: &Opened<ControlClient>,
+    cause: &impl ToString,
+) -> Error {
     link.suspect(stub);
     call.error(cause)
 }
--- a/fulmargw_peer/src/codec.rs
+++ b/fulmargw_peer/src/codec.rs
@@ -1,6 +1,9 @@
 //! MessagePack encoding of the remote procedures, with counters per mechanism.
 
-use crate::service::{ControlRequest, ControlResponse};
+use crate::{
+    forward::{ForwardRequest, ForwardResponse},
+    service::{ControlRequest, ControlResponse},
+};
 use bytes::{Bytes, BytesMut};
 use metrics::counter;
 use serde::{Deserialize, Serialize, de::DeserializeOwned, de::IgnoredAny};
@@ -44,13 +47,52 @@
     }
 
     fn check(frame: &[u8]) -> io::Result<()> {
-        match decode::<Envelope>(frame)? {
-            Envelope::Request((context, ..)) if context.0 > LONGEST_DEADLINE => Err(
-                io::Error::new(io::ErrorKind::InvalidData, "the deadline is too far away"),
-            ),
-            _ => Ok(()),
+        check_deadline(frame)
+    }
+}
+
+impl Traffic for ClientMessage<ForwardRequest> {
+    fn mechanism(&self) -> &'static str {
+        match self {
+            Self::Request(request) => match &request.message {
+                ForwardRequest::Run { .. } => "run",
+                ForwardRequest::Release { .. } => "release",
+                ForwardRequest::Reaches { .. } => "reaches",
+                ForwardRequest::Ping { .. } => "ping",
+            },
+            _ => "cancel",
         }
     }
+
+    fn check(frame: &[u8]) -> io::Result<()> {
+        check_deadline(frame)
+    }
+}
+
+impl Traffic for Response<ForwardResponse> {
+    fn mechanism(&self) -> &'static str {
+        match &self.message {
+            Ok(ForwardResponse::Run(_)) => "run",
+            Ok(ForwardResponse::Release(())) => "release",
+            Ok(ForwardResponse::Reaches(_)) => "reaches",
+            Ok(ForwardResponse::Ping(())) => "ping",
+            Err(_) => "error",
+        }
+    }
+
+    fn check(_: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn check_deadline(frame: &[u8]) -> io::Result<()> {
+    match decode::<Envelope>(frame)? {
+        Envelope::Request((context, ..)) if context.0 > LONGEST_DEADLINE => Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "the deadline is too far away",
+        )),
+        _ => Ok(()),
+    }
 }
 
 impl Traffic for Response<ControlResponse> {
--- /dev/null
+++ b/fulmargw_peer/src/forward.rs
@@ -0,0 +1,90 @@
+//! Statements that a host runs on behalf of another, over one connection between the two.
+
+mod client;
+mod server;
+
+pub use self::{
+    client::{Client, Error, Remote},
+    server::serve,
+};
+use fulmargw_model::{
+    name::Name,
+    work::{NotRun, Order, Place, Reply},
+};
+use serde::{Deserialize, Serialize};
+use std::fmt::Debug;
+
+/// Number of an open transaction on its connection between two hosts.
+pub type Transaction = u64;
+
+/// How a host ran an order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The backend server answered.
+    Answered {
+        /// Its answer.
+        reply: Reply,
+        /// Where it ran and what was known.
+        place: Place,
+        /// The open transaction, if there is one.
+        transaction: Option<Transaction>,
+    },
+    /// It certainly did not run.
+    NotRun(NotRun),
+    /// It was sent and not answered.
+    Lost {
+        /// Backend server that it was sent to.
+        server: Option<Name>,
+        /// Whether the deadline passed, and not the connection broke.
+        timed_out: bool,
+    },
+    /// It did not run, and this host takes no work of the service now.
+    Elsewhere,
+}
+
+/// The remote procedures.
+#[tarpc::service]
+pub trait Forward {
+    /// Runs a statement, inside an open transaction if one is named.
+    async fn run(order: Order, transaction: Option<Transaction>) -> Outcome;
+
+    /// Rolls an open transaction back.
+    async fn release(transaction: Transaction);
+
+    /// Reports whether a backend server answers this host.
+    async fn reaches(service: Name, server: Name) -> bool;
+
+    /// Shows that this host runs.
+    async fn ping();
+}
+
+/// Opens a visitor for each connection from another host.
+pub trait Handler: Send + Sync + 'static {
+    /// What runs the orders of one connection.
+    type Visitor: Visitor;
+
+    /// Opens a visitor.
+    fn visitor(&self) -> Self::Visitor;
+}
+
+/// Runs the orders of one connection and keeps its open transactions.
+pub trait Visitor: Debug + Send + Sync + 'static {
+    /// Runs a statement.
+    fn run(
+        &self,
+        order: Order,
+        transaction: Option<Transaction>,
+    ) -> impl Future<Output = Outcome> + Send;
+
+    /// Rolls a transaction back.
+    fn release(&self, transaction: Transaction);
+
+    /// Reports whether a backend server answers this host.
+    fn reaches(&self, service: Name, server: Name) -> impl Future<Output = bool> + Send;
+
+    /// Reports whether a transaction is open.
+    fn is_holding(&self) -> bool;
+
+    /// Rolls all transactions back; later ones are rolled back at once.
+    fn close(&self);
+}
--- a/fulmargw_peer/src/lib.rs
+++ b/fulmargw_peer/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod codec;
 pub mod document;
+pub mod forward;
 mod link;
 pub mod message;
 pub mod report;
--- a/fulmargw_peer/src/link.rs
+++ b/fulmargw_peer/src/link.rs
@@ -2,46 +2,89 @@
 
 use crate::{
     codec::{self, Codec},
-    service::ControlClient,
+    forward::{ForwardClient, ForwardRequest, ForwardResponse},
+    service::{ControlClient, ControlRequest, ControlResponse},
 };
 use rand::Rng;
+use serde::{Serialize, de::DeserializeOwned};
 use std::{
+    fmt::Debug,
     io,
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
-use tarpc::client;
+use tarpc::{
+    ClientMessage, Response,
+    client::{self, NewClient},
+    serde_transport::Transport,
+};
 use tokio::{
     net::{TcpSocket, TcpStream},
     sync::{Notify, watch},
     time::{sleep, timeout},
 };
+use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::Framed;
 
+/// Messages of remote procedures over one stream.
+type Channel<Q, A> = Transport<TcpStream, Response<A>, ClientMessage<Q>, Codec>;
+
 /// First and longest pause between attempts to connect.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
+/// Remote procedures that a link carries.
+pub(crate) trait Stub: Debug + Clone + Send + Sync + 'static {
+    /// Opens them on a stream; the future drives the stream until it breaks.
+    fn open(stream: TcpStream) -> (Self, impl Future<Output = ()> + Send);
+}
+
+impl Stub for ControlClient {
+    fn open(stream: TcpStream) -> (Self, impl Future<Output = ()> + Send) {
+        let channel: Channel<ControlRequest, ControlResponse> = channel(stream);
+        let NewClient { client, dispatch } = Self::new(client::Config::default(), channel);
+        (client, async { drop(dispatch.await) })
+    }
+}
+
+impl Stub for ForwardClient {
+    fn open(stream: TcpStream) -> (Self, impl Future<Output = ()> + Send) {
+        let channel: Channel<ForwardRequest, ForwardResponse> = channel(stream);
+        let NewClient { client, dispatch } = Self::new(client::Config::default(), channel);
+        (client, async { drop(dispatch.await) })
+    }
+}
+
+fn channel<Q, A>(stream: TcpStream) -> Channel<Q, A>
+where
+    Q: Serialize,
+    A: DeserializeOwned,
+    Codec: Deserializer<Response<A>, Error = io::Error>
+        + Serializer<ClientMessage<Q>, Error = io::Error>,
+{
+    tarpc::serde_transport::new(Framed::new(stream, codec::framing()), Codec)
+}
+
 /// What callers see of the connection.
 #[derive(Debug, Clone)]
-enum State {
+enum State<S> {
     Connecting,
-    Up(Stub),
+    Up(Opened<S>),
     Down(Arc<str>),
 }
 
 /// An open connection; the number tells it from earlier ones.
 #[derive(Debug, Clone)]
-pub(crate) struct Stub {
-    pub(crate) client: ControlClient,
+pub(crate) struct Opened<S> {
+    pub(crate) client: S,
     number: u64,
 }
 
 /// Handle of a connection. Its task ends with the last handle.
 #[derive(Debug, Clone)]
-pub(crate) struct Link {
-    state: watch::Receiver<State>,
+pub(crate) struct Link<S> {
+    state: watch::Receiver<State<S>>,
     demand: Arc<Notify>,
     suspect: watch::Sender<u64>,
 }
@@ -54,7 +97,7 @@
     pub(crate) timeout: Duration,
 }
 
-impl Link {
+impl<S: Stub> Link<S> {
     pub(crate) fn new(target: Target) -> Self {
         let (publish, state) = watch::channel(State::Connecting);
         let (suspect, suspected) = watch::channel(0);
@@ -74,7 +117,7 @@
     }
 
     /// Waits for an open connection; fails at once while the last attempt has failed.
-    pub(crate) async fn stub(&self) -> Result<Stub, String> {
+    pub(crate) async fn stub(&self) -> Result<Opened<S>, String> {
         self.demand.notify_one();
         let mut state = self.state.clone();
         let settled = state.wait_for(|state| self.is_settled(state)).await;
@@ -85,8 +128,16 @@
         }
     }
 
+    /// Returns the open connection, if there is one.
+    pub(crate) fn opened(&self) -> Option<Opened<S>> {
+        match &*self.state.borrow() {
+            State::Up(stub) if stub.number > *self.suspect.borrow() => Some(stub.clone()),
+            _ => None,
+        }
+    }
+
     /// A suspected connection stays published until its task has dropped it.
-    fn is_settled(&self, state: &State) -> bool {
+    fn is_settled(&self, state: &State<S>) -> bool {
         match state {
             State::Connecting => false,
             State::Up(stub) => stub.number > *self.suspect.borrow(),
@@ -95,7 +146,7 @@
     }
 
     /// Reports that a connection did not answer in time, so that it is replaced.
-    pub(crate) fn suspect(&self, stub: &Stub) {
+    pub(crate) fn suspect(&self, stub: &Opened<S>) {
         self.suspect.send_if_modified(|number| {
             std::mem::replace(number, stub.number.max(*number)) < stub.number
         });
@@ -108,14 +159,14 @@
 }
 
 /// The task that owns the connection.
-struct Keeper {
+struct Keeper<S> {
     target: Target,
-    publish: watch::Sender<State>,
+    publish: watch::Sender<State<S>>,
     suspected: watch::Receiver<u64>,
     demand: Arc<Notify>,
 }
 
-impl Keeper {
+impl<S: Stub> Keeper<S> {
     async fn run(mut self) {
         let publish = self.publish.clone();
         tokio::select! {
@@ -160,13 +211,11 @@
 
     /// Publishes the connection and drives it until it breaks or is suspected.
     async fn drive(&mut self, stream: TcpStream, number: u64) {
-        let transport = tarpc::serde_transport::new(Framed::new(stream, codec::framing()), Codec);
-        let opened = ControlClient::new(client::Config::default(), transport);
-        let client = opened.client;
+        let (client, driven) = S::open(stream);
         self.publish
-            .send_replace(State::Up(Stub { client, number }));
+            .send_replace(State::Up(Opened { client, number }));
         tokio::select! {
-            _ = opened.dispatch => {}
+            () = driven => {}
             _ = self.suspected.wait_for(|suspect| *suspect >= number) => {}
         }
     }
--- a/fulmargw_peer/src/report.rs
+++ b/fulmargw_peer/src/report.rs
@@ -15,20 +15,30 @@
 /// Largest body that is accepted, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Where other hosts reach a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// Address for reports and loans.
+    pub reports: SocketAddr,
+    /// Address for statements that it runs for others.
+    pub statements: SocketAddr,
+}
+
 /// What a host tells of itself and of what it sees.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Report {
     /// Name of the host.
     pub host: Name,
-    /// Address at which it answers reports.
-    pub address: SocketAddr,
+    /// Where other hosts reach it.
+    pub endpoint: Endpoint,
     /// Identifier of this life of its process.
     pub incarnation: u64,
     /// Version of its configuration, 0 if it has none.
     pub version: u64,
     /// Hosts that share rates and connections, as it knows them.
-    pub members: Vec<(Name, SocketAddr)>,
+    pub members: Vec<(Name, Endpoint)>,
     /// Hosts that it heard from recently.
     pub hears: Vec<Name>,
     /// Primaries that answered it recently.
--- a/fulmargw_peer/src/server.rs
+++ b/fulmargw_peer/src/server.rs
@@ -23,24 +23,36 @@
     handler: H,
     stop: CancellationToken,
 ) -> io::Result<()> {
+    accept(listener, stop, |stream| answer(stream, handler.clone())).await;
+    Ok(())
+}
+
+/// Accepts connections until `stop` is cancelled, then closes all of them.
+pub(crate) async fn accept<F, W>(listener: TcpListener, stop: CancellationToken, answer: F)
+where
+    F: Fn(TcpStream) -> W,
+    W: Future<Output = ()> + Send + 'static,
+{
     let connections = TaskTracker::new();
-    let accepting = accept(&listener, &handler, &stop, &connections);
+    let accepting = accept_each(&listener, &stop, &connections, answer);
     stop.run_until_cancelled(accepting).await;
     connections.close();
     connections.wait().await;
-    Ok(())
 }
 
-async fn accept<H: Handler>(
+async fn accept_each<F, W>(
     listener: &TcpListener,
-    handler: &H,
     stop: &CancellationToken,
     connections: &TaskTracker,
-) {
+    answer: F,
+) where
+    F: Fn(TcpStream) -> W,
+    W: Future<Output = ()> + Send + 'static,
+{
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = answer(stream, handler.clone());
+                let connection = answer(stream);
                 connections.spawn(stop.clone().run_until_cancelled_owned(connection));
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
--- a/fulmargw_pool/src/borrow.rs
+++ b/fulmargw_pool/src/borrow.rs
@@ -79,7 +79,7 @@
     let sent = Instant::now();
     let address = {
         let members = core.members.lock();
-        members.peers.get(&lender).map(|peer| peer.address)
+        members.peers.get(&lender).map(|peer| peer.endpoint.reports)
     };
     let demand = Demand {
         borrower: Life {
--- a/fulmargw_pool/src/catalog.rs
+++ b/fulmargw_pool/src/catalog.rs
@@ -3,6 +3,7 @@
 use fulmargw_model::{
     client_account::{Account, Digest},
     name::Name,
+    work::Consistency,
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -46,17 +47,6 @@
     pub is_open: bool,
 }
 
-/// What reads of a route may see.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Consistency {
-    /// Every commit that was acknowledged before the read began.
-    Current,
-    /// Every commit that was acknowledged longer ago than this.
-    Bounded(Duration),
-    /// As `Bounded`, and every commit of the same session.
-    Session(Duration),
-}
-
 /// A database group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/fulmargw_pool/src/connection.rs
+++ b/fulmargw_pool/src/connection.rs
@@ -3,17 +3,16 @@
 use crate::{
     backend::Server,
     dialect::Dialect,
-    message::{Answer, Code, Command, State, Text},
-    statement::Shape,
+    message::{Answer, Command},
+};
+use fulmargw_model::{
+    name::Name,
+    position::Position,
+    work::{Code, Reply, Shape, State, Text, Values},
 };
-use fulmargw_model::{name::Name, position::Position};
 use futures::{SinkExt as _, StreamExt as _};
 use socket2::{SockRef, TcpKeepalive};
-use std::{
-    collections::{BTreeMap, HashSet},
-    io,
-    time::Duration,
-};
+use std::{collections::HashSet, io, time::Duration};
 use tokio::{net::TcpStream, time::Instant};
 use tokio_util::codec::Framed;
 
@@ -24,22 +23,6 @@
 /// Unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 3;
 
-/// Values of a session by name.
-pub type Values = BTreeMap<Text, Text>;
-
-/// The whole answer to one command.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Reply {
-    /// Rows of the result.
-    pub rows: Vec<Text>,
-    /// Signature of the server, or the error.
-    pub end: Result<Text, (Code, Text)>,
-    /// State of the connection's transaction afterwards.
-    pub state: State,
-    /// Last position of the server's log.
-    pub position: Option<Position>,
-}
-
 /// An open connection. After an error it must be dropped.
 #[derive(Debug)]
 pub struct Connection<D: Dialect> {
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -5,18 +5,19 @@
     backend::Server,
     catalog::{Catalog, Keyring},
     dialect::Dialect,
-    job::{Done, Held, Job},
+    job::{Done, Held, Job, Pin},
     member::Members,
     settings::Settings,
     store::Platform,
-    table::{Key, Member, Queues, Servers, Share},
+    table::{Member, Queues, Servers, Shares},
 };
-use fulmargw_decision::queue::{Bound, Entry, Urgency};
+use fulmargw_decision::queue::{Bound, Entry, Ticket, Urgency};
 use fulmargw_model::{
     name::Name,
     order::{Mutex, Rank},
+    work::Key,
 };
-use fulmargw_peer::report;
+use fulmargw_peer::{forward, report};
 use std::sync::{
     Arc,
     atomic::{AtomicU64, Ordering},
@@ -33,6 +34,9 @@
     total: 1024,
 };
 
+/// Cost of a statement that only the primary can run, against the quota of its account.
+const PRIMARY_COST: u32 = 2;
+
 /// A configuration in force, with the index of its keys.
 #[derive(Debug)]
 pub struct Policy {
@@ -53,6 +57,8 @@
     pub platform: P,
     /// Calls to other hosts.
     pub peers: report::Client,
+    /// Statements that other hosts run for this one.
+    pub forwards: forward::Client,
     /// Configuration in force.
     pub policy: watch::Sender<Option<Arc<Policy>>>,
     /// Other hosts and what they report.
@@ -83,6 +89,8 @@
     pub tasks: TaskTracker,
     /// Whether the registry has been read.
     pub registered: watch::Sender<bool>,
+    /// Whether the other hosts are known.
+    pub joined: watch::Sender<bool>,
     next_session: AtomicU64,
 }
 
@@ -99,6 +107,7 @@
             incarnation,
             platform,
             peers,
+            forwards: forward::Client::new(),
             policy: watch::Sender::new(None),
             members: Mutex::new(Rank::Fleet, members),
             admission: Mutex::new(Rank::Account, admission),
@@ -114,6 +123,7 @@
             sessions: TaskTracker::new(),
             tasks: TaskTracker::new(),
             registered: watch::Sender::new(false),
+            joined: watch::Sender::new(false),
             next_session: AtomicU64::new(0),
         }
     }
@@ -132,7 +142,8 @@
     /// Reports whether the host can serve new sessions.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows = self.policy.borrow().is_some() && *self.registered.borrow();
+        let knows =
+            self.policy.borrow().is_some() && *self.registered.borrow() && *self.joined.borrow();
         knows && !self.draining.is_cancelled()
     }
 
@@ -166,7 +177,7 @@
     }
 
     /// Returns what this host may use of the servers, by their connection limits and slots.
-    pub fn shares(&self) -> impl Fn(&Server) -> Share + use<D, P> {
+    pub fn shares(&self) -> impl Fn(&Server) -> Shares + use<D, P> {
         let hosts = self.members.lock().count();
         let limits = self.settings.limits.clone();
         let policy = self.policy();
@@ -174,21 +185,16 @@
             let services = policy.as_ref().map(|policy| &policy.catalog.services);
             let service = services.and_then(|services| services.get(&server.service));
             let limit = service.map_or(u32::MAX, |service| service.connection_limit);
-            Share {
-                connections: limits.connection_share(limit, hosts),
-                running: limits.running_share(server.slots, hosts),
+            Shares {
+                holder: limits.holder_share(server.slots, limit, hosts),
+                standby: limits.standby_share(limit, hosts),
             }
         }
     }
 
     /// Adds a job to the queue; a job that was shed for it is dropped, which its submitter
     /// sees. Returns the ticket that removes it.
-    pub fn enqueue(
-        &self,
-        job: Job<D>,
-        urgency: Urgency,
-        cost: u32,
-    ) -> Option<fulmargw_decision::queue::Ticket> {
+    pub fn enqueue(&self, job: Job<D>) -> Option<Ticket> {
         let mut queues = self.queues.lock();
         if job.held.is_some() {
             queues.held.push_back(job);
@@ -196,11 +202,20 @@
             self.work.notify_one();
             return None;
         }
-        let service = job.service.clone();
+        let order = &job.order;
+        let service = order.service.clone();
         let entry = Entry {
-            account: job.account.clone(),
-            urgency,
-            cost,
+            account: order.account.clone(),
+            urgency: if order.is_urgent {
+                Urgency::Urgent
+            } else {
+                Urgency::Browse
+            },
+            cost: if order.work.kind.needs_primary() {
+                PRIMARY_COST
+            } else {
+                1
+            },
             deadline: job.deadline,
             item: job,
         };
@@ -216,8 +231,16 @@
         self.servers.lock().member(key).map(change)
     }
 
+    /// Rolls a transaction back, wherever it is open.
+    pub fn discard(&self, pin: Pin<D>) {
+        match pin {
+            Pin::Own(held) => self.close(held),
+            Pin::Other(remote) => drop(self.tasks.spawn(remote.release())),
+        }
+    }
+
     /// Closes the connection of a transaction, which rolls it back.
-    pub fn discard(&self, held: Held<D>) {
+    pub fn close(&self, held: Held<D>) {
         self.with_member(&held.key, Member::closed);
         drop(held);
         self.work.notify_one();
@@ -230,13 +253,16 @@
         self.work.notify_one();
     }
 
-    /// Removes a job that no worker has taken.
-    pub fn withdraw(
-        &self,
-        service: &Name,
-        ticket: fulmargw_decision::queue::Ticket,
-    ) -> Option<Job<D>> {
-        self.queues.lock().service(service).remove(ticket)
+    /// Reports whether this host runs statements of a service for other hosts.
+    #[must_use]
+    pub fn takes(&self, service: &Name) -> bool {
+        let own = &self.settings.host.name;
+        let shunned = {
+            let members = self.members.lock();
+            members.holders.is_shunned(service, own, Instant::now())
+        };
+        let knows = || self.servers.lock().groups.contains_key(service);
+        !shunned && self.is_ready() && knows()
     }
 
     /// Reports whether a service has no primary that takes work now.
@@ -251,11 +277,8 @@
 
     /// Answers a job whose submitter may have gone.
     pub fn answer(&self, job: Job<D>, done: Done<D>) {
-        if let Err(Done::Answered {
-            held: Some(held), ..
-        }) = job.reply.send(done)
-        {
-            self.discard(held);
+        if let Err(Done::Answered { pin: Some(pin), .. }) = job.reply.send(done) {
+            self.discard(pin);
         }
     }
 }
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -2,19 +2,22 @@
 
 use crate::{
     belief::{Belief, Ticket},
-    catalog::Consistency,
     clock,
-    connection::{self, Connection, Reply},
+    connection::{self, Connection},
     core::Core,
     dialect::Dialect,
+    dispatch::remaining,
     freshness::Sample,
-    job::{Done, Held, Job, Kind, NotRun, Place},
-    message::{Code, Command, State},
+    job::{Done, Held, Job, Pin},
+    message::Command,
     store::Platform,
     table::{Lent, Member},
-    worker::{Ready, remaining},
+    worker::Ready,
+};
+use fulmargw_model::{
+    position::Position,
+    work::{Code, Consistency, Kind, NotRun, Place, Reply, State},
 };
-use fulmargw_model::position::Position;
 use std::{io, time::Duration};
 use tokio::time::{Instant, timeout};
 
@@ -82,7 +85,7 @@
         member.belief.sent(false, Instant::now())
     });
     let limit = OPEN_TIMEOUT.min(remaining(job.deadline));
-    let opened = timeout(limit, Connection::open(server, job.account.clone())).await;
+    let opened = timeout(limit, Connection::open(server, job.order.account.clone())).await;
     let now = Instant::now();
     let noted = |change: fn(&mut Belief, Instant)| {
         core.with_member(&place.key, |member| {
@@ -143,7 +146,7 @@
     let asked_since_boot = clock::since_boot();
     let ticket = core
         .with_member(&place.key, |member| {
-            member.belief.sent(job.work.kind.commits(), asked)
+            member.belief.sent(job.order.work.kind.commits(), asked)
         })
         .unwrap_or_else(|| Belief::new().sent(false, asked));
     let limit = remaining(job.deadline);
@@ -156,7 +159,10 @@
                 member.finished();
             });
             refute(core, &place, &cause_code);
-            let is_idle = !matches!(job.work.kind, Kind::Inside | Kind::Commit | Kind::Rollback);
+            let is_idle = !matches!(
+                job.order.work.kind,
+                Kind::Inside | Kind::Commit | Kind::Rollback
+            );
             settle(core, connection, &place, is_idle);
             core.answer(job, not_run(&place, cause_code));
             return;
@@ -165,9 +171,11 @@
             fail(core, ticket, &place, &failure);
             drop(connection);
             let done = match failure {
-                Failure::Unsent if !in_transaction(job.work.kind) => not_run(&place, Code::Busy),
+                Failure::Unsent if !in_transaction(job.order.work.kind) => {
+                    not_run(&place, Code::Busy)
+                }
                 _ => Done::Lost {
-                    place,
+                    server: Some(place.key.server),
                     timed_out: false,
                 },
             };
@@ -194,7 +202,7 @@
             core.work.notify_one();
             drop(connection);
             let done = Done::Lost {
-                place,
+                server: Some(place.key.server),
                 timed_out: true,
             };
             core.answer(job, done);
@@ -262,17 +270,24 @@
         key: place.key.clone(),
         connection: Box::new(connection),
     };
-    let held = if reply.state == State::Idle {
+    let pin = if reply.state == State::Idle {
         core.give_back(held);
         None
-    } else if matches!(job.work.kind, Kind::First { .. } | Kind::Inside) {
-        Some(held)
+    } else if matches!(job.order.work.kind, Kind::First { .. } | Kind::Inside) {
+        Some(Pin::Own(held))
     } else {
-        core.discard(held);
+        core.close(held);
         None
     };
     core.work.notify_one();
-    core.answer(job, Done::Answered { reply, place, held });
+    core.answer(
+        job,
+        Done::Answered {
+            reply,
+            place: Box::new(place),
+            pin,
+        },
+    );
 }
 
 /// Turns to another primary if the server says that it does not lead.
@@ -293,7 +308,7 @@
 /// Reports whether the answer proves that the server led when it was asked.
 fn proves_lead<D: Dialect>(job: &Job<D>, place: &Place, reply: &Reply) -> bool {
     let succeeded = reply.end.is_ok();
-    match job.work.kind {
+    match job.order.work.kind {
         Kind::Write => succeeded,
         Kind::Read => succeeded && place.as_primary,
         Kind::First { read_only } => succeeded && place.as_primary && !read_only,
@@ -341,7 +356,7 @@
     if is_idle {
         core.give_back(held);
     } else {
-        core.discard(held);
+        core.close(held);
     }
 }
 
@@ -373,17 +388,17 @@
     job: &Job<D>,
     place: &Place,
 ) -> Result<Reply, Failure> {
-    let commands = connection.adapt(&job.values, job.work.shape.as_ref());
+    let commands = connection.adapt(&job.order.values, job.order.work.shape.as_ref());
     if !commands.is_empty() {
         let replies = connection.run(commands.clone()).await;
         let replies = replies.map_err(|_| Failure::Unsent)?;
         if replies.iter().any(|reply| reply.end.is_err()) {
             return Err(Failure::Unsent);
         }
-        connection.adapted(&job.values, job.work.shape.as_ref(), &commands);
+        connection.adapted(&job.order.values, job.order.work.shape.as_ref(), &commands);
     }
-    let current = matches!(job.sight.consistency, Consistency::Current);
-    match job.work.kind {
+    let current = matches!(job.order.sight.consistency, Consistency::Current);
+    match job.order.work.kind {
         Kind::Read if place.as_primary => led_read(connection, job).await,
         Kind::Read => last(connection, vec![statement(job, place.after)]).await,
         Kind::First { read_only } => {
@@ -401,9 +416,9 @@
 
 fn statement<D: Dialect>(job: &Job<D>, after: Option<Position>) -> Command {
     Command::Run {
-        id: job.work.id.clone(),
+        id: job.order.work.id.clone(),
         after,
-        text: job.work.text.clone(),
+        text: job.order.work.text.clone(),
     }
 }
 
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -1,7 +1,9 @@
 //! Notices primaries that are gone, do not answer or leave.
 
+mod reach;
 mod takeover;
 
+pub(crate) use reach::reaches;
 pub(crate) use takeover::KEY_PREFIX;
 
 use self::takeover::{Stop, attempt};
@@ -48,6 +50,7 @@
         }
         core.work.notify_one();
         sampling::run(&core);
+        yield_idle(&core);
         for (service, reason) in watch.assess(&core) {
             let core = Arc::clone(&core);
             let attempts = Arc::clone(&watch.attempts);
@@ -68,6 +71,20 @@
     }
 }
 
+/// Gives up the connections of services that other hosts hold now.
+fn yield_idle<D: Dialect, P: Platform>(core: &Core<D, P>) {
+    let now = Instant::now();
+    let mut servers = core.servers.lock();
+    let groups = servers.groups.iter_mut();
+    let yielded: Vec<Name> = groups
+        .filter_map(|(service, group)| group.yield_if_idle(now).then(|| service.clone()))
+        .collect();
+    drop(servers);
+    for service in yielded {
+        log::info!(event = "service_yielded", service = service.as_str(); "no statements of the service come here");
+    }
+}
+
 fn report(service: &Name, reason: Reason, started: Instant, result: &Result<Name, Stop>) {
     let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     match result {
@@ -162,6 +179,11 @@
         return Some(Reason::Draining);
     }
     let (trouble, age) = trouble?;
+    let own = &core.settings.host.name;
+    let is_shunned = core.members.lock().holders.is_shunned(service, own, now);
+    if is_shunned && trouble != Trouble::Stuck {
+        return None;
+    }
     let answers_others = core.members.lock().answers_others(&lead, now);
     let patience = match trouble {
         Trouble::Unreachable if !answers_others => UNREACHABLE,
--- /dev/null
+++ b/fulmargw_pool/src/failover/reach.rs
@@ -0,0 +1,90 @@
+//! Finds out whether a primary is gone for all hosts or for this one only.
+
+use super::takeover::connect;
+use crate::{
+    connection::Connection, core::Core, dialect::Dialect, message::Command, store::Platform,
+};
+use fulmargw_model::{name::Name, work::State};
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::{Instant, timeout};
+
+/// Hosts that are asked whether a primary answers them.
+const WITNESSES: usize = 3;
+/// Longest time for an answer of a host.
+const ASK_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest time for the answer of the primary to the host that is asked.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a host leaves a service to others whose primary it cannot reach.
+const LEAVE_TIME: Duration = Duration::from_secs(5);
+
+/// Asks other hosts whether a primary answers them. If it does, the service is left to them,
+/// and the name of one of them is returned.
+pub(super) async fn witness<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+) -> Option<Name> {
+    let lead = core.servers.lock().groups.get(service)?.lead.clone()?;
+    let now = Instant::now();
+    let others: Vec<(Name, SocketAddr)> = {
+        let members = core.members.lock();
+        let alive = members.alive(now).into_iter();
+        let peers = alive.filter_map(|name| {
+            let peer = members.peers.get(&name)?;
+            Some((name, peer.endpoint.statements))
+        });
+        peers.take(WITNESSES).collect()
+    };
+    let asks = others.into_iter().map(|(host, address)| {
+        let (service, lead) = (service.clone(), lead.clone());
+        async move {
+            let reaches = core.forwards.reaches(address, service, lead, ASK_TIMEOUT);
+            match reaches.await {
+                Ok(reaches) => reaches.then_some(host),
+                Err(cause) => {
+                    log::info!(event = "witness_silent", host = host.as_str(), cause:% = cause; "host does not say whether a primary answers it");
+                    None
+                }
+            }
+        }
+    });
+    let witnesses = futures::future::join_all(asks).await;
+    let witness = witnesses.into_iter().flatten().next()?;
+    let own = &core.settings.host.name;
+    let until = Instant::now() + LEAVE_TIME;
+    core.members.lock().holders.shun(service, own, until);
+    log::info!(event = "service_left", service = service.as_str(), server = lead.as_str(), witness = witness.as_str(); "the primary answers another host");
+    Some(witness)
+}
+
+/// Reports whether a server leads and answers this host.
+pub(crate) async fn reaches<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    server: &Name,
+) -> bool {
+    let server = {
+        let servers = core.servers.lock();
+        let group = servers.groups.get(service);
+        let member = group.and_then(|group| group.members.get(server));
+        member.map(|member| member.server.clone())
+    };
+    let Some(server) = server else {
+        return false;
+    };
+    let asked = timeout(PROBE_TIMEOUT, async {
+        let mut connection = connect(core, &server).await?;
+        leads(&mut connection).await
+    });
+    asked.await.ok().flatten().unwrap_or(false)
+}
+
+/// Begins and ends a transaction, which a server that has lost the lead refuses.
+async fn leads<D: Dialect>(connection: &mut Connection<D>) -> Option<bool> {
+    let begin = Command::Begin {
+        read_only: false,
+        after: None,
+    };
+    let replies = connection.run(vec![begin, Command::Rollback]).await.ok()?;
+    let first = replies.first()?;
+    Some(first.end.is_ok() && first.state == State::Open)
+}
--- a/fulmargw_pool/src/failover/takeover.rs
+++ b/fulmargw_pool/src/failover/takeover.rs
@@ -1,20 +1,21 @@
 //! Replaces a primary by a replica that has every acknowledged commit.
 
-use super::{Reason, assess, lead};
+use super::{Reason, assess, lead, reach::witness};
 use crate::{
     backend::{Server, Status},
+    belief::Trouble,
     connection::Connection,
     core::Core,
     dialect::Dialect,
-    message::{Code, Command},
+    message::Command,
     promotion::{self, Candidate, Voter},
     store::{Order, Platform, Verdict},
-    table::Key,
 };
 use fulmargw_decision::rendezvous;
 use fulmargw_model::{
     name::Name,
     position::{Position, Term},
+    work::{Code, Key},
 };
 use fulmargw_peer::report::Promoted;
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,8 @@
     Claimed,
     /// the primary works again
     Recovered,
+    /// the primary answers host {0}
+    Reached(Name),
     /// {0}
     Store(crate::store::Error),
     /// {0}
@@ -86,6 +89,13 @@
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
         return Err(Stop::Recovered);
     }
+    let may_be_here = matches!(
+        reason,
+        Reason::Trouble(Trouble::Unreachable | Trouble::Silent)
+    );
+    if may_be_here && let Some(host) = witness(core, service).await {
+        return Err(Stop::Reached(host));
+    }
     let key = format!("{KEY_PREFIX}{service}");
     let expected = claimable(core, &key).await?;
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
@@ -189,7 +199,7 @@
     futures::future::join_all(asks).await
 }
 
-async fn connect<D: Dialect, P: Platform>(
+pub(super) async fn connect<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     server: &Server,
 ) -> Option<Connection<D>> {
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -112,8 +112,12 @@
     let mut servers = core.servers.lock();
     let groups = servers.groups.values_mut();
     for member in groups.flat_map(|group| group.members.values_mut()) {
-        member.share = shares(&member.server);
+        member.shares = shares(&member.server);
     }
     drop(servers);
+    let peers = core.members.lock();
+    let statements = peers.peers.values().map(|peer| peer.endpoint.statements);
+    core.forwards.retain(&statements.collect::<Vec<_>>());
+    drop(peers);
     log::info!(event = "membership", hosts; "number of hosts that share");
 }
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -40,7 +40,7 @@
     let asked = Instant::now();
     let key = format!("{}{}", member::KEY_PREFIX, host.name);
     let record = Record {
-        address: host.peer_address,
+        endpoint: host.endpoint(),
         incarnation: core.incarnation,
     };
     let value: Bytes = encode(&record)?.into();
@@ -85,6 +85,7 @@
     if changed {
         apply_membership(core);
     }
+    core.joined.send_replace(true);
     for (name, revision) in vanished {
         let key = format!("{}{name}", member::KEY_PREFIX);
         let removed = core.platform.remove(&key, revision).await?;
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -81,6 +81,7 @@
     if changed {
         apply_membership(core);
     }
+    core.joined.send_replace(true);
     for promoted in newer {
         failover::lead(core, &promoted.service, &promoted.server, "peer");
     }
@@ -94,9 +95,9 @@
     let (members, hears, promoted) = {
         let table = core.members.lock();
         let peers = table.peers.iter();
-        let members = peers.map(|(name, peer)| (name.clone(), peer.address));
+        let members = peers.map(|(name, peer)| (name.clone(), peer.endpoint));
         let mut members: Vec<_> = members.collect();
-        members.push((host.name.clone(), host.peer_address));
+        members.push((host.name.clone(), host.endpoint()));
         let hearing = table.hearing();
         let heard = table.peers.iter();
         let heard = heard.filter(|(_, peer)| peer.is_heard(hearing, now));
@@ -112,7 +113,7 @@
     };
     Report {
         host: host.name.clone(),
-        address: host.peer_address,
+        endpoint: host.endpoint(),
         incarnation: core.incarnation,
         version,
         members,
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -1,7 +1,8 @@
 //! The hosts that share rates and connections, and what they report.
 
+use crate::holder::Holders;
 use fulmargw_model::name::Name;
-use fulmargw_peer::report::{Promoted, Report};
+use fulmargw_peer::report::{Endpoint, Promoted, Report};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
@@ -25,6 +26,9 @@
 /// Time after joining before the own share is used, in which the others learn of it.
 pub const JOIN_DELAY: Duration = Duration::from_secs(3);
 
+/// Time for which a listed host that was not heard yet counts as one that runs statements.
+const NEW_TIME: Duration = Duration::from_secs(3);
+
 /// Prefix of the keys of members' rows.
 pub const KEY_PREFIX: &str = "member/";
 
@@ -32,8 +36,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Record {
-    /// Address for reports.
-    pub address: SocketAddr,
+    /// Where other hosts reach it.
+    pub endpoint: Endpoint,
     /// Identifier of the life of its process.
     pub incarnation: u64,
 }
@@ -41,8 +45,8 @@
 /// Another host.
 #[derive(Debug, Clone)]
 pub struct Peer {
-    /// Address for reports.
-    pub address: SocketAddr,
+    /// Where this host reaches it.
+    pub endpoint: Endpoint,
     /// Last report and its time.
     pub report: Option<(Report, Instant)>,
     /// Version of its row, and when this host first saw it.
@@ -65,11 +69,23 @@
     pub joined: Option<Instant>,
     /// Promotions that this host knows, by service.
     pub promoted: BTreeMap<Name, Promoted>,
+    /// Whether this host stops.
+    pub is_stopping: bool,
+    /// Hosts that run the statements of services.
+    pub holders: Holders,
     /// Versions of claims of services by key, and when this host first saw them.
     pub claims: BTreeMap<String, (u64, Instant)>,
 }
 
 impl Peer {
+    /// Reports whether the host was heard within a time and does not stop.
+    #[must_use]
+    pub fn is_alive(&self, within: Duration, now: Instant) -> bool {
+        let report = self.report.as_ref();
+        let is_stopping = report.is_some_and(|(report, _)| report.is_stopping);
+        self.is_heard(within, now) && !is_stopping
+    }
+
     /// Reports whether the host was heard within a time.
     #[must_use]
     pub fn is_heard(&self, within: Duration, now: Instant) -> bool {
@@ -90,6 +106,8 @@
             renewed: None,
             joined: None,
             promoted: BTreeMap::new(),
+            is_stopping: false,
+            holders: Holders::new(),
             claims: BTreeMap::new(),
         }
     }
@@ -135,56 +153,69 @@
         self.round = (self.round + FANOUT) % count.max(1);
         let all = self.peers.values().cycle().skip(start);
         all.take(FANOUT.min(count))
-            .map(|peer| peer.address)
+            .map(|peer| peer.endpoint.reports)
             .collect()
     }
 
+    /// Returns the host that runs the statements of a service; `None` if it is this one.
+    pub fn holder(&mut self, service: &Name, now: Instant) -> Option<(Name, SocketAddr)> {
+        let hearing = self.hearing();
+        let hosts = self.peers.keys().chain([&self.own]);
+        // A host that was not heard yet is tried: its connection shows whether it works.
+        let is_new = |peer: &Peer| {
+            peer.report.is_none() && now.saturating_duration_since(peer.known) < NEW_TIME
+        };
+        let is_alive = |host: &Name| match self.peers.get(host) {
+            Some(peer) => peer.is_alive(hearing, now) || is_new(peer),
+            None => !self.is_stopping,
+        };
+        let host = self.holders.choose(service, hosts, is_alive, now)?;
+        let peer = self.peers.get(&host)?;
+        Some((host, peer.endpoint.statements))
+    }
+
     /// Returns the names of hosts that are alive, with this one.
     #[must_use]
     pub fn alive(&self, now: Instant) -> Vec<Name> {
         let hearing = self.hearing();
-        let heard = self.peers.iter().filter(|(_, peer)| {
-            let stopping = peer
-                .report
-                .as_ref()
-                .is_some_and(|(report, _)| report.is_stopping);
-            peer.is_heard(hearing, now) && !stopping
-        });
+        let peers = self.peers.iter();
+        let heard = peers.filter(|(_, peer)| peer.is_alive(hearing, now));
         let mut names: Vec<Name> = heard.map(|(name, _)| name.clone()).collect();
         names.push(self.own.clone());
         names
     }
 
     /// Adds a host, or notes its new address.
-    pub fn learn(&mut self, name: &Name, address: SocketAddr, now: Instant) -> bool {
+    pub fn learn(&mut self, name: &Name, endpoint: Endpoint, now: Instant) -> bool {
         if *name == self.own {
             return false;
         }
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.address = address;
+            peer.endpoint = endpoint;
             return false;
         }
         let peer = Peer {
-            address,
+            endpoint,
             report: None,
             row: None,
             known: now,
         };
         self.peers.insert(name.clone(), peer);
+        self.holders.changed();
         true
     }
 
     /// Notes a report. Returns whether the list of hosts changed.
     pub fn heard(&mut self, report: Report, now: Instant) -> bool {
-        let mut changed = self.learn(&report.host, report.address, now);
+        let mut changed = self.learn(&report.host, report.endpoint, now);
         let counts_this_host = report.members.iter().any(|(name, _)| *name == self.own);
         if counts_this_host && self.joined.is_none() {
             // The others have kept this host's share since its earlier life.
             self.joined = Some(now.checked_sub(JOIN_DELAY).unwrap_or(now));
         }
-        for (name, address) in &report.members {
+        for (name, endpoint) in &report.members {
             if !self.peers.contains_key(name) {
-                changed |= self.learn(name, *address, now);
+                changed |= self.learn(name, *endpoint, now);
             }
         }
         if let Some(peer) = self.peers.get_mut(&report.host) {
@@ -197,7 +228,7 @@
     pub fn listed(&mut self, rows: &BTreeMap<Name, (Record, u64)>, now: Instant) -> bool {
         let mut changed = false;
         for (name, (record, revision)) in rows {
-            changed |= self.learn(name, record.address, now);
+            changed |= self.learn(name, record.endpoint, now);
             if let Some(peer) = self.peers.get_mut(name)
                 && peer.row.is_none_or(|(known, _)| known != *revision)
             {
@@ -210,7 +241,11 @@
             let is_new = now.saturating_duration_since(peer.known) < VANISHED;
             name == own || rows.contains_key(name) || peer.is_heard(HEARD, now) || is_new
         });
-        changed || self.peers.len() != before
+        if self.peers.len() != before {
+            self.holders.changed();
+            changed = true;
+        }
+        changed
     }
 
     /// Returns members without a sign of life, with the versions of their rows.
--- a/fulmargw_pool/src/message.rs
+++ b/fulmargw_pool/src/message.rs
@@ -1,15 +1,12 @@
 //! Messages of sessions, independent of their encoding.
 
 use crate::statement::Query;
-use bytes::Bytes;
 use fulmargw_model::{
     name::Name,
     position::{Position, Term},
+    work::{Code, State, Text},
 };
 
-/// Text of a caller that is forwarded unchanged.
-pub type Text = Bytes;
-
 /// What a caller sends.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Request {
@@ -43,17 +40,6 @@
     Ready(State, Option<Position>),
 }
 
-/// State of a session's transaction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum State {
-    /// No transaction is open.
-    Idle,
-    /// A transaction is open.
-    Open,
-    /// A transaction failed; only its end is accepted.
-    Failed,
-}
-
 /// What this host sends to a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
@@ -97,76 +83,3 @@
     /// Lets a replica receive again.
     Resume,
 }
-
-/// Outcome codes of statements.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum Code {
-    /// Not run: no slot is free.
-    Busy,
-    /// Not run: the log of the server lacks the position.
-    Lagging,
-    /// Not run: the server does not lead.
-    ReadOnly,
-    /// Not run: the server is another one.
-    Misrouted,
-    /// Not run: too many connections.
-    TooMany,
-    /// Not run: the prepared name is unknown.
-    UnknownName,
-    /// Nothing of the transaction is kept.
-    Aborted,
-    /// It ran and failed.
-    Failed,
-    /// It ran and took too long.
-    Timeout,
-    /// It may have taken effect.
-    InDoubt,
-    /// The key is not accepted.
-    Denied,
-    /// No route has the name of the database.
-    UnknownDatabase,
-    /// The message is too long.
-    TooLarge,
-    /// The message or statement is not understood.
-    Malformed,
-    /// A code that this version does not know.
-    Other(Name),
-}
-
-impl Code {
-    /// Reports whether a server that gives this code has certainly not run the statement.
-    #[must_use]
-    pub fn is_not_run(&self) -> bool {
-        matches!(
-            self,
-            Self::Busy
-                | Self::Lagging
-                | Self::ReadOnly
-                | Self::Misrouted
-                | Self::TooMany
-                | Self::UnknownName
-        )
-    }
-
-    /// Short label for log lines and metrics.
-    #[must_use]
-    pub fn label(&self) -> &'static str {
-        match self {
-            Self::Busy => "busy",
-            Self::Lagging => "lagging",
-            Self::ReadOnly => "read_only",
-            Self::Misrouted => "misrouted",
-            Self::TooMany => "too_many",
-            Self::UnknownName => "unknown_name",
-            Self::Aborted => "aborted",
-            Self::Failed => "failed",
-            Self::Timeout => "timeout",
-            Self::InDoubt => "in_doubt",
-            Self::Denied => "denied",
-            Self::UnknownDatabase => "unknown_database",
-            Self::TooLarge => "too_large",
-            Self::Malformed => "malformed",
-            Self::Other(_) => "other",
-        }
-    }
-}
--- a/fulmargw_pool/src/routing.rs
+++ b/fulmargw_pool/src/routing.rs
@@ -1,7 +1,7 @@
 //! Choice of the backend server for a statement.
 
-use crate::{catalog::Consistency, freshness::Sample};
-use fulmargw_model::{name::Name, position::Position};
+use crate::freshness::Sample;
+use fulmargw_model::{name::Name, position::Position, work::Consistency};
 use std::time::Duration;
 
 /// Age of a position after which a replica without known delay is expected to have it.
--- a/fulmargw_pool/src/sampling.rs
+++ b/fulmargw_pool/src/sampling.rs
@@ -5,10 +5,10 @@
     core::Core,
     dialect::Dialect,
     freshness::{Moment, Sample},
-    message::{Command, State},
+    message::Command,
     store::Platform,
-    table::Key,
 };
+use fulmargw_model::work::{Key, State};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout};
 
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -14,12 +14,16 @@
     borrow,
     core::{Core, Policy},
     dialect::Dialect,
-    job::{Done, Kind, Sight, Work},
-    message::{Answer, Code, Request, State as Transaction, Text},
+    job::Done,
+    message::{Answer, Request},
     statement::{Query, Statement},
     store::Platform,
 };
-use fulmargw_model::{client_account::Digest, name::Name};
+use fulmargw_model::{
+    client_account::Digest,
+    name::Name,
+    work::{Code, Kind, Sight, State as Transaction, Text, Work},
+};
 use futures::{SinkExt as _, StreamExt as _};
 use std::{io, sync::Arc, time::Duration};
 use tokio::{
@@ -165,16 +169,16 @@
     fn abort(&mut self, cause: &'static str) {
         if let Some(open) = &mut self.session.open {
             log::info!(event = "transaction_aborted", session = self.session.number, cause; "transaction rolled back");
-            if let Some(held) = open.held.take() {
-                self.core.discard(held);
+            if let Some(pin) = open.pin.take() {
+                self.core.discard(pin);
             }
             open.aborted = Some(cause);
         }
     }
 
     fn end(&mut self) {
-        if let Some(held) = self.session.open.take().and_then(|open| open.held) {
-            self.core.discard(held);
+        if let Some(pin) = self.session.open.take().and_then(|open| open.pin) {
+            self.core.discard(pin);
         }
     }
 
@@ -344,7 +348,7 @@
         let Some(mut open) = self.session.open.take() else {
             return self.local();
         };
-        let Some(held) = open.held.take() else {
+        let Some(pin) = open.pin.take() else {
             if kind == Kind::Rollback || !open.failed {
                 return self.local();
             }
@@ -363,7 +367,7 @@
         };
         let account = open.account.clone();
         let done = self
-            .submit(work, sight, account, Some(held), received + timeout, None)
+            .submit(work, sight, account, Some(pin), received + timeout, None)
             .await;
         match done {
             Done::Answered { reply, place, .. } => {
@@ -374,7 +378,7 @@
                 self.relay(reply)
             }
             Done::NotRun(_) => self.refuse(&Failure::new(Code::Aborted, "the connection was lost")),
-            Done::Lost { place, .. } => {
+            Done::Lost { server, .. } => {
                 let failure = if kind == Kind::Commit && open.wrote {
                     Failure::new(Code::InDoubt, "the commit was sent and not answered")
                 } else if kind == Kind::Commit {
@@ -382,7 +386,7 @@
                 } else {
                     return self.local();
                 };
-                self.log_lost(&query, &place, &failure, received);
+                self.log_lost(&query, server.as_ref(), &failure, received);
                 self.refuse(&failure)
             }
         }
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -6,29 +6,28 @@
     trace::{count, display, millis},
 };
 use crate::{
-    connection::Reply,
     core::Policy,
     dialect::Dialect,
-    job::{Done, Held, Job, Kind, NotRun, Place, Sight, Work},
-    message::{Answer, Code, State as Transaction, Text},
-    statement::{Query, Shape},
+    dispatch::{self, RETRY_SHARE},
+    forward,
+    job::{Done, Pin},
+    message::Answer,
+    statement::Query,
     store::Platform,
 };
-use fulmargw_decision::queue::Urgency;
-use fulmargw_model::name::Name;
-use std::{sync::Arc, time::Duration};
-use tokio::{
-    sync::oneshot,
-    time::{Instant, sleep, timeout_at},
+use fulmargw_model::{
+    name::Name,
+    work::{
+        Code, Kind, NotRun, Order, Place, Reply, Shape, Sight, State as Transaction, Text, Work,
+    },
 };
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep};
 
 /// Pause before a statement that was turned away is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(8);
 /// Most times that a statement is tried again.
 const MOST_RETRIES: u32 = 60;
-/// Part of the timeout of a statement after which it is not tried again, and for which it waits
-/// while no primary is known. What is refused then can still be tried elsewhere in time.
-const RETRY_SHARE: f64 = 0.5;
 /// Replicas that may lack the position before a read goes to the primary.
 const MOST_LAGGING: u32 = 2;
 /// Priorities up to this one go before others.
@@ -59,14 +58,14 @@
         };
         open.wrote |= writes;
         let account = open.account.clone();
-        match open.held.take() {
+        match open.pin.take() {
             None => {
                 work.kind = Kind::First {
                     read_only: open.read_only,
                 };
                 self.persist(query, work, account, received, policy).await
             }
-            Some(held) => {
+            Some(pin) => {
                 work.kind = Kind::Inside;
                 let sight = Sight {
                     consistency: open.consistency,
@@ -74,7 +73,7 @@
                 };
                 let deadline = received + self.timeout(policy);
                 let done = self
-                    .submit(work, sight, account, Some(held), deadline, None)
+                    .submit(work, sight, account, Some(pin), deadline, None)
                     .await;
                 self.inside(&query, done, received, policy)
             }
@@ -90,12 +89,12 @@
         policy: &Policy,
     ) -> Output {
         match done {
-            Done::Answered { reply, place, held } => {
+            Done::Answered { reply, place, pin } => {
                 self.log_answer(query, &place, &reply, received, policy);
-                match (&mut self.session.open, held) {
-                    (Some(open), Some(held)) => {
+                match (&mut self.session.open, pin) {
+                    (Some(open), Some(pin)) => {
                         open.failed = reply.state == Transaction::Failed;
-                        open.held = Some(held);
+                        open.pin = Some(pin);
                     }
                     _ => self.session.open = None,
                 }
@@ -105,7 +104,7 @@
                 self.session.open = None;
                 self.refuse(&Failure::new(Code::Aborted, "the connection was lost"))
             }
-            Done::Lost { place, timed_out } => {
+            Done::Lost { server, timed_out } => {
                 self.session.open = None;
                 let cause = if timed_out {
                     "the statement got no answer in time"
@@ -113,7 +112,7 @@
                     "the connection was lost"
                 };
                 let failure = Failure::new(Code::Aborted, cause);
-                self.log_lost(query, &place, &failure, received);
+                self.log_lost(query, server.as_ref(), &failure, received);
                 self.refuse(&failure)
             }
         }
@@ -160,14 +159,14 @@
                 )
                 .await;
             match done {
-                Done::Answered { reply, place, held } => {
+                Done::Answered { reply, place, pin } => {
                     let turned = match &reply.end {
                         Err((code, _)) => code.is_not_run(),
                         Ok(_) => false,
                     };
                     if turned && Instant::now() < last_try {
-                        if let Some(held) = held {
-                            self.core.discard(held);
+                        if let Some(pin) = pin {
+                            self.core.discard(pin);
                         }
                         let lags = matches!(&reply.end, Err((Code::Lagging, _)));
                         lagging += u32::from(lags);
@@ -176,7 +175,7 @@
                         sleep(RETRY_PAUSE).await;
                         continue;
                     }
-                    return self.answered(&query, &work, reply, &place, held, received, policy);
+                    return self.answered(&query, &work, reply, &place, pin, received, policy);
                 }
                 Done::NotRun(NotRun { server, code }) => {
                     if server.is_some() && Instant::now() < last_try {
@@ -191,14 +190,14 @@
                     log::info!(event = "not_run", request:% = display(&query.id), session = self.session.number, service = route.service.as_str(), code = code.label(), elapsed_ms = millis(received.elapsed()); "request refused");
                     return self.fail(&failure);
                 }
-                Done::Lost { place, timed_out } => {
+                Done::Lost { server, timed_out } => {
                     let again = work.kind == Kind::Read && !timed_out && Instant::now() < last_try;
                     if again {
-                        avoid = Some(place.key.server.clone());
+                        avoid = server;
                         continue;
                     }
                     let failure = failure::lost(&work, timed_out);
-                    self.log_lost(&query, &place, &failure, received);
+                    self.log_lost(&query, server.as_ref(), &failure, received);
                     return self.fail(&failure);
                 }
             }
@@ -220,7 +219,7 @@
         work: &Work,
         reply: Reply,
         place: &Place,
-        held: Option<Held<D>>,
+        pin: Option<Pin<D>>,
         received: Instant,
         policy: &Policy,
     ) -> Output {
@@ -230,8 +229,8 @@
         }
         if let Some(open) = &mut self.session.open {
             open.failed = reply.state == Transaction::Failed;
-            open.held = held;
-            if open.held.is_none() {
+            open.pin = pin;
+            if open.pin.is_none() {
                 self.session.open = None;
             }
         }
@@ -265,63 +264,28 @@
         work: Work,
         sight: Sight,
         account: Name,
-        held: Option<Held<D>>,
+        pin: Option<Pin<D>>,
         deadline: Instant,
         avoid: Option<Name>,
     ) -> Done<D> {
-        let service = match (&held, &self.session.service) {
-            (Some(held), _) => held.key.service.clone(),
-            (None, Some(service)) => service.clone(),
-            (None, None) => return failure::not_run(Code::Busy),
+        let Some(service) = self.session.service.clone() else {
+            return dispatch::not_run(Code::Busy);
         };
         let policy = self.core.policy();
         let route = policy
             .as_ref()
             .and_then(|policy| policy.catalog.routes.get(&self.session.database));
-        let urgent = route.is_some_and(|route| route.priority <= URGENT_PRIORITY);
-        let objective = route.map_or(Duration::MAX, |route| route.objective);
-        let needs_primary = work.kind.needs_primary();
-        let cost = if needs_primary { 2 } else { 1 };
-        let (reply, mut outcome) = oneshot::channel();
-        let job = Job {
-            service: service.clone(),
+        let order = Order {
+            service,
             account,
             work,
             sight,
             values: Arc::clone(&self.session.values),
-            queued: Instant::now(),
-            deadline,
+            is_urgent: route.is_some_and(|route| route.priority <= URGENT_PRIORITY),
+            objective: route.map_or(Duration::MAX, |route| route.objective),
+            remaining: dispatch::remaining(deadline),
             avoid,
-            held,
-            reply,
-        };
-        let urgency = if urgent {
-            Urgency::Urgent
-        } else {
-            Urgency::Browse
         };
-        let Some(ticket) = self.core.enqueue(job, urgency, cost) else {
-            return outcome
-                .await
-                .unwrap_or_else(|_| failure::not_run(Code::Busy));
-        };
-        let now = Instant::now();
-        let patience = deadline.saturating_duration_since(now);
-        let longest = now + patience.mul_f64(RETRY_SHARE);
-        let limits = [longest.min(now + objective), longest];
-        for (index, limit) in limits.into_iter().enumerate() {
-            match timeout_at(limit, &mut outcome).await {
-                Ok(done) => return done.unwrap_or_else(|_| failure::not_run(Code::Busy)),
-                Err(_) if index == 0 && self.core.lacks_primary(&service) => {}
-                Err(_) => break,
-            }
-        }
-        match self.core.withdraw(&service, ticket) {
-            Some(_) => failure::not_run(Code::Busy),
-            // A worker has taken it and keeps to the deadline.
-            None => outcome
-                .await
-                .unwrap_or_else(|_| failure::not_run(Code::Busy)),
-        }
+        forward::run(&self.core, order, pin).await
     }
 }
--- a/fulmargw_pool/src/session/failure.rs
+++ b/fulmargw_pool/src/session/failure.rs
@@ -1,10 +1,7 @@
 //! Refusals and failures that this host itself gives.
 
-use crate::{
-    dialect::Dialect,
-    job::{Done, Kind, NotRun, Work},
-    message::{Answer, Code, Text},
-};
+use crate::message::Answer;
+use fulmargw_model::work::{Code, Kind, Text, Work};
 use std::time::Duration;
 
 /// A refusal or failure that this host itself gives.
@@ -41,11 +38,6 @@
     }
 }
 
-/// A job that no worker has taken.
-pub(super) fn not_run<D: Dialect>(code: Code) -> Done<D> {
-    Done::NotRun(NotRun { server: None, code })
-}
-
 /// Returns what a caller is told of a statement that was sent and not answered.
 pub(super) fn lost(work: &Work, timed_out: bool) -> Failure {
     match work.kind {
--- a/fulmargw_pool/src/session/state.rs
+++ b/fulmargw_pool/src/session/state.rs
@@ -1,10 +1,12 @@
 //! What a session keeps between its statements.
 
-use crate::{
-    catalog::Consistency, connection::Values, dialect::Dialect, job::Held, message::Text,
-    statement::Shape,
+use crate::{dialect::Dialect, job::Pin};
+use fulmargw_model::{
+    client_account::Digest,
+    name::Name,
+    position::Position,
+    work::{Consistency, Shape, Text, Values},
 };
-use fulmargw_model::{client_account::Digest, name::Name, position::Position};
 use std::{collections::HashMap, sync::Arc};
 
 /// State of one session.
@@ -43,8 +45,8 @@
     pub failed: bool,
     /// Why it was rolled back, if the caller does not know yet.
     pub aborted: Option<&'static str>,
-    /// Connection that it runs on.
-    pub held: Option<Held<D>>,
+    /// Where it is open, once it has begun on a server.
+    pub pin: Option<Pin<D>>,
 }
 
 impl<D: Dialect> Session<D> {
@@ -91,7 +93,7 @@
             wrote: false,
             failed: false,
             aborted: None,
-            held: None,
+            pin: None,
         }
     }
 }
--- a/fulmargw_pool/src/session/trace.rs
+++ b/fulmargw_pool/src/session/trace.rs
@@ -1,14 +1,10 @@
 //! Log lines and counters of decisions on statements.
 
 use super::{Service, failure::Failure};
-use crate::{
-    connection::Reply,
-    core::Policy,
-    dialect::Dialect,
-    job::Place,
-    message::{Code, Text},
-    statement::Query,
-    store::Platform,
+use crate::{core::Policy, dialect::Dialect, statement::Query, store::Platform};
+use fulmargw_model::{
+    name::Name,
+    work::{Code, Place, Reply, Text},
 };
 use std::time::Duration;
 use tokio::time::Instant;
@@ -28,7 +24,7 @@
         };
         log::info!(
             event = "answered", request:% = display(&query.id), session = self.session.number,
-            server = place.key.server.as_str(), as_primary = place.as_primary,
+            holder = place.host.as_str(), server = place.key.server.as_str(), as_primary = place.as_primary,
             after:? = place.after.map(|it| (it.term.0, it.index)),
             after_age_ms = millis(place.age), waited_ms = millis(place.waited),
             version = policy.catalog.version, outcome, elapsed_ms = millis(received.elapsed());
@@ -48,13 +44,13 @@
     pub(super) fn log_lost(
         &self,
         query: &Query,
-        place: &Place,
+        server: Option<&Name>,
         failure: &Failure,
         received: Instant,
     ) {
         log::info!(
             event = "unanswered", request:% = display(&query.id), session = self.session.number,
-            server = place.key.server.as_str(), code = failure.code.label(),
+            server = server.map_or("-", Name::as_str), code = failure.code.label(),
             cause = failure.cause, elapsed_ms = millis(received.elapsed());
             "backend server did not answer"
         );
--- a/fulmargw_pool/src/settings.rs
+++ b/fulmargw_pool/src/settings.rs
@@ -1,6 +1,8 @@
 //! Settings of the pool, one section of the settings file each.
 
+use crate::table::Share;
 use fulmargw_model::name::Name;
+use fulmargw_peer::report::Endpoint;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
@@ -28,8 +30,10 @@
     pub front_address: SocketAddr,
     /// Address for the balancer's question whether this host is ready.
     pub ready_address: SocketAddr,
-    /// Address for other hosts.
+    /// Address for reports of other hosts.
     pub peer_address: SocketAddr,
+    /// Address for statements that this host runs for others.
+    pub statement_address: SocketAddr,
     /// Address for metrics and the state dump.
     pub metrics_address: SocketAddr,
     /// Addresses of other hosts to start with; they may be out of date.
@@ -37,6 +41,17 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+impl Host {
+    /// Returns where other hosts reach this one.
+    #[must_use]
+    pub fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            reports: self.peer_address,
+            statements: self.statement_address,
+        }
+    }
+}
+
 /// The platform's services.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -74,13 +89,13 @@
 const STALENESS_MARGIN: Duration = Duration::from_millis(50);
 /// Fewest connections to a server that a host can work with.
 const LEAST_CONNECTIONS: u32 = 2;
-/// Statements on a server, running and waiting there, for each of its slots.
-const QUEUE_DEPTH: u32 = 6;
-/// Least number of statements that one of a few hosts runs on one server at the same time; more
-/// than one keeps the server busy while an answer is on its way.
-const LEAST_RUNNING: u32 = 2;
-/// Number of hosts above which one statement of each is enough to keep a server busy.
-const MANY_HOSTS: u32 = 16;
+/// Statements that the holder of a service runs on a server beyond its slots, so that the
+/// server is not idle while an answer is on its way.
+const AHEAD: u32 = 1;
+/// Statements that a host which is not the holder runs on one server at the same time.
+const STANDBY_RUNNING: u32 = 2;
+/// One part in this many of a connection limit is left to hosts that are not the holder.
+const STANDBY_PART: u32 = 4;
 /// Time before the end of the drain period at which a leaving server gets no new work.
 const DRAIN_MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -115,20 +130,27 @@
         self.quota_slack.max(0.0) * USED_TOLERANCE
     }
 
-    /// Returns the most statements of this host that run on a server at the same time.
-    ///
-    /// All hosts together fill the slots of a server and part of its own queue; more would be
-    /// turned away, and tried again at the cost of others.
+    /// Returns what this host may use of a server while it holds the service.
     #[must_use]
-    pub fn running_share(&self, slots: u32, hosts: u32) -> u32 {
-        let part = slots.saturating_mul(QUEUE_DEPTH) / hosts.max(1);
-        let least = if hosts > MANY_HOSTS { 1 } else { LEAST_RUNNING };
-        part.clamp(least, slots.max(least))
+    pub fn holder_share(&self, slots: u32, connection_limit: u32, hosts: u32) -> Share {
+        let reserve = if hosts > 1 {
+            connection_limit / STANDBY_PART
+        } else {
+            0
+        };
+        Share {
+            connections: (connection_limit - reserve).max(LEAST_CONNECTIONS),
+            running: slots + AHEAD,
+        }
     }
 
-    /// Returns this host's part of a connection limit.
+    /// Returns what this host may use of a server while another one holds the service.
     #[must_use]
-    pub fn connection_share(&self, limit: u32, hosts: u32) -> u32 {
-        (limit / hosts.max(1)).max(LEAST_CONNECTIONS)
+    pub fn standby_share(&self, connection_limit: u32, hosts: u32) -> Share {
+        let part = connection_limit / STANDBY_PART / hosts.max(1);
+        Share {
+            connections: part.max(LEAST_CONNECTIONS),
+            running: STANDBY_RUNNING,
+        }
     }
 }
--- a/fulmargw_pool/src/statement.rs
+++ b/fulmargw_pool/src/statement.rs
@@ -1,6 +1,6 @@
 //! Statements of callers.
 
-use crate::message::Text;
+use fulmargw_model::work::{Shape, Text};
 
 /// A statement with the identifier and the text that are forwarded unchanged.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,15 +58,3 @@
     /// A text that is no statement of callers.
     Unknown,
 }
-
-/// What a prepared name runs.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Shape {
-    /// Whether it writes.
-    pub writes: bool,
-    /// Text after the name in the statement that prepares it.
-    pub text: Text,
-    /// Name on connections to backend servers; it follows from the shape, so that sessions
-    /// which prepare the same shape share it and others never collide with it.
-    pub shared_name: Text,
-}
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -10,7 +10,7 @@
     routing::{Room, View},
 };
 use fulmargw_decision::queue::{Bound, Queue};
-use fulmargw_model::name::Name;
+use fulmargw_model::{name::Name, work::Key};
 use std::{
     collections::{BTreeMap, VecDeque},
     time::Duration,
@@ -20,6 +20,9 @@
 /// Time for which a server whose promotion was ordered may still say that it does not lead.
 pub const TAKEOVER_TIME: Duration = Duration::from_secs(4);
 
+/// Time without a statement after which a host no longer counts itself as the holder of a service.
+pub const HOLD_TIME: Duration = Duration::from_secs(3);
+
 /// Waiting jobs, by service.
 #[derive(Debug)]
 pub struct Queues<D: Dialect> {
@@ -94,19 +97,13 @@
     pub freshness: Freshness,
     /// Time of the last read that needed a sample.
     pub demanded: Option<Instant>,
+    /// Time of the last statement outside of an open transaction, while this host holds the
+    /// service.
+    held: Option<Instant>,
     /// Servers by identifier.
     pub members: BTreeMap<Name, Member<D>>,
 }
 
-/// Place of a server in the table.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Key {
-    /// Service that the server belongs to.
-    pub service: Name,
-    /// Identifier of the server.
-    pub server: Name,
-}
-
 /// One backend server.
 #[derive(Debug)]
 pub struct Member<D: Dialect> {
@@ -121,10 +118,21 @@
     /// Connections that are open or about to be.
     pub open: u32,
     /// What this host may use of it.
-    pub share: Share,
+    pub shares: Shares,
+    /// Whether this host holds the service.
+    is_held: bool,
     idle: Vec<Connection<D>>,
 }
 
+/// What this host may use of a server, by whether it holds the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shares {
+    /// While it runs statements of the service.
+    pub holder: Share,
+    /// While another host does.
+    pub standby: Share,
+}
+
 /// What one host may use of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Share {
@@ -162,12 +170,12 @@
     pub fn reconcile(
         &mut self,
         registry: &Registry,
-        share: impl Fn(&Server) -> Share,
+        shares: impl Fn(&Server) -> Shares,
     ) -> Vec<Change> {
         let mut changes = Vec::new();
         for server in registry.values() {
             let group = self.groups.entry(server.service.clone()).or_default();
-            group.update(server, share(server), &mut changes);
+            group.update(server, shares(server), &mut changes);
         }
         for group in self.groups.values_mut() {
             group.members.retain(|id, member| {
@@ -213,22 +221,23 @@
             ordered: None,
             freshness: Freshness::default(),
             demanded: None,
+            held: None,
             members: BTreeMap::new(),
         }
     }
 }
 
 impl<D: Dialect> Group<D> {
-    fn update(&mut self, server: &Server, share: Share, changes: &mut Vec<Change>) {
+    fn update(&mut self, server: &Server, shares: Shares, changes: &mut Vec<Change>) {
         let became_primary = match self.members.get_mut(&server.id) {
             None => {
-                let member = Member::new(server.clone(), share);
+                let member = Member::new(server.clone(), shares, self.held.is_some());
                 self.members.insert(server.id.clone(), member);
                 changes.push(Change::Added(server.clone()));
                 server.role == Role::Primary && self.lead.is_none()
             }
             Some(member) => {
-                member.share = share;
+                member.shares = shares;
                 if member.server == *server {
                     return;
                 }
@@ -244,6 +253,31 @@
         }
     }
 
+    /// Notes that this host runs a statement of the service, which makes it the holder.
+    pub fn hold(&mut self, now: Instant) {
+        if self.held.replace(now).is_none() {
+            self.members
+                .values_mut()
+                .for_each(|member| member.is_held = true);
+        }
+    }
+
+    /// Closes the connections that a holder needs, if statements go elsewhere now. Returns
+    /// whether this host held the service until now.
+    pub fn yield_if_idle(&mut self, now: Instant) -> bool {
+        let is_idle = self
+            .held
+            .is_some_and(|at| now.saturating_duration_since(at) >= HOLD_TIME);
+        if is_idle {
+            self.held = None;
+            for member in self.members.values_mut() {
+                member.is_held = false;
+                member.close_idle();
+            }
+        }
+        is_idle
+    }
+
     fn forget_lead(&mut self, changes: &mut Vec<Change>) {
         let Some(lead) = self.lead.clone() else {
             return;
@@ -316,7 +350,7 @@
             is_usable: member.belief.is_usable(now) && stays(member),
             room: member.room(account, now),
             running: member.running,
-            limit: member.share.running,
+            limit: member.share().running,
             applied: member.belief.applied,
             lacked: member.belief.recent_lack(now),
         };
@@ -325,14 +359,15 @@
 }
 
 impl<D: Dialect> Member<D> {
-    fn new(server: Server, share: Share) -> Self {
+    fn new(server: Server, shares: Shares, is_held: bool) -> Self {
         Self {
             draining: server.is_draining.then(Instant::now),
             server,
             belief: Belief::new(),
             running: 0,
             open: 0,
-            share,
+            shares,
+            is_held,
             idle: Vec::new(),
         }
     }
@@ -353,12 +388,22 @@
         self.server = server;
     }
 
+    /// Returns what this host may use of the server now.
+    #[must_use]
+    pub fn share(&self) -> Share {
+        if self.is_held {
+            self.shares.holder
+        } else {
+            self.shares.standby
+        }
+    }
+
     fn room(&self, account: &Name, now: Instant) -> Room {
         if self.idle.iter().any(|idle| idle.account == *account) {
             Room::Idle
         } else if !self.belief.may_open(now) {
             Room::Full
-        } else if self.open < self.share.connections || !self.idle.is_empty() {
+        } else if self.open < self.share().connections || !self.idle.is_empty() {
             Room::Opening
         } else {
             Room::Full
@@ -375,7 +420,7 @@
             }
             self.open = self.open.saturating_sub(1);
         }
-        let replaced = if self.open < self.share.connections {
+        let replaced = if self.open < self.share().connections {
             self.open += 1;
             None
         } else if self.idle.is_empty() {
@@ -403,7 +448,7 @@
     /// Half of the share stays closed while it is not needed: a server counts the connections
     /// of a host that lost power for seconds, and the host needs new ones as soon as it is back.
     pub fn restore(&mut self, connection: Connection<D>) {
-        let spare = self.open > self.share.connections.div_ceil(2);
+        let spare = self.open > self.share().connections.div_ceil(2);
         if !spare {
             self.idle.push(connection);
             return;
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -2,18 +2,20 @@
 
 use crate::{
     backend::Server,
-    catalog::Consistency,
     core::Core,
     dialect::Dialect,
     exchange,
     freshness::Moment,
-    job::{Done, Held, Job, Kind, Place},
+    job::{Done, Held, Job},
     routing::{self, Choice, Need},
     store::Platform,
-    table::{Key, Lent},
+    table::Lent,
+};
+use fulmargw_model::{
+    name::Name,
+    work::{Code, Consistency, Key, Kind, NotRun, Place},
 };
 use std::{pin::pin, sync::Arc, time::Duration};
-use tokio::time::Instant;
 
 /// A job with the server that runs it.
 pub(crate) struct Ready<D: Dialect> {
@@ -57,17 +59,18 @@
         let choose = |job: &Job<D>| {
             let need = need(core, job, group, moment);
             let mut views = group.views(&need.zone, &need.account, drain_use, moment.now);
-            views.retain(|view| view.is_primary || job.avoid.as_ref() != Some(&view.id));
+            views.retain(|view| view.is_primary || job.order.avoid.as_ref() != Some(&view.id));
             routing::choose(&need, &views)
         };
         let Some((job, choice)) = queues.service(&name).pop(moment.now, choose) else {
             continue;
         };
-        if job.work.kind == Kind::Read {
+        group.hold(moment.now);
+        if job.order.work.kind == Kind::Read {
             group.demanded = Some(moment.now);
         }
         let member = group.members.get_mut(&choice.server)?;
-        let lent = member.lend(&job.account);
+        let lent = member.lend(&job.order.account);
         let server = member.server.clone();
         let Some(lent) = lent else {
             // The connection that the choice counted on turned out to be closed.
@@ -76,7 +79,7 @@
             core.answer(job, not_run(&server));
             return None;
         };
-        let place = place(&job, &server, &choice);
+        let place = place(&core.settings.host.name, &job, &server, &choice);
         return Some(Ready {
             job,
             server: Some(server),
@@ -88,16 +91,17 @@
 }
 
 fn not_run<D: Dialect>(server: &Server) -> Done<D> {
-    Done::NotRun(crate::job::NotRun {
+    Done::NotRun(NotRun {
         server: Some(server.id.clone()),
-        code: crate::message::Code::TooMany,
+        code: Code::TooMany,
     })
 }
 
-fn place<D: Dialect>(job: &Job<D>, server: &Server, choice: &Choice) -> Place {
+fn place<D: Dialect>(host: &Name, job: &Job<D>, server: &Server, choice: &Choice) -> Place {
     Place {
+        host: host.clone(),
         key: Key {
-            service: job.service.clone(),
+            service: job.order.service.clone(),
             server: server.id.clone(),
         },
         as_primary: choice.as_primary,
@@ -117,6 +121,7 @@
         server: None,
         lent: Lent::Idle(connection),
         place: Place {
+            host: core.settings.host.name.clone(),
             key,
             as_primary: false,
             after: None,
@@ -132,8 +137,8 @@
     group: &crate::table::Group<D>,
     moment: Moment,
 ) -> Need {
-    let primary_only = job.work.kind.needs_primary();
-    let bound = match job.sight.consistency {
+    let primary_only = job.order.work.kind.needs_primary();
+    let bound = match job.order.sight.consistency {
         Consistency::Current => None,
         Consistency::Bounded(bound) | Consistency::Session(bound) => Some(bound),
     };
@@ -141,17 +146,17 @@
         let usable = bound.saturating_sub(core.settings.limits.staleness_margin());
         let sample = group.freshness.within(usable, moment)?;
         let age = sample.age(moment);
-        routing::floor(job.sight.consistency, job.sight.session, Some(sample), age)
+        routing::floor(
+            job.order.sight.consistency,
+            job.order.sight.session,
+            Some(sample),
+            age,
+        )
     });
     Need {
         primary_only,
         floor,
         zone: core.settings.host.zone.clone(),
-        account: job.account.clone(),
+        account: job.order.account.clone(),
     }
 }
-
-/// Returns the time that is left until a deadline.
-pub(crate) fn remaining(deadline: Instant) -> Duration {
-    deadline.saturating_duration_since(Instant::now())
-}
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -1,21 +1,24 @@
 //! The list of hosts that share.
 
 use fulmargw_model::name::Name;
-use fulmargw_peer::report::{Promoted, Report};
+use fulmargw_peer::report::{Endpoint, Promoted, Report};
 use fulmargw_pool::member::{EXPIRED, HEARD, JOIN_DELAY, Members, Record, VANISHED};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
 const STEP: Duration = Duration::from_millis(1);
 
-fn address(host: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, host], 7_000))
+fn endpoint(host: u8) -> Endpoint {
+    Endpoint {
+        reports: SocketAddr::from(([10, 0, 0, host], 7_000)),
+        statements: SocketAddr::from(([10, 0, 0, host], 7_001)),
+    }
 }
 
 fn report(host: &str, hears: &[&str]) -> Report {
     Report {
         host: host.into(),
-        address: address(2),
+        endpoint: endpoint(2),
         incarnation: 1,
         version: 0,
         members: Vec::new(),
@@ -29,7 +32,7 @@
 fn rows(hosts: &[(&str, u64)]) -> BTreeMap<Name, (Record, u64)> {
     let record = |revision| {
         let record = Record {
-            address: address(9),
+            endpoint: endpoint(9),
             incarnation: 1,
         };
         (record, revision)
@@ -58,7 +61,7 @@
     let base = Instant::now() + JOIN_DELAY;
     let mut members = Members::new("a".into());
     let mut known = report("b", &[]);
-    known.members = vec![("a".into(), address(1))];
+    known.members = vec![("a".into(), endpoint(1))];
 
     members.heard(known, base);
 
@@ -132,3 +135,41 @@
     assert_eq!(members.claim_age("s", 5, base + HEARD), HEARD);
     assert_eq!(members.claim_age("s", 6, base + HEARD), Duration::ZERO);
 }
+
+/// Guards against statements that go to a host which is gone or stops, or to nobody.
+#[tokio::test(start_paused = true)]
+async fn the_holder_is_the_first_host_that_works() {
+    let base = Instant::now();
+    let mut members = Members::new("a".into());
+    members.heard(report("b", &[]), base);
+    let service = (0..64)
+        .map(|number| Name::new(&format!("service-{number}")))
+        .find(|service| members.holder(service, base).is_some());
+    let service = service.expect("a service that b holds");
+
+    let alive = members.holder(&service, base);
+    let silent = members.holder(&service, base + HEARD + STEP);
+    let mut stopping = report("b", &[]);
+    stopping.is_stopping = true;
+    members.heard(stopping, base);
+    let stopped = members.holder(&service, base);
+
+    assert_eq!(alive, Some(("b".into(), endpoint(2).statements)));
+    assert_eq!(silent, None);
+    assert_eq!(stopped, None);
+}
+
+/// Guards against hosts that all run every service after they started together.
+#[tokio::test(start_paused = true)]
+async fn a_listed_host_holds_services_before_it_is_heard() {
+    let base = Instant::now();
+    let mut members = Members::new("a".into());
+    members.listed(&rows(&[("b", 1)]), base);
+
+    let held = (0..64).any(|number| {
+        let service = Name::new(&format!("service-{number}"));
+        members.holder(&service, base).is_some()
+    });
+
+    assert!(held);
+}
--- a/fulmargw_pool/tests/routing.rs
+++ b/fulmargw_pool/tests/routing.rs
@@ -1,8 +1,10 @@
 //! Choice of backend servers.
 
-use fulmargw_model::position::{Position, Term};
+use fulmargw_model::{
+    position::{Position, Term},
+    work::Consistency,
+};
 use fulmargw_pool::{
-    catalog::Consistency,
     freshness::{Freshness, Moment, Sample},
     routing::{self, Floor, Need, Room, View},
 };
