Promote only a replica with every commit that a host saw acknowledged

Ruled out: a wrong choice among the replicas that answered; the promoted one was the only one left.

Change: each host notes the position of a primary's log after an acknowledged commit. Hosts tell each other in reports, and the promoting host asks all others. A candidate that lacks the position is not promoted; the old primary comes back with its log. After 20 s the longest log has to do. A host that is not the holder of a service any more gives its connections up at once, where it kept them for 3 s and the next holder was turned away.

--- a/fulmargw_peer/src/codec.rs
+++ b/fulmargw_peer/src/codec.rs
@@ -58,6 +58,7 @@
                 ForwardRequest::Run { .. } => "run",
                 ForwardRequest::Release { .. } => "release",
                 ForwardRequest::Reaches { .. } => "reaches",
+                ForwardRequest::Acknowledged { .. } => "acknowledged",
                 ForwardRequest::Ping { .. } => "ping",
             },
             _ => "cancel",
@@ -75,6 +76,7 @@
             Ok(ForwardResponse::Run(_)) => "run",
             Ok(ForwardResponse::Release(())) => "release",
             Ok(ForwardResponse::Reaches(_)) => "reaches",
+            Ok(ForwardResponse::Acknowledged(_)) => "acknowledged",
             Ok(ForwardResponse::Ping(())) => "ping",
             Err(_) => "error",
         }
--- a/fulmargw_peer/src/forward.rs
+++ b/fulmargw_peer/src/forward.rs
@@ -9,6 +9,7 @@
 };
 use fulmargw_model::{
     name::Name,
+    position::Position,
     work::{NotRun, Order, Place, Reply},
 };
 use serde::{Deserialize, Serialize};
@@ -54,6 +55,9 @@
     /// Reports whether a backend server answers this host.
     async fn reaches(service: Name, server: Name) -> bool;
 
+    /// Returns what this host knows to be acknowledged by the primary of a service.
+    async fn acknowledged(service: Name) -> Option<Position>;
+
     /// Shows that this host runs.
     async fn ping();
 }
@@ -82,6 +86,9 @@
     /// Reports whether a backend server answers this host.
     fn reaches(&self, service: Name, server: Name) -> impl Future<Output = bool> + Send;
 
+    /// Returns what this host knows to be acknowledged by the primary of a service.
+    fn acknowledged(&self, service: Name) -> Option<Position>;
+
     /// Reports whether a transaction is open.
     fn is_holding(&self) -> bool;
 
--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -2,7 +2,7 @@
 
 use super::{ForwardClient, Outcome, Transaction};
 use crate::link::{Link, Opened, Target};
-use fulmargw_model::{name::Name, work::Order};
+use fulmargw_model::{name::Name, position::Position, work::Order};
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -146,12 +146,39 @@
         server: Name,
         limit: Duration,
     ) -> Result<bool, Error> {
+        self.ask(peer, limit, async |client, context| {
+            client.reaches(context, service, server).await
+        })
+        .await
+    }
+
+    /// Returns what a host knows to be acknowledged by the primary of a service.
+    ///
+    /// # Errors
+    ///
+    /// If the host does not answer in time.
+    pub async fn acknowledged(
+        &self,
+        peer: SocketAddr,
+        service: Name,
+        limit: Duration,
+    ) -> Result<Option<Position>, Error> {
+        self.ask(peer, limit, async |client, context| {
+            client.acknowledged(context, service).await
+        })
+        .await
+    }
+
+    async fn ask<A, F>(&self, peer: SocketAddr, limit: Duration, question: F) -> Result<A, Error>
+    where
+        F: AsyncFnOnce(ForwardClient, context::Context) -> Result<A, RpcError>,
+    {
         let deadline = Instant::now() + limit;
         let line = self.line(peer);
         let asked = timeout_at(deadline, async {
             let stub = line.stub().await?;
-            let answer = stub.client.reaches(context_of(deadline), service, server);
-            answer.await.map_err(|cause| line.lost(&cause))
+            let answer = question(stub.client, context_of(deadline)).await;
+            answer.map_err(|cause| line.lost(&cause))
         });
         asked.await.map_err(|_| line.lost(&"timeout"))?
     }
--- a/fulmargw_peer/src/forward/server.rs
+++ b/fulmargw_peer/src/forward/server.rs
@@ -5,7 +5,7 @@
     codec::{self, Codec},
     server,
 };
-use fulmargw_model::{name::Name, work::Order};
+use fulmargw_model::{name::Name, position::Position, work::Order};
 use futures::StreamExt as _;
 use std::{io, pin::pin, sync::Arc, time::Duration};
 use tarpc::{
@@ -62,6 +62,10 @@
         self.0.reaches(service, server).await
     }
 
+    async fn acknowledged(self, _: Context, service: Name) -> Option<Position> {
+        self.0.acknowledged(service)
+    }
+
     async fn ping(self, _: Context) {}
 }
 
--- a/fulmargw_peer/src/report.rs
+++ b/fulmargw_peer/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{Demand, Loan};
 use axum::{Router, body::Bytes, extract::State, http::StatusCode, routing::post};
-use fulmargw_model::name::Name;
+use fulmargw_model::{name::Name, position::Position};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::net::TcpListener;
@@ -43,6 +43,9 @@
     pub hears: Vec<Name>,
     /// Primaries that answered it recently.
     pub answering: Vec<Name>,
+    /// Positions of primaries' logs after the last commit that it knows to be acknowledged, by
+    /// service.
+    pub acknowledged: Vec<(Name, Position)>,
     /// Primaries that it knows of a promotion.
     pub promoted: Vec<Promoted>,
     /// Whether it is stopping.
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -15,6 +15,7 @@
 use fulmargw_model::{
     name::Name,
     order::{Mutex, Rank},
+    position::Position,
     work::Key,
 };
 use fulmargw_peer::{forward, report};
@@ -231,6 +232,18 @@
         self.servers.lock().member(key).map(change)
     }
 
+    /// Notes the position of a primary's log after it acknowledged a commit.
+    pub fn acknowledge(&self, service: &Name, position: Position) {
+        if let Some(group) = self.servers.lock().groups.get_mut(service) {
+            group.acknowledge(position);
+        }
+    }
+
+    /// Returns what is known to be acknowledged by the primary of a service.
+    pub fn acknowledged(&self, service: &Name) -> Option<Position> {
+        self.servers.lock().groups.get(service)?.acknowledged
+    }
+
     /// Rolls a transaction back, wherever it is open.
     pub fn discard(&self, pin: Pin<D>) {
         match pin {
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -255,6 +255,11 @@
                     position,
                 });
             }
+            if let (true, Ok(_), Some(position)) =
+                (job.order.work.kind.commits(), &reply.end, reply.position)
+            {
+                group.acknowledge(position);
+            }
             if let Some(member) = group.members.get_mut(&place.key.server) {
                 let cause_code = reply.end.as_ref().err().map(|(cause_code, _)| cause_code);
                 let cause_code = cause_code.unwrap_or(&Code::Failed);
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -6,8 +6,10 @@
 pub(crate) use reach::reaches;
 pub(crate) use takeover::KEY_PREFIX;
 
-use self::takeover::{Stop, attempt};
-use crate::{belief::Trouble, core::Core, dialect::Dialect, sampling, store::Platform};
+use self::takeover::{Patience, Stop, attempt};
+use crate::{
+    belief::Trouble, core::Core, dialect::Dialect, promotion::Obstacle, sampling, store::Platform,
+};
 use fulmargw_model::name::Name;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,6 +30,12 @@
 /// Time after a promotion in which the new primary takes over.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time for which a promotion waits for a primary that may come back with commits which no
+/// replica has.
+const BEHIND_TIME: Duration = Duration::from_secs(20);
+/// Pause between two attempts meanwhile.
+const BEHIND_PAUSE: Duration = Duration::from_millis(700);
+
 /// Why a primary should be replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Reason {
@@ -50,19 +58,20 @@
         }
         core.work.notify_one();
         sampling::run(&core);
-        yield_idle(&core);
+        yield_services(&core);
         for (service, reason) in watch.assess(&core) {
             let core = Arc::clone(&core);
             let attempts = Arc::clone(&watch.attempts);
+            let patience = lock(&attempts).patience(&service, Instant::now());
             tasks.spawn(async move {
                 let started = Instant::now();
-                let result = attempt(&core, &service, reason).await;
+                let result = attempt(&core, &service, reason, patience).await;
                 report(&service, reason, started, &result);
-                lock(&attempts).ended(&service, &result);
-                let pause = if result.is_ok() {
-                    SETTLE_TIME
-                } else {
-                    INTERVAL * 2
+                lock(&attempts).ended(&service, &result, started);
+                let pause = match &result {
+                    Ok(_) => SETTLE_TIME,
+                    Err(Stop::Obstacle(Obstacle::Behind(..))) => BEHIND_PAUSE,
+                    Err(_) => INTERVAL * 2,
                 };
                 sleep(pause).await;
                 lock(&attempts).running.remove(&service);
@@ -72,16 +81,22 @@
 }
 
 /// Gives up the connections of services that other hosts hold now.
-fn yield_idle<D: Dialect, P: Platform>(core: &Core<D, P>) {
+fn yield_services<D: Dialect, P: Platform>(core: &Core<D, P>) {
     let now = Instant::now();
-    let mut servers = core.servers.lock();
-    let groups = servers.groups.iter_mut();
-    let yielded: Vec<Name> = groups
-        .filter_map(|(service, group)| group.yield_if_idle(now).then(|| service.clone()))
-        .collect();
-    drop(servers);
-    for service in yielded {
-        log::info!(event = "service_yielded", service = service.as_str(); "no statements of the service come here");
+    let idle: Vec<Name> = {
+        let servers = core.servers.lock();
+        let groups = servers.groups.iter();
+        let idle = groups.filter(|(_, group)| group.is_idle(now));
+        idle.map(|(service, _)| service.clone()).collect()
+    };
+    for service in idle {
+        if core.members.lock().holder(&service, now).is_none() {
+            continue;
+        }
+        if let Some(group) = core.servers.lock().groups.get_mut(&service) {
+            group.yield_service();
+        }
+        log::info!(event = "service_yielded", service = service.as_str(); "another host runs its statements");
     }
 }
 
@@ -111,10 +126,29 @@
 struct Attempts {
     running: BTreeSet<Name>,
     unsettled: BTreeSet<Name>,
+    /// Since when no replica has every acknowledged commit.
+    behind: BTreeMap<Name, Instant>,
 }
 
 impl Attempts {
-    fn ended(&mut self, service: &Name, result: &Result<Name, Stop>) {
+    fn patience(&self, service: &Name, now: Instant) -> Patience {
+        let since = self.behind.get(service);
+        match since.map(|since| now.saturating_duration_since(*since)) {
+            Some(waited) if waited >= BEHIND_TIME => Patience::Spent,
+            _ => Patience::Left,
+        }
+    }
+
+    fn ended(&mut self, service: &Name, result: &Result<Name, Stop>, started: Instant) {
+        match result {
+            Err(Stop::Obstacle(Obstacle::Behind(..))) => {
+                self.behind.entry(service.clone()).or_insert(started);
+            }
+            Ok(_) | Err(Stop::Recovered) => {
+                self.behind.remove(service);
+            }
+            Err(_) => {}
+        }
         match result {
             Ok(_) => self.unsettled.remove(service),
             Err(Stop::Unsettled) => self.unsettled.insert(service.clone()),
--- a/fulmargw_pool/src/failover/reach.rs
+++ b/fulmargw_pool/src/failover/reach.rs
@@ -4,7 +4,7 @@
 use crate::{
     connection::Connection, core::Core, dialect::Dialect, message::Command, store::Platform,
 };
-use fulmargw_model::{name::Name, work::State};
+use fulmargw_model::{name::Name, position::Position, work::State};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::{Instant, timeout};
 
@@ -24,17 +24,7 @@
     service: &Name,
 ) -> Option<Name> {
     let lead = core.servers.lock().groups.get(service)?.lead.clone()?;
-    let now = Instant::now();
-    let others: Vec<(Name, SocketAddr)> = {
-        let members = core.members.lock();
-        let alive = members.alive(now).into_iter();
-        let peers = alive.filter_map(|name| {
-            let peer = members.peers.get(&name)?;
-            Some((name, peer.endpoint.statements))
-        });
-        peers.take(WITNESSES).collect()
-    };
-    let asks = others.into_iter().map(|(host, address)| {
+    let asks = others(core).into_iter().take(WITNESSES).map(|(host, address)| {
         let (service, lead) = (service.clone(), lead.clone());
         async move {
             let reaches = core.forwards.reaches(address, service, lead, ASK_TIMEOUT);
@@ -56,6 +46,44 @@
     Some(witness)
 }
 
+/// Returns what this and all other hosts that answer know to be acknowledged by the primary of a
+/// service.
+pub(super) async fn acknowledged<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+) -> Option<Position> {
+    let asks = others(core).into_iter().map(|(host, address)| {
+        let service = service.clone();
+        async move {
+            let told = core.forwards.acknowledged(address, service, ASK_TIMEOUT);
+            match told.await {
+                Ok(position) => position,
+                Err(cause) => {
+                    log::info!(event = "witness_silent", host = host.as_str(), cause:% = cause; "host does not say what was acknowledged");
+                    None
+                }
+            }
+        }
+    });
+    let told = futures::future::join_all(asks).await;
+    let own = core.acknowledged(service);
+    told.into_iter()
+        .chain([own])
+        .flatten()
+        .reduce(Position::join)
+}
+
+/// Returns the other hosts that are alive, with their addresses for questions.
+fn others<D: Dialect, P: Platform>(core: &Core<D, P>) -> Vec<(Name, SocketAddr)> {
+    let members = core.members.lock();
+    let alive = members.alive(Instant::now()).into_iter();
+    let peers = alive.filter_map(|name| {
+        let peer = members.peers.get(&name)?;
+        Some((name, peer.endpoint.statements))
+    });
+    peers.collect()
+}
+
 /// Reports whether a server leads and answers this host.
 pub(crate) async fn reaches<D: Dialect, P: Platform>(
     core: &Core<D, P>,
--- a/fulmargw_pool/src/failover/takeover.rs
+++ b/fulmargw_pool/src/failover/takeover.rs
@@ -1,6 +1,9 @@
 //! Replaces a primary by a replica that has every acknowledged commit.
 
-use super::{Reason, assess, lead, reach::witness};
+use super::{
+    Reason, assess, lead,
+    reach::{acknowledged, witness},
+};
 use crate::{
     backend::{Server, Status},
     belief::Trouble,
@@ -72,6 +75,15 @@
     Encode(String),
 }
 
+/// Whether an attempt may wait for a replica with every acknowledged commit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Patience {
+    /// The old primary may still come back with its log.
+    Left,
+    /// It has been away for so long that the longest log has to do.
+    Spent,
+}
+
 /// A replica with a connection for questions.
 struct Asked<D: Dialect> {
     server: Server,
@@ -84,6 +96,7 @@
     core: &Arc<Core<D, P>>,
     service: &Name,
     reason: Reason,
+    patience: Patience,
 ) -> Result<Name, Stop> {
     wait_for_turn(core, service).await;
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
@@ -103,8 +116,10 @@
     }
     let token = claim(core, service, expected).await?;
     log::info!(event = "promotion_claimed", service = service.as_str(), token, reason:? = reason; "replacing a primary");
-    let mut asked = survey(core, service).await;
-    let result = take_over(core, service, token, &mut asked).await;
+    let (mut asked, acknowledged) =
+        tokio::join!(survey(core, service), acknowledged(core, service));
+    let needed = acknowledged.filter(|_| patience == Patience::Left);
+    let result = take_over(core, service, token, needed, &mut asked).await;
     match result {
         // The replicas stay paused, so that the candidate of the open order keeps receiving every
         // commit that is acknowledged.
@@ -261,6 +276,7 @@
     core: &Core<D, P>,
     service: &Name,
     token: u64,
+    needed: Option<Position>,
     asked: &mut [Asked<D>],
 ) -> Result<Name, Stop> {
     let voters: Vec<Voter> = asked
@@ -280,6 +296,7 @@
         Err(obstacle) => return Err(Stop::Obstacle(obstacle)),
     };
     let candidate = gather(asked, candidate).await?;
+    promotion::complete(&candidate, needed).map_err(Stop::Obstacle)?;
     log::info!(
         event = "promotion_candidate", service = service.as_str(),
         server = candidate.server.as_str(), token,
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -70,6 +70,9 @@
 /// Takes the report of another host.
 fn hear<D: Dialect, P: Platform>(core: &Core<D, P>, report: Report) {
     let promoted = report.promoted.clone();
+    for (service, position) in &report.acknowledged {
+        core.acknowledge(service, *position);
+    }
     let (changed, newer) = {
         let mut members = core.members.lock();
         let newer: Vec<_> = promoted
@@ -105,11 +108,18 @@
         let promoted = table.promoted.values().cloned().collect();
         (members, audible, promoted)
     };
-    let answering = {
+    let (answering, acknowledged) = {
         let servers = core.servers.lock();
+        let groups = servers.groups.iter();
+        let known = groups.filter_map(|(service, group)| {
+            let position = group.acknowledged?;
+            Some((service.clone(), position))
+        });
+        let acknowledged = known.collect();
         let primaries = servers.groups.values().filter_map(|group| group.primary());
         let alive = primaries.filter(|primary| primary.belief.has_answered(ANSWERING, now));
-        alive.map(|primary| primary.server.id.clone()).collect()
+        let answering = alive.map(|primary| primary.server.id.clone()).collect();
+        (answering, acknowledged)
     };
     Report {
         host: host.name.clone(),
@@ -119,6 +129,7 @@
         members,
         hears,
         answering,
+        acknowledged,
         promoted,
         is_stopping: core.draining.is_cancelled(),
     }
--- a/fulmargw_pool/src/forward/visitor.rs
+++ b/fulmargw_pool/src/forward/visitor.rs
@@ -10,6 +10,7 @@
 use fulmargw_model::{
     name::Name,
     order::{Mutex, Rank},
+    position::Position,
     work::{Code, NotRun, Order},
 };
 use fulmargw_peer::forward::{self, Outcome, Transaction};
@@ -120,6 +121,10 @@
         failover::reaches(&self.core, &service, &server).await
     }
 
+    fn acknowledged(&self, service: Name) -> Option<Position> {
+        self.core.acknowledged(&service)
+    }
+
     fn is_holding(&self) -> bool {
         !self.table.lock().open.is_empty()
     }
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -26,6 +26,8 @@
     NoCandidate,
     /// server {0} leads term {1:?}
     Leads(Name, Term),
+    /// replica {0} has received {1:?} only, and {2:?} was acknowledged
+    Behind(Name, Position, Position),
 }
 
 /// A replica to promote.
@@ -83,6 +85,25 @@
     others.iter().all(|other| candidate.satisfies(*other))
 }
 
+/// Checks that a candidate has what is known to be acknowledged.
+///
+/// A replica that has left may have been the only one to hold a commit; then the old primary
+/// has to come back with its log.
+///
+/// # Errors
+///
+/// What it lacks.
+pub fn complete(candidate: &Candidate, acknowledged: Option<Position>) -> Result<(), Obstacle> {
+    match acknowledged {
+        Some(position) if !candidate.received.satisfies(position) => Err(Obstacle::Behind(
+            candidate.server.clone(),
+            candidate.received,
+            position,
+        )),
+        _ => Ok(()),
+    }
+}
+
 fn rank(position: Position) -> (Term, u64) {
     (position.term, position.index)
 }
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -22,6 +22,7 @@
 use fulmargw_model::{
     client_account::Digest,
     name::Name,
+    position::Position,
     work::{Code, Kind, Sight, State as Transaction, Text, Work},
 };
 use futures::{SinkExt as _, StreamExt as _};
@@ -372,7 +373,7 @@
         match done {
             Done::Answered { reply, place, .. } => {
                 if kind == Kind::Commit && open.wrote && reply.end.is_ok() {
-                    self.session.advance(reply.position);
+                    self.committed(&place.key.service, reply.position);
                 }
                 self.log_answer(&query, &place, &reply, received, policy);
                 self.relay(reply)
@@ -392,6 +393,14 @@
         }
     }
 
+    /// Notes a commit that the caller is about to learn of.
+    fn committed(&mut self, service: &Name, position: Option<Position>) {
+        self.session.advance(position);
+        if let Some(position) = position {
+            self.core.acknowledge(service, position);
+        }
+    }
+
     fn timeout(&self, policy: &Policy) -> Duration {
         let route = policy.catalog.routes.get(&self.session.database);
         route.map_or(START_TIMEOUT, |route| route.timeout)
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -225,7 +225,7 @@
     ) -> Output {
         self.log_answer(query, place, &reply, received, policy);
         if work.kind == Kind::Write && reply.end.is_ok() {
-            self.session.advance(reply.position);
+            self.committed(&place.key.service, reply.position);
         }
         if let Some(open) = &mut self.session.open {
             open.failed = reply.state == Transaction::Failed;
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -10,7 +10,7 @@
     routing::{Room, View},
 };
 use fulmargw_decision::queue::{Bound, Queue};
-use fulmargw_model::{name::Name, work::Key};
+use fulmargw_model::{name::Name, position::Position, work::Key};
 use std::{
     collections::{BTreeMap, VecDeque},
     time::Duration,
@@ -20,8 +20,9 @@
 /// Time for which a server whose promotion was ordered may still say that it does not lead.
 pub const TAKEOVER_TIME: Duration = Duration::from_secs(4);
 
-/// Time without a statement after which a host no longer counts itself as the holder of a service.
-pub const HOLD_TIME: Duration = Duration::from_secs(3);
+/// Time without a statement after which a host gives a service up to the holder, which needs the
+/// connections.
+pub const HOLD_TIME: Duration = Duration::from_millis(250);
 
 /// Waiting jobs, by service.
 #[derive(Debug)]
@@ -95,6 +96,8 @@
     ordered: Option<Instant>,
     /// Samples of the primary's position.
     pub freshness: Freshness,
+    /// Position of the primary's log when it last acknowledged a commit, as far as any host told.
+    pub acknowledged: Option<Position>,
     /// Time of the last read that needed a sample.
     pub demanded: Option<Instant>,
     /// Time of the last statement outside of an open transaction, while this host holds the
@@ -220,6 +223,7 @@
             lead: None,
             ordered: None,
             freshness: Freshness::default(),
+            acknowledged: None,
             demanded: None,
             held: None,
             members: BTreeMap::new(),
@@ -253,6 +257,12 @@
         }
     }
 
+    /// Notes the position of the primary's log after it acknowledged a commit.
+    pub fn acknowledge(&mut self, position: Position) {
+        let known = self.acknowledged.unwrap_or_default();
+        self.acknowledged = Some(known.join(position));
+    }
+
     /// Notes that this host runs a statement of the service, which makes it the holder.
     pub fn hold(&mut self, now: Instant) {
         if self.held.replace(now).is_none() {
@@ -262,20 +272,20 @@
         }
     }
 
-    /// Closes the connections that a holder needs, if statements go elsewhere now. Returns
-    /// whether this host held the service until now.
-    pub fn yield_if_idle(&mut self, now: Instant) -> bool {
-        let is_idle = self
-            .held
-            .is_some_and(|at| now.saturating_duration_since(at) >= HOLD_TIME);
-        if is_idle {
-            self.held = None;
-            for member in self.members.values_mut() {
-                member.is_held = false;
-                member.close_idle();
-            }
+    /// Reports whether this host held the service, and no statements came for a time.
+    #[must_use]
+    pub fn is_idle(&self, now: Instant) -> bool {
+        self.held
+            .is_some_and(|at| now.saturating_duration_since(at) >= HOLD_TIME)
+    }
+
+    /// Closes the connections that a holder needs.
+    pub fn yield_service(&mut self) {
+        self.held = None;
+        for member in self.members.values_mut() {
+            member.is_held = false;
+            member.close_idle();
         }
-        is_idle
     }
 
     fn forget_lead(&mut self, changes: &mut Vec<Change>) {
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -24,6 +24,7 @@
         members: Vec::new(),
         hears: hears.iter().map(|name| Name::new(name)).collect(),
         answering: Vec::new(),
+        acknowledged: Vec::new(),
         promoted: Vec::new(),
         is_stopping: false,
     }
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -97,3 +97,18 @@
         .tests(20_000)
         .quickcheck(property as fn((u8, u8), Vec<(u8, u8)>) -> bool);
 }
+
+/// Guards against the loss of a commit that only a replica held which has left.
+#[test]
+fn a_candidate_needs_what_is_known_to_be_acknowledged() {
+    let candidate = promotion::candidate(&[voter("a", 10)], Term(0)).expect("a candidate");
+
+    let unknown = promotion::complete(&candidate, None);
+    let held = promotion::complete(&candidate, Some(position(3, 10)));
+    let lacking = promotion::complete(&candidate, Some(position(3, 11)));
+
+    assert_eq!(unknown, Ok(()));
+    assert_eq!(held, Ok(()));
+    let behind = Obstacle::Behind("a".into(), position(3, 10), position(3, 11));
+    assert_eq!(lacking, Err(behind));
+}
