Let sessions wait for the configuration, and open rates with part of the tolerance

Ruled out: full buckets at the start; an earlier life of the host may just have used its tokens.

Change: a session waits up to 1.5 s for the configuration; callers give up after 2 s. The hosts that divide a rate add the unused 0.4 of the tolerated requests when they start.

--- a/fulmargw_decision/src/rate.rs
+++ b/fulmargw_decision/src/rate.rs
@@ -128,6 +128,11 @@
         self.borrowed.retain(|grant| now < grant.until);
     }
 
+    /// Adds own tokens, up to the burst of the share.
+    pub fn deposit(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.capacity());
+    }
+
     /// Returns the tokens that can be used now, own and borrowed.
     #[must_use]
     pub fn available(&self) -> f64 {
--- a/fulmargw_pool/src/admission.rs
+++ b/fulmargw_pool/src/admission.rs
@@ -12,6 +12,7 @@
 use fulmargw_model::{client_account::Account, name::Name};
 use std::{
     collections::{BTreeMap, HashMap},
+    mem,
     sync::Arc,
     time::Duration,
 };
@@ -19,7 +20,7 @@
 
 /// Hosts that divide the rate of an account. More homes make each share smaller, fewer make
 /// the loss of one greater.
-pub const HOMES: usize = 4;
+pub const HOMES: u8 = 4;
 /// Shortest and longest time after which a refused caller is told to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(20);
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
@@ -48,6 +49,8 @@
     account: Account,
     homes: Vec<Name>,
     bucket: Bucket,
+    /// Tokens that this host adds when it first has a share.
+    opening: f64,
     offered: Meter,
     waiting: u32,
     borrowing: bool,
@@ -118,6 +121,7 @@
                 homes: homes(name, &self.hosts),
                 account: tolerated,
                 bucket: Bucket::new(share, self.first_grant, now),
+                opening: self.limits.quota_opening() / f64::from(HOMES),
                 offered: Meter::new(now),
                 waiting: 0,
                 borrowing: false,
@@ -174,6 +178,7 @@
         }
         let share = entry.share(&own, has_share);
         let rate = entry.account.rate;
+        entry.advance(share, now);
         entry.bucket.take(share, now).map_err(|shortage| {
             let refill = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(LONGEST_RETRY);
             Refusal {
@@ -212,7 +217,7 @@
         // A token that is borrowed ahead and not used in time is lost to everybody.
         let lookahead = (entry.offered.per_second(now) * LOOKAHEAD.as_secs_f64()).floor();
         let share = entry.share(&own, has_share);
-        entry.bucket.advance(share, now);
+        entry.advance(share, now);
         let needed = f64::from(entry.waiting) + lookahead - entry.bucket.available();
         let (lender, expected) = entry.best_lender(&own, now)?;
         if needed <= 0.0 || expected < WORTHWHILE {
@@ -270,7 +275,7 @@
         let share = entry.share(&own, has_share);
         let reserve = entry.offered.per_second(now) * RESERVE.as_secs_f64();
         // A grant must not end in the middle of an operation, so parts of tokens stay here.
-        entry.bucket.advance(share, now);
+        entry.advance(share, now);
         let whole = (entry.bucket.available() - reserve)
             .floor()
             .min(tokens.ceil());
@@ -302,6 +307,15 @@
         }
     }
 
+    /// Brings the bucket to `now`. A bucket starts empty, because an earlier life of this host may
+    /// just have used its tokens.
+    fn advance(&mut self, share: Share, now: Instant) {
+        self.bucket.advance(share, now);
+        if share.rate > 0.0 {
+            self.bucket.deposit(mem::take(&mut self.opening));
+        }
+    }
+
     fn divisor(&self) -> u32 {
         u32::try_from(self.homes.len()).unwrap_or(u32::MAX)
     }
@@ -328,5 +342,9 @@
 /// Returns the hosts that divide the rate of an account.
 fn homes(account: &Name, hosts: &[Name]) -> Vec<Name> {
     let ranking = rendezvous::ranking(account.as_str().as_bytes(), hosts);
-    ranking.into_iter().take(HOMES).cloned().collect()
+    ranking
+        .into_iter()
+        .take(usize::from(HOMES))
+        .cloned()
+        .collect()
 }
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -29,12 +29,14 @@
 use std::{io, sync::Arc, time::Duration};
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout},
 };
 use tokio_util::codec::Framed;
 
 /// Longest time for the first message of a connection.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for which a session waits for the configuration; callers give up after 2 s.
+const POLICY_TIME: Duration = Duration::from_millis(1_500);
 /// Time after which a refused caller may come back when no better time is known.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Account that backend servers are told of callers without a key on open routes.
@@ -51,12 +53,13 @@
     let number = core.open_session();
     let mut framed = Framed::new(stream, D::Front::default());
     let first = tokio::select! {
-        first = tokio::time::timeout(START_TIMEOUT, framed.next()) => first,
+        first = timeout(START_TIMEOUT, framed.next()) => first,
         () = core.ending.cancelled() => return,
     };
     let Ok(Some(Ok(Request::Start { database, key }))) = first else {
         return;
     };
+    wait_for_policy(&core).await;
     let session = match start(&core, number, &database, &key) {
         Ok(session) => session,
         Err(failure) => {
@@ -77,6 +80,13 @@
     service.end();
 }
 
+/// Waits for the configuration, which a host that starts has after one call to the platform.
+async fn wait_for_policy<D: Dialect, P: Platform>(core: &Core<D, P>) {
+    let mut policy = core.policy.subscribe();
+    // Without a configuration in time the session is refused.
+    let _ = timeout(POLICY_TIME, policy.wait_for(Option::is_some)).await;
+}
+
 fn start<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     number: u64,
--- a/fulmargw_pool/src/settings.rs
+++ b/fulmargw_pool/src/settings.rs
@@ -85,6 +85,8 @@
 /// Part of the tolerated excess of an account that is used; the rest covers requests that
 /// arrive at a server later than they were admitted.
 const USED_TOLERANCE: f64 = 0.6;
+/// Part of the tolerated requests that the hosts add to an account's share when they start.
+const OPENING_TOLERANCE: f64 = 0.4;
 /// Taken off a staleness bound, for the way from the caller and the resolution of clocks.
 const STALENESS_MARGIN: Duration = Duration::from_millis(50);
 /// Fewest connections to a server that a host can work with.
@@ -130,6 +132,13 @@
         self.quota_slack.max(0.0) * USED_TOLERANCE
     }
 
+    /// Returns the requests of an account that all hosts together admit at their start, beyond its
+    /// share.
+    #[must_use]
+    pub fn quota_opening(&self) -> f64 {
+        self.quota_slack.max(0.0) * OPENING_TOLERANCE
+    }
+
     /// Returns what this host may use of a server while it holds the service.
     #[must_use]
     pub fn holder_share(&self, slots: u32, connection_limit: u32, hosts: u32) -> Share {
