--- a/fulmargw_model/src/work.rs
+++ b/fulmargw_model/src/work.rs
@@ -211,6 +211,8 @@
     pub age: Duration,
     /// Time in the queue.
     pub waited: Duration,
+    /// Time for opening a connection, zero if one was open.
+    pub opened: Duration,
 }
 
 /// Why a statement certainly did not run.
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -42,13 +42,16 @@
         job,
         server,
         lent,
-        place,
+        mut place,
     } = ready;
+    let started = Instant::now();
     let opened = match (lent, &server) {
         (Lent::Idle(connection), _) => Ok(connection),
         (Lent::Open(replaced), Some(server)) => {
             drop(replaced);
-            open(core, server, &job, &place).await
+            let opened = open(core, server, &job, &place).await;
+            place.opened = started.elapsed();
+            opened
         }
         (Lent::Open(_), None) => Err(Code::TooMany),
     };
--- a/fulmargw_pool/src/session/trace.rs
+++ b/fulmargw_pool/src/session/trace.rs
@@ -26,7 +26,7 @@
             event = "answered", request:% = display(&query.id), session = self.session.number,
             holder = place.host.as_str(), server = place.key.server.as_str(), as_primary = place.as_primary,
             after:? = place.after.map(|it| (it.term.0, it.index)),
-            after_age_ms = millis(place.age), waited_ms = millis(place.waited),
+            after_age_ms = millis(place.age), waited_ms = millis(place.waited), opened_ms = millis(place.opened),
             version = policy.catalog.version, outcome, elapsed_ms = millis(received.elapsed());
             "request answered"
         );
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -108,6 +108,7 @@
         after: choice.after.map(|floor| floor.position),
         age: choice.after.map_or(Duration::ZERO, |floor| floor.age),
         waited: job.queued.elapsed(),
+        opened: Duration::ZERO,
     }
 }
 
@@ -127,6 +128,7 @@
             after: None,
             age: Duration::ZERO,
             waited: Duration::ZERO,
+            opened: Duration::ZERO,
         },
     })
 }
