Share out the rates of a vanished host after 8 s where few hosts serve

Ruled out: removing the row at a graceful stop; a restarted host would then wait 3 s for its share.

Change: with fewer than 10 hosts a host uses no share 6 s after its last renewal or contact, and others take it off the list after 8 s; they look every 1.5 s while one is missed.

--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -7,6 +7,7 @@
 use crate::{
     core::{self, Core},
     dialect::Dialect,
+    member::MANY_HOSTS,
     store::{Error, Kind, Platform},
 };
 use std::{sync::Arc, time::Duration};
@@ -17,8 +18,6 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_800);
 /// The same where many hosts watch: reports of any of them bring a newer configuration.
 const SHARED_CATALOG_WAIT: Duration = Duration::from_secs(8);
-/// Hosts from which on questions wait longer and the own row is renewed less often.
-const MANY_HOSTS: u32 = 10;
 /// Pause after a failed call to the platform.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -18,6 +18,9 @@
 /// The same with many hosts; it stays well below the time after which the row has expired.
 const SHARED_RENEW_INTERVAL: Duration = Duration::from_secs(7);
 
+/// The same while a host may have vanished, whose share the others need.
+const MISSED_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// Registers this host, renews its entry and takes vanished hosts off the list.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
     let mut dependency = Dependency::new("membership");
@@ -25,7 +28,13 @@
         match renew(&core).await {
             Ok(()) => {
                 dependency.succeeded();
-                sleep(paced(&core, RENEW_INTERVAL, SHARED_RENEW_INTERVAL)).await;
+                let misses_host = core.members.lock().misses_host(Instant::now());
+                let pause = if misses_host {
+                    MISSED_INTERVAL
+                } else {
+                    paced(&core, RENEW_INTERVAL, SHARED_RENEW_INTERVAL)
+                };
+                sleep(pause).await;
             }
             Err(error) => {
                 dependency.failed(&error);
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -18,11 +18,30 @@
 /// Rounds, as a part of the number of hosts, after which a host that did not report counts as
 /// gone: two hosts meet once in an eighth as many rounds as there are hosts.
 const HEARING_ROUNDS: f64 = 0.4;
-/// Time without a sign of life after which a host is taken off the list.
-pub const VANISHED: Duration = Duration::from_secs(15);
-/// Time without renewal or contact after which a host uses no share: others may take it off
-/// the list after [`VANISHED`].
-pub const EXPIRED: Duration = Duration::from_secs(10);
+/// Number of hosts from which on each of them calls the platform less often.
+pub const MANY_HOSTS: u32 = 10;
+/// Times of a few hosts, which renew their rows every few seconds.
+pub const LIVES: Lives = Lives {
+    expired: Duration::from_secs(6),
+    vanished: Duration::from_secs(8),
+};
+/// Times of many hosts.
+pub const SHARED_LIVES: Lives = Lives {
+    expired: Duration::from_secs(10),
+    vanished: Duration::from_secs(15),
+};
+/// Time without a report after which the rows are read more often.
+const MISSED: Duration = Duration::from_secs(2);
+
+/// For how long a host without a sign of life keeps its share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lives {
+    /// Time without renewal or contact after which it uses no share.
+    pub expired: Duration,
+    /// Time after which others take it off the list; it is longer.
+    pub vanished: Duration,
+}
+
 /// Time after joining before the own share is used, in which the others learn of it.
 pub const JOIN_DELAY: Duration = Duration::from_secs(3);
 
@@ -127,6 +146,26 @@
         names
     }
 
+    /// Returns for how long hosts keep their shares.
+    #[must_use]
+    pub fn lives(&self) -> Lives {
+        if self.count() < MANY_HOSTS {
+            LIVES
+        } else {
+            SHARED_LIVES
+        }
+    }
+
+    /// Reports whether a host may have vanished.
+    #[must_use]
+    pub fn misses_host(&self, now: Instant) -> bool {
+        let missed = self.hearing().max(MISSED);
+        self.peers.values().any(|peer| {
+            let is_new = now.saturating_duration_since(peer.known) < missed;
+            !is_new && !peer.is_heard(missed, now)
+        })
+    }
+
     /// Returns the time for which a host that reported counts as alive. With many hosts each
     /// reports to a few others at a time.
     #[must_use]
@@ -236,9 +275,10 @@
             }
         }
         let own = &self.own;
+        let Lives { vanished, .. } = self.lives();
         let before = self.peers.len();
         self.peers.retain(|name, peer| {
-            let is_new = now.saturating_duration_since(peer.known) < VANISHED;
+            let is_new = now.saturating_duration_since(peer.known) < vanished;
             name == own || rows.contains_key(name) || peer.is_heard(HEARD, now) || is_new
         });
         if self.peers.len() != before {
@@ -252,6 +292,7 @@
     #[must_use]
     pub fn vanished(&self, now: Instant) -> Vec<(Name, u64)> {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let Lives { vanished, .. } = self.lives();
         let heard_by_others = |name: &Name| {
             self.peers.values().any(|peer| {
                 peer.report.as_ref().is_some_and(|(report, at)| {
@@ -262,11 +303,11 @@
         let silent = self
             .peers
             .iter()
-            .filter(|(name, peer)| !peer.is_heard(VANISHED, now) && !heard_by_others(name));
+            .filter(|(name, peer)| !peer.is_heard(vanished, now) && !heard_by_others(name));
         silent
             .filter_map(|(name, peer)| {
                 let (revision, seen) = peer.row?;
-                (elapsed(seen) >= VANISHED).then(|| (name.clone(), revision))
+                (elapsed(seen) >= vanished).then(|| (name.clone(), revision))
             })
             .collect()
     }
@@ -276,7 +317,9 @@
     pub fn has_share(&self, now: Instant) -> bool {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let settled = self.joined.is_some_and(|at| elapsed(at) >= JOIN_DELAY);
-        let renewed = self.renewed.is_some_and(|at| elapsed(at) < EXPIRED);
+        let renewed = self
+            .renewed
+            .is_some_and(|at| elapsed(at) < self.lives().expired);
         let in_contact = self.peers.values().any(|peer| peer.is_heard(HEARD, now));
         settled && (renewed || in_contact)
     }
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -2,7 +2,7 @@
 
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promoted, Report};
-use fulmargw_pool::member::{EXPIRED, HEARD, JOIN_DELAY, Members, Record, VANISHED};
+use fulmargw_pool::member::{HEARD, JOIN_DELAY, LIVES, Members, Record, SHARED_LIVES};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
@@ -77,16 +77,18 @@
     members.renewed = Some(base);
     members.joined = Some(base);
 
-    assert!(members.has_share(base + EXPIRED - STEP));
-    assert!(!members.has_share(base + EXPIRED));
-    assert!(EXPIRED < VANISHED, "others wait longer");
+    assert!(members.has_share(base + LIVES.expired - STEP));
+    assert!(!members.has_share(base + LIVES.expired));
+    for lives in [LIVES, SHARED_LIVES] {
+        assert!(lives.expired < lives.vanished, "others wait longer");
+    }
 }
 
 /// Guards against the removal of a host that some other host still hears.
 #[tokio::test(start_paused = true)]
 async fn a_host_is_removed_only_when_nobody_hears_it() {
     let base = Instant::now();
-    let later = base + VANISHED + STEP;
+    let later = base + LIVES.vanished + STEP;
     let mut members = Members::new("a".into());
     members.listed(&rows(&[("b", 5), ("c", 6)]), base);
 
@@ -104,9 +106,9 @@
     let base = Instant::now();
     let mut members = Members::new("a".into());
     members.listed(&rows(&[("b", 5)]), base);
-    members.listed(&rows(&[("b", 7)]), base + VANISHED / 2);
+    members.listed(&rows(&[("b", 7)]), base + LIVES.vanished / 2);
 
-    assert_eq!(members.vanished(base + VANISHED), []);
+    assert_eq!(members.vanished(base + LIVES.vanished), []);
 }
 
 /// Guards against an old promotion that undoes a newer one.
@@ -174,3 +176,16 @@
 
     assert!(held);
 }
+
+/// Guards against rates that stay small for long after a host was removed for good.
+#[tokio::test(start_paused = true)]
+async fn a_missed_host_makes_the_others_look_more_often() {
+    let base = Instant::now();
+    let mut members = Members::new("a".into());
+    members.heard(report("b", &[]), base);
+
+    assert!(!members.misses_host(base + HEARD));
+    assert!(members.misses_host(base + HEARD * 2));
+    members.heard(report("b", &[]), base + HEARD * 2);
+    assert!(!members.misses_host(base + HEARD * 2));
+}
