Let reads on the primary carry the position that they need

Cause: a read that may run on a replica, and finds none free, asked the primary to prove that it leads, which costs a round trip. Its position proves what it needs on any server.

Change: such a read, or the beginning of a transaction that only reads, carries the position on the primary as well; only reads without one run in a plain transaction.

--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -16,7 +16,7 @@
 };
 use fulmargw_model::{
     position::Position,
-    work::{Code, Consistency, Kind, NotRun, Place, Reply, State},
+    work::{Code, Kind, NotRun, Place, Reply, State},
 };
 use std::{io, time::Duration};
 use tokio::time::{Instant, timeout};
@@ -318,8 +318,8 @@
     let succeeded = reply.end.is_ok();
     match job.order.work.kind {
         Kind::Write => succeeded,
-        Kind::Read => succeeded && place.as_primary,
-        Kind::First { read_only } => succeeded && place.as_primary && !read_only,
+        Kind::Read => succeeded && place.after.is_none(),
+        Kind::First { .. } => succeeded && place.after.is_none(),
         Kind::Inside | Kind::Commit | Kind::Rollback => false,
     }
 }
@@ -405,14 +405,14 @@
         }
         connection.adapted(&job.order.values, job.order.work.shape.as_ref(), &commands);
     }
-    let current = matches!(job.order.sight.consistency, Consistency::Current);
     match job.order.work.kind {
-        Kind::Read if place.as_primary => led_read(connection, job).await,
+        // Without a position only a server that provably leads has what the read must see.
+        Kind::Read if place.after.is_none() => led_read(connection, job).await,
         Kind::Read => last(connection, vec![statement(job, place.after)]).await,
         Kind::First { read_only } => {
-            // A transaction on the primary is a plain one even if it only reads, because only
+            // Without a position the transaction is a plain one even if it only reads, because only
             // such a one fails once the server has lost the lead.
-            let read_only = read_only && !place.as_primary && !current;
+            let read_only = read_only && place.after.is_some();
             begin(connection, read_only, place.after).await?;
             last(connection, vec![statement(job, None)]).await
         }
--- a/fulmargw_pool/src/routing.rs
+++ b/fulmargw_pool/src/routing.rs
@@ -150,7 +150,7 @@
         Some(Choice {
             server: primary.id.clone(),
             as_primary: true,
-            after: None,
+            after: need.floor.filter(|_| !need.primary_only),
         })
     })
 }
--- a/fulmargw_pool/tests/routing.rs
+++ b/fulmargw_pool/tests/routing.rs
@@ -232,3 +232,22 @@
 
     assert_eq!(used.expect("a sample").position, position(4, 90));
 }
+
+/// Guards against an extra round trip for a read whose position proves what it needs, and against
+/// a read without one that is not made to prove that the server leads.
+#[test]
+fn a_read_on_the_primary_carries_its_position() {
+    let views = [primary("primary")];
+    let write = Need {
+        primary_only: true,
+        ..need(Some(floor(9)))
+    };
+
+    let with = routing::choose(&need(Some(floor(9))), &views).expect("a choice");
+    let without = routing::choose(&need(None), &views).expect("a choice");
+    let written = routing::choose(&write, &views).expect("a choice");
+
+    assert_eq!(with.after, Some(floor(9)));
+    assert_eq!(without.after, None);
+    assert_eq!(written.after, None);
+}
