--- a/fulmargw_peer/src/forward.rs
+++ b/fulmargw_peer/src/forward.rs
@@ -26,7 +26,7 @@
         /// Its answer.
         reply: Reply,
         /// Where it ran and what was known.
-        place: Place,
+        place: Box<Place>,
         /// The open transaction, if there is one.
         transaction: Option<Transaction>,
     },
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -318,8 +318,7 @@
     let succeeded = reply.end.is_ok();
     match job.order.work.kind {
         Kind::Write => succeeded,
-        Kind::Read => succeeded && place.after.is_none(),
-        Kind::First { .. } => succeeded && place.after.is_none(),
+        Kind::Read | Kind::First { .. } => succeeded && place.after.is_none(),
         Kind::Inside | Kind::Commit | Kind::Rollback => false,
     }
 }
--- a/fulmargw_pool/src/forward.rs
+++ b/fulmargw_pool/src/forward.rs
@@ -104,7 +104,7 @@
     match outcome {
         Outcome::Answered { reply, place, .. } => Done::Answered {
             reply,
-            place: Box::new(place),
+            place,
             pin: remote.map(|remote| Pin::Other(Box::new(remote))),
         },
         Outcome::NotRun(not_run) => Done::NotRun(not_run),
--- a/fulmargw_pool/src/forward/visitor.rs
+++ b/fulmargw_pool/src/forward/visitor.rs
@@ -102,7 +102,7 @@
         match dispatch::run(&self.core, order, held).await {
             Done::Answered { reply, place, pin } => Outcome::Answered {
                 reply,
-                place: *place,
+                place,
                 transaction: pin.and_then(|pin| self.keep(pin, transaction)),
             },
             Done::NotRun(not_run) => Outcome::NotRun(not_run),
