Record metrics without calibrating a clock at the start

Marks between the steps of the start showed all of it in the installation of the metrics recorder: the exporter library calibrates a clock for 200 ms, at each start and on a fraction of a core.

Ruled out: installing it later, which takes the processor from requests.

Change: a recorder of our own on the metrics library, with the same text format; the exporter is no dependency any more.

--- a/fulmargw/src/pool/error.rs
+++ b/fulmargw/src/pool/error.rs
@@ -1,6 +1,7 @@
 //! Failures of the start of a pooling process.
 
-use metrics_exporter_prometheus::BuildError;
+use crate::recorder::Recorder;
+use metrics::SetRecorderError;
 use std::{io, net::SocketAddr};
 
 /// A step of the start that failed.
@@ -9,7 +10,7 @@
     /// install the logger: {0}
     Log(log::SetLoggerError),
     /// install the metrics recorder: {0}
-    Metrics(BuildError),
+    Metrics(SetRecorderError<Recorder>),
     /// install signal handlers: {0}
     Signals(io::Error),
     /// make an HTTP client: {0}
--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -50,7 +50,6 @@
     log::info!(event = "start", incarnation = core.incarnation, file:% = file.display(), version = env!("CARGO_PKG_VERSION"); "process starts");
     let tasks = &core.tasks;
     tasks.spawn(lines.clone().keep());
-    tasks.spawn(recorder::keep(metrics.clone()));
     for _ in 0..WORKERS {
         tasks.spawn(worker::run(Arc::clone(&core)));
     }
--- a/fulmargw/src/serve/error.rs
+++ b/fulmargw/src/serve/error.rs
@@ -1,7 +1,8 @@
 //! Failures of a serving process.
 
 use crate::log;
-use metrics_exporter_prometheus::BuildError;
+use crate::recorder::Recorder;
+use metrics::SetRecorderError;
 use std::{io, net::SocketAddr};
 
 /// Why a process could not start or ended early.
@@ -10,7 +11,7 @@
     /// {0}
     Log(log::Error),
     /// install the metrics recorder: {0}
-    Metrics(BuildError),
+    Metrics(SetRecorderError<Recorder>),
     /// install the signal handlers: {0}
     Signals(io::Error),
     /// bind the {listener} address {address}: {cause}
--- a/fulmargw/src/serve/parts.rs
+++ b/fulmargw/src/serve/parts.rs
@@ -5,6 +5,7 @@
         message::{Accepted, Health, Rejection},
         subject::Subject,
     },
+    recorder::Recorder,
     serve::{
         gate::{Agent, Gate},
         state::{Process, State},
@@ -16,7 +17,6 @@
 use fulmargw_decision::patch;
 use fulmargw_engine::engine;
 use fulmargw_model::configuration::{Configuration, Patch};
-use metrics_exporter_prometheus::PrometheusHandle;
 use std::sync::Arc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -37,14 +37,14 @@
     /// Cancelled when the process begins to stop.
     pub draining: CancellationToken,
     /// Renders the metrics.
-    pub metrics: PrometheusHandle,
+    pub metrics: Recorder,
     start: Instant,
 }
 
 impl Parts {
     /// Collects the parts of a process that starts now.
     #[must_use]
-    pub fn new(host: Host, agent: Agent, engine: Engine, metrics: PrometheusHandle) -> Self {
+    pub fn new(host: Host, agent: Agent, engine: Engine, metrics: Recorder) -> Self {
         Self {
             host: Arc::new(host),
             agent,
--- a/fulmargw/src/serve/process.rs
+++ b/fulmargw/src/serve/process.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     operator::router::router,
-    recorder,
+    recorder::Recorder,
     serve::{
         answer::Answer,
         error::Error,
@@ -19,7 +19,6 @@
 use fulmargw_model::availability_zone::Zone;
 use fulmargw_peer::{client::Set, document, server};
 use fulmargw_platform::client::Client;
-use metrics_exporter_prometheus::PrometheusHandle;
 use std::future::IntoFuture as _;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -44,7 +43,7 @@
     /// # Errors
     ///
     /// The step that failed, with its address or peer.
-    pub async fn start(settings: &Settings, metrics: PrometheusHandle) -> Result<Self, Error> {
+    pub async fn start(settings: &Settings, metrics: Recorder) -> Result<Self, Error> {
         let listeners = Listeners::bind(settings).await?;
         let agent = start_agent(settings)?;
         let engine = start_engine(settings, &agent);
@@ -57,7 +56,6 @@
         process.serve_peers(listeners.peer, listeners.document);
         process.serve_operators(settings, listeners.operator);
         process.serve_callers(settings, listeners.caller);
-        process.keep_metrics();
         info!("host {} started", settings.host.name);
         Ok(process)
     }
@@ -86,12 +84,6 @@
         let callers = frontend::serve(caller, engine, limits, self.stop_callers.clone());
         self.tasks.serve_callers(listener::CALLER, callers);
     }
-
-    fn keep_metrics(&self) {
-        let keep = recorder::keep(self.parts.metrics.clone());
-        let stop = self.stop_interfaces.clone();
-        tokio::spawn(stop.run_until_cancelled_owned(keep));
-    }
 }
 
 fn start_agent(settings: &Settings) -> Result<Agent, Error> {
