Return sooner to a holder that was not ready, and give up a dark host sooner

Cause: after a loss of all hosts the first one to start passed over hosts that were a few milliseconds later for a whole second, so that two hosts opened connections to each server; and statements waited 300 ms for a host that was still dark.

Change: a host that declines is asked again after 300 ms, a connection to a host is given up after 150 ms.

--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -17,7 +17,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 /// Longest time for opening a connection to a host.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time between two pings while a host works for this one.
 const PING_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without an answer to a ping after which a host counts as silent. A host whose processor
--- a/fulmargw_pool/src/forward.rs
+++ b/fulmargw_pool/src/forward.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Time for which a host that takes no work of a service is not asked for it.
-const SHUN_TIME: Duration = Duration::from_secs(1);
+const SHUN_TIME: Duration = Duration::from_millis(300);
 /// Longest time for which a statement waits until the other hosts are known.
 const JOIN_TIME: Duration = Duration::from_millis(200);
 /// Time between two pings to a host whose connection failed.
