Bound sessions by the host's limits, and name the request in lines of the holder

Cause: lines of the holder about connections and statements that did not run had no request id, so a request that another host forwarded could not be followed there. The settings' limits of memory and file descriptors were checked and bounded nothing.

Change: connection_refused, connection_dropped, connection_failed, connection_lost, holder_declined and order_not_run carry the request. A process takes as many sessions as half of its memory and of its file descriptors allow and closes further connections, counted.

--- a/fulmargw_model/src/work.rs
+++ b/fulmargw_model/src/work.rs
@@ -3,7 +3,7 @@
 use crate::{name::Name, position::Position};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{borrow::Cow, collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Text of a caller that is forwarded unchanged.
 pub type Text = Bytes;
@@ -162,6 +162,14 @@
     pub kind: Kind,
 }
 
+impl Work {
+    /// Returns the caller's identifier as text for log lines.
+    #[must_use]
+    pub fn request(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.id)
+    }
+}
+
 /// How a statement relates to transactions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -16,7 +16,7 @@
 };
 use fulmargw_model::{
     position::Position,
-    work::{Code, Kind, NotRun, Place, Reply, State},
+    work::{Code, Kind, NotRun, Place, Reply, State, Work},
 };
 use std::{io, time::Duration};
 use tokio::time::{Instant, timeout};
@@ -116,24 +116,24 @@
                 Code::TooMany => Belief::turned_away,
                 _ => |belief, now| belief.pause(now + WRONG_SERVER_PAUSE),
             });
-            log::info!(event = "connection_refused", server = place.key.server.as_str(), code = cause_code.label(); "backend server refused a connection");
+            log::info!(event = "connection_refused", request:% = job.order.work.request(), server = place.key.server.as_str(), code = cause_code.label(); "backend server refused a connection");
             Err(cause_code)
         }
         Ok(Err(connection::Error::Dropped(cause))) => {
             noted(Belief::turned_away);
-            log::info!(event = "connection_dropped", server = place.key.server.as_str(), cause:% = cause; "backend server dropped a new connection");
+            log::info!(event = "connection_dropped", request:% = job.order.work.request(), server = place.key.server.as_str(), cause:% = cause; "backend server dropped a new connection");
             Err(Code::TooMany)
         }
         Ok(Err(connection::Error::Unreachable(cause))) => {
             noted(Belief::failed);
             core.suspicion.notify_one();
-            log::info!(event = "connection_failed", server = place.key.server.as_str(), cause:% = cause; "cannot open a connection");
+            log::info!(event = "connection_failed", request:% = job.order.work.request(), server = place.key.server.as_str(), cause:% = cause; "cannot open a connection");
             Err(Code::Busy)
         }
         Err(_) => {
             noted(Belief::failed);
             core.suspicion.notify_one();
-            log::info!(event = "connection_failed", server = place.key.server.as_str(), cause = "timeout"; "cannot open a connection");
+            log::info!(event = "connection_failed", request:% = job.order.work.request(), server = place.key.server.as_str(), cause = "timeout"; "cannot open a connection");
             Err(Code::Busy)
         }
     }
@@ -171,7 +171,7 @@
             return;
         }
         Ok(Err(failure)) => {
-            fail(core, ticket, &place, &failure);
+            fail(core, ticket, &job.order.work, &place, &failure);
             drop(connection);
             let done = match failure {
                 Failure::Unsent if !in_transaction(job.order.work.kind) => {
@@ -370,6 +370,7 @@
 fn fail<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     ticket: Ticket,
+    work: &Work,
     place: &Place,
     failure: &Failure,
 ) {
@@ -384,7 +385,7 @@
         Failure::Lost(cause) => cause.to_string(),
         Failure::Unsent | Failure::Turned(_) => "not sent".to_owned(),
     };
-    log::info!(event = "connection_lost", server = place.key.server.as_str(), cause:% = cause; "connection to a backend server broke");
+    log::info!(event = "connection_lost", request:% = work.request(), server = place.key.server.as_str(), cause:% = cause; "connection to a backend server broke");
     core.suspicion.notify_one();
     core.work.notify_one();
 }
--- a/fulmargw_pool/src/forward.rs
+++ b/fulmargw_pool/src/forward.rs
@@ -41,7 +41,7 @@
 async fn begin<D: Dialect, P: Platform>(core: &Arc<Core<D, P>>, mut order: Order) -> Done<D> {
     let deadline = Instant::now() + order.remaining;
     if !knows_hosts(core).await {
-        log::info!(event = "hosts_unknown", service = order.service.as_str(); "running a statement without other hosts");
+        log::info!(event = "hosts_unknown", request:% = order.work.request(), service = order.service.as_str(); "running a statement without other hosts");
     }
     loop {
         let holder = core.members.lock().holder(&order.service, Instant::now());
@@ -51,7 +51,7 @@
         };
         match core.forwards.run(&host, address, order.clone()).await {
             Ok((Outcome::Elsewhere, _)) => {
-                log::info!(event = "holder_declined", host = host.as_str(), service = order.service.as_str(); "host takes no work of the service");
+                log::info!(event = "holder_declined", request:% = order.work.request(), host = host.as_str(), service = order.service.as_str(); "host takes no work of the service");
                 let until = Instant::now() + SHUN_TIME;
                 core.members
                     .lock()
--- a/fulmargw_pool/src/forward/visitor.rs
+++ b/fulmargw_pool/src/forward/visitor.rs
@@ -99,7 +99,12 @@
             },
         };
         let _running = self.core.sessions.token();
-        match dispatch::run(&self.core, order, held).await {
+        let work = order.work.clone();
+        let done = dispatch::run(&self.core, order, held).await;
+        if let Done::NotRun(NotRun { code, .. }) = &done {
+            log::info!(event = "order_not_run", request:% = work.request(), code = code.label(); "statement of another host not run");
+        }
+        match done {
             Done::Answered { reply, place, pin } => Outcome::Answered {
                 reply,
                 place,
--- a/fulmargw_pool/src/listener.rs
+++ b/fulmargw_pool/src/listener.rs
@@ -9,13 +9,24 @@
 
 /// Accepts callers until the pool closes idle sessions.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>, listener: TcpListener) {
+    let most = core.settings.limits.sessions();
+    let mut is_full = false;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = core.closing.cancelled() => return,
         };
         match accepted {
+            Ok((stream, _)) if core.sessions.len() >= most => {
+                metrics::counter!("fulmargw_pool_sessions_refused_total").increment(1);
+                if !is_full {
+                    log::warn!(event = "sessions_full", most; "closing new connections");
+                }
+                is_full = true;
+                drop(stream);
+            }
             Ok((stream, _)) => {
+                is_full = false;
                 if let Err(cause) = connection::prepare(&stream) {
                     log::warn!(event = "socket_option", cause:% = cause; "cannot set socket options");
                 }
--- a/fulmargw_pool/src/settings.rs
+++ b/fulmargw_pool/src/settings.rs
@@ -87,6 +87,11 @@
 const USED_TOLERANCE: f64 = 0.6;
 /// Part of the tolerated requests that the hosts add to an account's share when they start.
 const OPENING_TOLERANCE: f64 = 0.4;
+/// File descriptors that are kept for files, hosts, the platform and listeners.
+const OTHER_DESCRIPTORS: u32 = 400;
+/// Memory of a session with a statement that is under way, in KiB.
+const SESSION_KIB: u64 = 32;
+const KIB_PER_MB: u64 = 976;
 /// Taken off a staleness bound, for the way from the caller and the resolution of clocks.
 const STALENESS_MARGIN: Duration = Duration::from_millis(50);
 /// Fewest connections to a server that a host can work with.
@@ -108,6 +113,14 @@
         Duration::try_from_secs_f64(self.grace_s).unwrap_or(Duration::ZERO)
     }
 
+    /// Returns the most sessions of callers, within the file descriptors and memory of the process.
+    #[must_use]
+    pub fn sessions(&self) -> usize {
+        let sockets = self.file_descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2;
+        let memory = self.memory_mb / 2 * KIB_PER_MB / SESSION_KIB;
+        usize::try_from(memory.min(sockets.into())).unwrap_or(usize::MAX)
+    }
+
     /// Returns the time for which a leaving primary may get new work.
     #[must_use]
     pub fn drain_use(&self) -> Duration {
