--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -1,20 +1,20 @@
 //! Shared tables: waiting jobs, and backend servers with their connections.
 
+mod member;
+mod queues;
+
+pub use self::{
+    member::{Lent, Member, Share, Shares},
+    queues::Queues,
+};
 use crate::{
     backend::{Registry, Role, Server},
-    belief::Belief,
-    connection::Connection,
     dialect::Dialect,
     freshness::Freshness,
-    job::Job,
-    routing::{Room, View},
+    routing::View,
 };
-use fulmargw_decision::queue::{Bound, Queue};
 use fulmargw_model::{name::Name, position::Position, work::Key};
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Time for which a server whose promotion was ordered may still say that it does not lead.
@@ -24,62 +24,6 @@
 /// connections.
 pub const HOLD_TIME: Duration = Duration::from_millis(250);
 
-/// Waiting jobs, by service.
-#[derive(Debug)]
-pub struct Queues<D: Dialect> {
-    bound: Bound,
-    services: BTreeMap<Name, Queue<Job<D>>>,
-    /// Jobs of open transactions, which already have their connections.
-    pub held: VecDeque<Job<D>>,
-    /// Service that is looked at first, so that none is starved.
-    turn: usize,
-}
-
-impl<D: Dialect> Queues<D> {
-    /// Makes empty queues.
-    #[must_use]
-    pub fn new(bound: Bound) -> Self {
-        Self {
-            bound,
-            services: BTreeMap::new(),
-            held: VecDeque::new(),
-            turn: 0,
-        }
-    }
-
-    /// Returns the queue of a service.
-    pub fn service(&mut self, name: &Name) -> &mut Queue<Job<D>> {
-        let bound = self.bound;
-        self.services
-            .entry(name.clone())
-            .or_insert_with(|| Queue::new(bound))
-    }
-
-    /// Returns the services with waiting jobs, starting at another one each time.
-    pub fn turn(&mut self) -> Vec<Name> {
-        let waiting = self.services.iter().filter(|(_, queue)| !queue.is_empty());
-        let mut names: Vec<Name> = waiting.map(|(name, _)| name.clone()).collect();
-        if !names.is_empty() {
-            self.turn = (self.turn + 1) % names.len();
-            names.rotate_left(self.turn);
-        }
-        names
-    }
-
-    /// Returns the number of waiting jobs.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        let waiting: usize = self.services.values().map(Queue::len).sum();
-        waiting + self.held.len()
-    }
-
-    /// Reports whether no job waits.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-}
-
 /// Backend servers by service.
 #[derive(Debug)]
 pub struct Servers<D: Dialect> {
@@ -107,53 +51,6 @@
     pub members: BTreeMap<Name, Member<D>>,
 }
 
-/// One backend server.
-#[derive(Debug)]
-pub struct Member<D: Dialect> {
-    /// What the registry says of it.
-    pub server: Server,
-    /// What its answers say of it.
-    pub belief: Belief,
-    /// Time since which the registry says that it will leave.
-    pub draining: Option<Instant>,
-    /// Statements of this host that run there.
-    pub running: u32,
-    /// Connections that are open or about to be.
-    pub open: u32,
-    /// What this host may use of it.
-    pub shares: Shares,
-    /// Whether this host holds the service.
-    is_held: bool,
-    idle: Vec<Connection<D>>,
-}
-
-/// What this host may use of a server, by whether it holds the service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Shares {
-    /// While it runs statements of the service.
-    pub holder: Share,
-    /// While another host does.
-    pub standby: Share,
-}
-
-/// What one host may use of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Share {
-    /// Most connections.
-    pub connections: u32,
-    /// Most statements at the same time.
-    pub running: u32,
-}
-
-/// A connection to use, or the permission to open one.
-#[derive(Debug)]
-pub enum Lent<D: Dialect> {
-    /// An idle connection.
-    Idle(Box<Connection<D>>),
-    /// A connection has to be opened; the idle one that it replaces is closed first.
-    Open(Option<Box<Connection<D>>>),
-}
-
 impl<D: Dialect> Servers<D> {
     /// Makes an empty table.
     #[must_use]
@@ -367,124 +264,3 @@
         self.members.values().map(view).collect()
     }
 }
-
-impl<D: Dialect> Member<D> {
-    fn new(server: Server, shares: Shares, is_held: bool) -> Self {
-        Self {
-            draining: server.is_draining.then(Instant::now),
-            server,
-            belief: Belief::new(),
-            running: 0,
-            open: 0,
-            shares,
-            is_held,
-            idle: Vec::new(),
-        }
-    }
-
-    /// Takes a newer entry of the registry; another life or address closes idle connections.
-    fn replace(&mut self, server: Server) {
-        let is_other = server.address != self.server.address
-            || server.born_unix_ms != self.server.born_unix_ms;
-        if is_other {
-            self.close_idle();
-            self.belief = Belief::new();
-        }
-        if server.is_draining {
-            self.draining.get_or_insert_with(Instant::now);
-        } else {
-            self.draining = None;
-        }
-        self.server = server;
-    }
-
-    /// Returns what this host may use of the server now.
-    #[must_use]
-    pub fn share(&self) -> Share {
-        if self.is_held {
-            self.shares.holder
-        } else {
-            self.shares.standby
-        }
-    }
-
-    fn room(&self, account: &Name, now: Instant) -> Room {
-        if self.idle.iter().any(|idle| idle.account == *account) {
-            Room::Idle
-        } else if !self.belief.may_open(now) {
-            Room::Full
-        } else if self.open < self.share().connections || !self.idle.is_empty() {
-            Room::Opening
-        } else {
-            Room::Full
-        }
-    }
-
-    /// Lends a connection of an account, or the permission to open one.
-    pub fn lend(&mut self, account: &Name) -> Option<Lent<D>> {
-        while let Some(place) = self.idle.iter().rposition(|idle| idle.account == *account) {
-            let connection = self.idle.remove(place);
-            if !connection.is_stale() {
-                self.running += 1;
-                return Some(Lent::Idle(Box::new(connection)));
-            }
-            self.open = self.open.saturating_sub(1);
-        }
-        let replaced = if self.open < self.share().connections {
-            self.open += 1;
-            None
-        } else if self.idle.is_empty() {
-            return None;
-        } else {
-            Some(Box::new(self.idle.remove(0)))
-        };
-        self.running += 1;
-        Some(Lent::Open(replaced))
-    }
-
-    /// Takes a connection that no transaction holds, whoever it was opened for.
-    pub fn take_any(&mut self) -> Option<Connection<D>> {
-        while let Some(connection) = self.idle.pop() {
-            if !connection.is_stale() {
-                return Some(connection);
-            }
-            self.open = self.open.saturating_sub(1);
-        }
-        None
-    }
-
-    /// Takes back a connection for later use, or drops it if too many are open.
-    ///
-    /// Half of the share stays closed while it is not needed: a server counts the connections
-    /// of a host that lost power for seconds, and the host needs new ones as soon as it is back.
-    pub fn restore(&mut self, connection: Connection<D>) {
-        let spare = self.open > self.share().connections.div_ceil(2);
-        if !spare {
-            self.idle.push(connection);
-            return;
-        }
-        self.open = self.open.saturating_sub(1);
-        if !self.idle.is_empty() {
-            // The connection that was not used for the longest time goes.
-            self.idle.remove(0);
-            self.idle.push(connection);
-        }
-    }
-
-    /// Counts a connection that is closed.
-    pub fn closed(&mut self) {
-        self.open = self.open.saturating_sub(1);
-    }
-
-    /// Counts a statement that no longer runs.
-    pub fn finished(&mut self) {
-        self.running = self.running.saturating_sub(1);
-    }
-
-    /// Closes the idle connections.
-    pub fn close_idle(&mut self) {
-        let closed = u32::try_from(self.idle.len()).unwrap_or(u32::MAX);
-        self.idle.clear();
-        self.open = self.open.saturating_sub(closed);
-    }
-}
--- /dev/null
+++ b/fulmargw_pool/src/table/queues.rs
@@ -0,0 +1,62 @@
+//! Waiting jobs, by service.
+
+use crate::{dialect::Dialect, job::Job};
+use fulmargw_decision::queue::{Bound, Queue};
+use fulmargw_model::name::Name;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Waiting jobs, by service.
+#[derive(Debug)]
+pub struct Queues<D: Dialect> {
+    bound: Bound,
+    services: BTreeMap<Name, Queue<Job<D>>>,
+    /// Jobs of open transactions, which already have their connections.
+    pub held: VecDeque<Job<D>>,
+    /// Service that is looked at first, so that none is starved.
+    turn: usize,
+}
+
+impl<D: Dialect> Queues<D> {
+    /// Makes empty queues.
+    #[must_use]
+    pub fn new(bound: Bound) -> Self {
+        Self {
+            bound,
+            services: BTreeMap::new(),
+            held: VecDeque::new(),
+            turn: 0,
+        }
+    }
+
+    /// Returns the queue of a service.
+    pub fn service(&mut self, name: &Name) -> &mut Queue<Job<D>> {
+        let bound = self.bound;
+        self.services
+            .entry(name.clone())
+            .or_insert_with(|| Queue::new(bound))
+    }
+
+    /// Returns the services with waiting jobs, starting at another one each time.
+    pub fn turn(&mut self) -> Vec<Name> {
+        let waiting = self.services.iter().filter(|(_, queue)| !queue.is_empty());
+        let mut names: Vec<Name> = waiting.map(|(name, _)| name.clone()).collect();
+        if !names.is_empty() {
+            self.turn = (self.turn + 1) % names.len();
+            names.rotate_left(self.turn);
+        }
+        names
+    }
+
+    /// Returns the number of waiting jobs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        let waiting: usize = self.services.values().map(Queue::len).sum();
+        waiting + self.held.len()
+    }
+
+    /// Reports whether no job waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
