Replace a primary that accepts connections only to drop them

The relay before the crashed server accepts each connection and resets it. The primary was replaced only if a statement happened to fail on a connection that was still thought open.

Ruled out: a promotion that waits for a replica behind the acknowledged position; no attempt began.

Change: a server that only drops new connections for 4 s, without any answer, counts as unreachable. An explicit refusal or any answer ends that time; the time is above the 3 s for which servers count the connections of a host without power.

--- a/fulmargw_pool/src/belief.rs
+++ b/fulmargw_pool/src/belief.rs
@@ -11,6 +11,10 @@
 pub const SILENCE: Duration = Duration::from_millis(800);
 /// Time without any answer to a waiting commit after which a primary counts as stuck.
 pub const STUCK: Duration = Duration::from_secs(1);
+/// Time for which a server may accept new connections only to drop them.
+///
+/// A full server drops them, and it counts the connections of a host without power for 3 s.
+pub const DROPPED: Duration = Duration::from_secs(4);
 /// First pause before a server without a free slot is tried again.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
 /// Times that this pause doubles. A longer one would leave slots empty that became free.
@@ -22,7 +26,7 @@
 /// Why a server does not work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Trouble {
-    /// Connections are refused or break.
+    /// Connections are refused, dropped or break.
     Unreachable,
     /// Statements get no answer.
     Silent,
@@ -42,6 +46,8 @@
     failing_since: Option<Instant>,
     pause_until: Option<Instant>,
     turned_away: u32,
+    /// Since when new connections were dropped, without any answer.
+    dropped_since: Option<Instant>,
     busy: u32,
     open_after: Option<Instant>,
     lacked: Option<(Position, Instant)>,
@@ -66,6 +72,7 @@
             failing_since: None,
             pause_until: None,
             turned_away: 0,
+            dropped_since: None,
             busy: 0,
             open_after: None,
             lacked: None,
@@ -89,6 +96,7 @@
         self.answered = Some(now);
         self.failures = 0;
         self.failing_since = None;
+        self.dropped_since = None;
         self.pause_until = None;
     }
 
@@ -105,8 +113,19 @@
         self.pause_until = Some(now + pause.min(LONGEST_PAUSE));
     }
 
-    /// Notes that the server has too many connections to open another one.
+    /// Notes that the server said it has too many connections to open another one.
     pub fn turned_away(&mut self, now: Instant) {
+        self.dropped_since = None;
+        self.delay_opening(now);
+    }
+
+    /// Notes that the server accepted a connection and dropped it without a word.
+    pub fn dropped(&mut self, now: Instant) {
+        self.dropped_since.get_or_insert(now);
+        self.delay_opening(now);
+    }
+
+    fn delay_opening(&mut self, now: Instant) {
         let pause = FIRST_PAUSE.saturating_mul(1 << self.turned_away.min(6));
         self.turned_away += 1;
         self.open_after = Some(now + pause.min(LONGEST_PAUSE));
@@ -167,6 +186,12 @@
         if let Some(since) = self.failing_since {
             return Some((Trouble::Unreachable, now.saturating_duration_since(since)));
         }
+        let dropping = self
+            .dropped_since
+            .map(|since| now.saturating_duration_since(since));
+        if let Some(age) = dropping.filter(|age| *age >= DROPPED) {
+            return Some((Trouble::Unreachable, age));
+        }
         let silence = self.silence(now);
         if silence >= SILENCE {
             return Some((Trouble::Silent, silence));
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -109,7 +109,7 @@
             Err(cause_code)
         }
         Ok(Err(connection::Error::Dropped(cause))) => {
-            noted(Belief::turned_away);
+            noted(Belief::dropped);
             log::info!(event = "connection_dropped", request:% = job.order.work.request(), server = place.key.server.as_str(), cause:% = cause; "backend server dropped a new connection");
             Err(Code::TooMany)
         }
--- a/fulmargw_pool/tests/belief.rs
+++ b/fulmargw_pool/tests/belief.rs
@@ -1,6 +1,6 @@
 //! What answers say of a backend server.
 
-use fulmargw_pool::belief::{Belief, SILENCE, STUCK, Trouble};
+use fulmargw_pool::belief::{Belief, DROPPED, SILENCE, STUCK, Trouble};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -75,6 +75,40 @@
     assert!(belief.may_open(base + Duration::from_millis(100)));
 }
 
+/// Guards against a crashed primary that is never replaced, because something before it accepts
+/// connections and drops them; and against one replaced because it is full for a time.
+#[tokio::test(start_paused = true)]
+async fn a_server_that_only_drops_connections_is_unreachable_in_the_end() {
+    let base = Instant::now();
+    let mut belief = Belief::new();
+    belief.dropped(base);
+    let almost = base + DROPPED - Duration::from_millis(1);
+    belief.dropped(almost);
+
+    assert_eq!(belief.trouble(almost), None);
+    let trouble = belief.trouble(base + DROPPED);
+    assert_eq!(trouble, Some((Trouble::Unreachable, DROPPED)));
+}
+
+/// Guards against a promotion because a server drops some connections and answers others.
+#[tokio::test(start_paused = true)]
+async fn a_server_that_answers_between_drops_is_reachable() {
+    let base = Instant::now();
+    let refusal: fn(&mut Belief, Instant) = Belief::turned_away;
+    let answer: fn(&mut Belief, Instant) = |belief, now| {
+        let ticket = belief.sent(false, now);
+        belief.answered(ticket, now);
+    };
+
+    for says in [refusal, answer] {
+        let mut belief = Belief::new();
+        belief.dropped(base);
+        says(&mut belief, base + DROPPED / 2);
+        belief.dropped(base + DROPPED / 2);
+        assert_eq!(belief.trouble(base + DROPPED), None);
+    }
+}
+
 /// Guards against hosts that keep a full server busy with statements that it refuses.
 #[tokio::test(start_paused = true)]
 async fn each_refusal_in_a_row_makes_the_pause_longer() {
