Count connections given up on a silent server until it answers again

A backend server that was paused still counts the connections that hosts gave up meanwhile until the statements that it had received there have ended.

Ruled out: load; the test of the engine has a paused clock and fails without the change.

Change: connections that are closed while the server's probes fail count until it answers, and for 1 s after that. A server that refuses connections counts nothing.

--- a/fulmargw_engine/src/core.rs
+++ b/fulmargw_engine/src/core.rs
@@ -14,7 +14,7 @@
     },
 };
 use fulmargw_backend::connection::{self, Connector};
-use fulmargw_decision::queue::Bound;
+use fulmargw_decision::{promotion::Reach, queue::Bound};
 use fulmargw_model::{
     availability_zone::Zone,
     order::{Mutex, Rank},
@@ -30,6 +30,11 @@
 /// Time for which a closed connection still counts against the server's limit, because the
 /// server frees it only after it has read the end of the stream.
 const CLOSE_TIME: Duration = Duration::from_millis(20);
+/// Time between two looks at a server that was silent when connections to it were closed.
+const SILENCE_CHECK: Duration = Duration::from_millis(50);
+/// Time after which such a server, once it answers again, no longer counts them: it frees a
+/// connection after the statement that it had received there, and a commit may wait for replicas.
+const RESUME_TIME: Duration = Duration::from_secs(1);
 
 /// Connection that a connector opens.
 pub type Connection<C> = <C as Connector>::Connection;
@@ -117,6 +122,7 @@
         let key = key.clone();
         self.tasks.spawn(async move {
             sleep(CLOSE_TIME).await;
+            core.outlast_silence(&key).await;
             core.with_member(&key, |member| {
                 member.load.closing = member.load.closing.saturating_sub(closed);
                 member.refill.notify_one();
@@ -124,6 +130,29 @@
         });
     }
 
+    /// Waits until a server that is silent now has answered again and read what it had received.
+    async fn outlast_silence(&self, key: &Key) {
+        let is_silent = || {
+            // A process that is gone counts nothing.
+            let waits =
+                |member: &mut Member<_>| member.failing.is_some() && member.reach != Reach::Refused;
+            self.with_member(key, waits)
+        };
+        if is_silent() != Some(true) {
+            return;
+        }
+        while is_silent() == Some(true) {
+            tokio::select! {
+                () = self.stop.cancelled() => return,
+                () = sleep(SILENCE_CHECK) => {}
+            }
+        }
+        tokio::select! {
+            () = self.stop.cancelled() => {}
+            () = sleep(RESUME_TIME) => {}
+        }
+    }
+
     /// Takes back a lent connection: keeps it for the next request or closes it.
     pub fn give_back(self: &Arc<Self>, key: &Key, connection: Connection<C>, release: &Release) {
         let closed = self.with_member(key, |member| {
--- a/fulmargw_engine/tests/common/link.rs
+++ b/fulmargw_engine/tests/common/link.rs
@@ -15,12 +15,17 @@
     request::Id,
 };
 use std::{future::pending, time::Duration};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    runtime::Handle,
+    time::{Instant, sleep},
+};
 
 /// One-way latency between a host and a server.
 const LATENCY: Duration = Duration::from_millis(1);
 /// Time to open a connection.
 const OPENING: Duration = Duration::from_millis(10);
+/// Time in which a server that was unreachable ends a statement whose caller has gone.
+const LINGER: Duration = Duration::from_millis(500);
 /// Connections that a server accepts, as in the configuration.
 const LIMIT: u32 = 16;
 
@@ -94,12 +99,31 @@
 
 impl Drop for Link {
     fn drop(&mut self) {
-        let mut group = self.world.lock();
-        let node = group.nodes.get_mut(&self.server).unwrap();
-        node.connections -= 1;
+        let world = self.world.clone();
+        let server = self.server.clone();
+        let is_reachable = world.lock().nodes[&server].reachable;
+        match Handle::try_current() {
+            Ok(runtime) if self.busy && !is_reachable => {
+                runtime.spawn(linger(world, server));
+            }
+            _ => release(&world, &server),
+        }
     }
 }
 
+/// Frees a connection whose server could not read that it was closed while a statement ran.
+async fn linger(world: World, server: Name) {
+    while !world.lock().nodes[&server].reachable {
+        sleep(OPENING).await;
+    }
+    sleep(LINGER).await;
+    release(&world, &server);
+}
+
+fn release(world: &World, server: &Name) {
+    world.lock().nodes.get_mut(server).unwrap().connections -= 1;
+}
+
 impl Link {
     fn error(&self, kind: Kind) -> Error {
         Error {
--- a/fulmargw_engine/tests/limits.rs
+++ b/fulmargw_engine/tests/limits.rs
@@ -62,6 +62,30 @@
     assert!(most.iter().all(|most| *most <= 4), "{most:?}");
 }
 
+/// Guards against connections beyond the share to a server that was paused, which still ends the
+/// statements that it had received on connections that were given up.
+#[tokio::test(start_paused = true)]
+async fn a_resumed_server_gets_no_more_connections_than_the_share() {
+    let bench = bench().await;
+    bench
+        .world
+        .change("a", |node| node.work = Duration::from_millis(20));
+
+    let writes = (0..8).map(|value| bench.statement(Class::Write, Body::Put(value)));
+    let fault = async {
+        sleep(Duration::from_millis(30)).await;
+        bench.world.partition("a");
+        sleep(Duration::from_secs(6)).await;
+        bench.world.heal();
+        sleep(Duration::from_secs(3)).await;
+    };
+    futures::future::join(futures::future::join_all(writes), fault).await;
+
+    let most = most_connections(&bench);
+    assert!(most.iter().all(|most| *most <= 4), "{most:?}");
+    assert_eq!(connections(&bench)[0], 4);
+}
+
 /// Guards against a share that is kept after another host has joined.
 #[tokio::test(start_paused = true)]
 async fn a_smaller_share_closes_connections() {
