Keep connections to a server while all its slots are in use

While one account sends several times its usual, half of the statements on a primary with two slots first opened a connection (mean 9.6 ms of 14 ms of work), because a host closes connections beyond half of its share whenever one becomes free. Opening takes a slot of the server, so the full server lost a third of its capacity to it.

Change: the half of the share that stays closed is given up only while slots are free (Share::keeps); with no free slot a returned connection stays open.

--- a/fulmargw_pool/src/table/member.rs
+++ b/fulmargw_pool/src/table/member.rs
@@ -44,6 +44,17 @@
     pub running: u32,
 }
 
+impl Share {
+    /// Reports whether a connection that is no longer in use stays open, out of `open` ones.
+    ///
+    /// Half of the share stays closed while slots are free: a server counts the connections of a
+    /// host that lost power for seconds, and the host needs new ones as soon as it is back.
+    #[must_use]
+    pub fn keeps(&self, open: u32, has_free_slot: bool) -> bool {
+        !has_free_slot || open <= self.connections.div_ceil(2)
+    }
+}
+
 /// A connection to use, or the permission to open one.
 #[derive(Debug)]
 pub enum Lent<D: Dialect> {
@@ -140,11 +151,10 @@
 
     /// Takes back a connection for later use, or drops it if too many are open.
     ///
-    /// Half of the share stays closed while it is not needed: a server counts the connections
-    /// of a host that lost power for seconds, and the host needs new ones as soon as it is back.
+    /// Opening takes a slot, so no connection is dropped while all slots are in use.
     pub fn restore(&mut self, connection: Connection<D>) {
-        let spare = self.open > self.share().connections.div_ceil(2);
-        if !spare {
+        let has_free_slot = self.running < self.server.slots;
+        if self.share().keeps(self.open, has_free_slot) {
             self.idle.push(connection);
             return;
         }
