Give the tokens of operations that did not run back to their account

Each try that found no free server took a token, so the tries that its caller was told to make used up the account's rate.

Ruled out: loans between hosts (all hosts had their share when it happened).

Change: an operation that is answered as not run gives its token back, within the burst.

--- a/fulmargw_pool/src/admission.rs
+++ b/fulmargw_pool/src/admission.rs
@@ -193,6 +193,18 @@
         })
     }
 
+    /// Gives back the token of an operation that certainly has not run, so that its caller may
+    /// try again within the rate of the account.
+    pub fn refund(&mut self, account: &Name, has_share: bool, now: Instant) {
+        let own = self.own.clone();
+        if let Some(entry) = self.entries.get_mut(account) {
+            let share = entry.share(&own, has_share);
+            entry.advance(share, now);
+            entry.bucket.deposit(1.0);
+            entry.changed.notify_waiters();
+        }
+    }
+
     /// Counts an operation that waits for tokens, and returns what announces them.
     pub fn wait(&mut self, account: &Name) -> Option<Arc<Notify>> {
         let entry = self.entries.get_mut(account)?;
--- a/fulmargw_pool/src/borrow.rs
+++ b/fulmargw_pool/src/borrow.rs
@@ -54,6 +54,14 @@
     taken
 }
 
+/// Gives back the token of an operation that certainly has not run.
+pub fn refund<D: Dialect, P: Platform>(core: &Core<D, P>, account: &Name) {
+    let now = Instant::now();
+    let has_share = core.members.lock().has_share(now);
+    core.admission.lock().refund(account, has_share, now);
+    metrics::counter!("fulmargw_pool_refunds_total").increment(1);
+}
+
 /// Asks for tokens in the background, if they are needed and somebody may have some.
 fn start<D: Dialect, P: Platform>(
     core: &Arc<Core<D, P>>,
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -6,6 +6,7 @@
     trace::{count, display, millis},
 };
 use crate::{
+    borrow,
     core::Policy,
     dialect::Dialect,
     dispatch::{self, RETRY_SHARE},
@@ -185,6 +186,7 @@
                         sleep(RETRY_PAUSE).await;
                         continue;
                     }
+                    borrow::refund(&self.core, &account);
                     let failure =
                         Failure::later(Code::Busy, "no backend server is free", RETRY_AFTER);
                     log::info!(event = "not_run", request:% = display(&query.id), session = self.session.number, service = route.service.as_str(), code = code.label(), elapsed_ms = millis(received.elapsed()); "request refused");
--- a/fulmargw_pool/tests/admission.rs
+++ b/fulmargw_pool/tests/admission.rs
@@ -147,3 +147,41 @@
     assert!(taken.is_err());
     assert_eq!(lent.0, None);
 }
+
+/// Guards against callers who use up the rate of their account with operations that were refused
+/// because no server was free.
+#[tokio::test(start_paused = true)]
+async fn operations_that_did_not_run_cost_nothing() {
+    let start = Instant::now();
+    let mut hosts = hosts(1, start);
+    let account = "account".into();
+    let now = start + WINDOW;
+    let take = |host: &mut Admission| host.take(&account, Attempt::First, true, now).is_ok();
+    while take(&mut hosts[0]) {}
+
+    hosts[0].refund(&account, true, now);
+
+    assert!(take(&mut hosts[0]));
+    assert!(!take(&mut hosts[0]));
+}
+
+/// Guards against refunds that let an account exceed its burst.
+#[tokio::test(start_paused = true)]
+async fn refunds_stay_within_the_burst() {
+    let start = Instant::now();
+    let mut hosts = hosts(1, start);
+    let account = "account".into();
+    let now = start + WINDOW;
+    let refunds = 200_u32;
+
+    for _ in 0..refunds {
+        hosts[0].refund(&account, true, now);
+    }
+    let mut taken = 0.0;
+    while hosts[0].take(&account, Attempt::First, true, now).is_ok() {
+        taken += 1.0;
+    }
+
+    let tolerated = RATE * limits().quota_factor() + limits().quota_extra();
+    assert!(taken <= tolerated, "{taken} taken, {tolerated} tolerated");
+}
