Order the same server again while an order for it may still be carried out

An order without an answer may be carried out seconds later. Within one attempt the host repeats it for the same server, with the others paused. A later attempt, or another host after the first one was lost, chose the longest log anew, paused the server of the open order and let another one receive: commits acknowledged from then on are lost if the old order is carried out before the new one.

Change: the claim's row names the server before the order is sent. A host that claims the service later chooses the same server while it is registered and does not lead, and leaves the others paused if it fails. The token that hosts pass on is the one that was accepted, not the first one tried.

Figures: tests the_candidate_of_an_open_order_is_chosen_again (fails without the change) and an_order_for_a_server_that_left_does_not_count.

--- a/fulmargw_pool/src/failover/takeover.rs
+++ b/fulmargw_pool/src/failover/takeover.rs
@@ -11,7 +11,7 @@
     core::Core,
     dialect::Dialect,
     message::Command,
-    promotion::{self, Candidate, Voter},
+    promotion::{self, Candidate, Obstacle, Voter},
     store::{Order, Platform, Verdict},
 };
 use fulmargw_decision::rendezvous;
@@ -50,6 +50,17 @@
 #[serde(deny_unknown_fields)]
 struct Claim {
     holder: Name,
+    /// Server that was or will be ordered to lead.
+    candidate: Option<Name>,
+}
+
+/// A claim that may be replaced.
+#[derive(Debug, Default)]
+struct Standing {
+    /// Version of its row, 0 if there is none.
+    revision: u64,
+    /// Server that it named.
+    candidate: Option<Name>,
 }
 
 /// Why an attempt ended without a new primary.
@@ -64,7 +75,7 @@
     /// {0}
     Store(crate::store::Error),
     /// {0}
-    Obstacle(promotion::Obstacle),
+    Obstacle(Obstacle),
     /// replica {0} could not be paused
     NotPaused(Name),
     /// the platform refused the order
@@ -110,26 +121,48 @@
         return Err(Stop::Reached(host));
     }
     let key = format!("{KEY_PREFIX}{service}");
-    let expected = claimable(core, &key).await?;
+    let standing = claimable(core, &key).await?;
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
         return Err(Stop::Recovered);
     }
-    let token = claim(core, service, expected).await?;
-    log::info!(event = "promotion_claimed", service = service.as_str(), token, reason:? = reason; "replacing a primary");
+    let ordered = standing
+        .candidate
+        .filter(|candidate| may_be_ordered(core, service, candidate));
+    let token = claim(core, service, ordered.as_ref(), standing.revision).await?;
+    log::info!(event = "promotion_claimed", service = service.as_str(), token, reason:? = reason, ordered:? = ordered.as_ref().map(Name::as_str); "replacing a primary");
     let (mut asked, acknowledged) =
         tokio::join!(survey(core, service), acknowledged(core, service));
     let needed = acknowledged.filter(|_| patience == Patience::Left);
-    let result = take_over(core, service, token, needed, &mut asked).await;
+    let result = take_over(core, service, token, needed, ordered.as_ref(), &mut asked).await;
     match result {
         // The replicas stay paused, so that the candidate of the open order keeps receiving every
         // commit that is acknowledged.
         Err(Stop::Unsettled) => return result,
+        Err(ref stop)
+            if ordered.is_some() && !matches!(stop, Stop::Obstacle(Obstacle::Leads(..))) =>
+        {
+            log::info!(event = "order_open", service = service.as_str(), token, cause:% = stop; "an earlier order may still be carried out");
+            return Err(Stop::Unsettled);
+        }
         Err(_) => resume(&mut asked).await,
         Ok(_) => {}
     }
     result
 }
 
+/// Reports whether an order for a server may still be carried out, so far as this host knows.
+fn may_be_ordered<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    candidate: &Name,
+) -> bool {
+    let servers = core.servers.lock();
+    let group = servers.groups.get(service);
+    group.is_some_and(|group| {
+        group.members.contains_key(candidate) && group.lead.as_ref() != Some(candidate)
+    })
+}
+
 async fn wait_for_turn<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) {
     let alive = core.members.lock().alive(Instant::now());
     let host = &core.settings.host.name;
@@ -143,10 +176,11 @@
 async fn claim<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
+    candidate: Option<&Name>,
     expected: u64,
 ) -> Result<u64, Stop> {
     let key = format!("{KEY_PREFIX}{service}");
-    let value = encode(core)?;
+    let value = encode(core, candidate)?;
     let put = core.platform.put(&key, value.into(), Some(expected)).await;
     match put {
         Ok(Some(token)) => Ok(token),
@@ -155,37 +189,50 @@
     }
 }
 
-fn encode<D: Dialect, P: Platform>(core: &Core<D, P>) -> Result<Vec<u8>, Stop> {
+fn encode<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    candidate: Option<&Name>,
+) -> Result<Vec<u8>, Stop> {
     let claim = Claim {
         holder: core.settings.host.name.clone(),
+        candidate: candidate.cloned(),
     };
     rmp_serde::to_vec(&claim).map_err(|cause| Stop::Encode(cause.to_string()))
 }
 
-/// Returns the version of a claim that may be replaced, 0 if there is none.
+/// Returns the claim that may be replaced.
 ///
 /// A claim of another host stands for a time after it was last written.
-async fn claimable<D: Dialect, P: Platform>(core: &Core<D, P>, key: &str) -> Result<u64, Stop> {
+async fn claimable<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    key: &str,
+) -> Result<Standing, Stop> {
     let mut seen = None;
     loop {
         let rows = core.platform.rows().await.map_err(Stop::Store)?;
         let Some(row) = rows.into_iter().find(|row| row.key == key) else {
-            return Ok(0);
+            return Ok(Standing::default());
         };
         if *seen.get_or_insert(row.revision) != row.revision {
             return Err(Stop::Claimed);
         }
         let now = Instant::now();
         let age = core.members.lock().claim_age(key, row.revision, now);
-        let is_own = match rmp_serde::from_slice::<Claim>(&row.value) {
-            Ok(claim) => claim.holder == core.settings.host.name,
+        let claim = match rmp_serde::from_slice::<Claim>(&row.value) {
+            Ok(claim) => Some(claim),
             Err(cause) => {
                 log::warn!(event = "row_undecodable", key, cause:% = cause; "replacing a row of the store");
-                false
+                None
             }
         };
+        let is_own = claim
+            .as_ref()
+            .is_some_and(|claim| claim.holder == core.settings.host.name);
         if is_own || age >= CLAIM_TIME {
-            return Ok(row.revision);
+            return Ok(Standing {
+                revision: row.revision,
+                candidate: claim.and_then(|claim| claim.candidate),
+            });
         }
         sleep(CLAIM_LOOK).await;
     }
@@ -277,6 +324,7 @@
     service: &Name,
     token: u64,
     needed: Option<Position>,
+    ordered: Option<&Name>,
     asked: &mut [Asked<D>],
 ) -> Result<Name, Stop> {
     let voters: Vec<Voter> = asked
@@ -287,11 +335,11 @@
             status: asked.status,
         })
         .collect();
-    let candidate = match promotion::candidate(&voters, Term(0)) {
+    let candidate = match promotion::candidate(&voters, Term(0), ordered) {
         Ok(candidate) => candidate,
-        Err(promotion::Obstacle::Leads(server, term)) => {
+        Err(Obstacle::Leads(server, term)) => {
             lead(core, service, &server, "survey");
-            return Err(Stop::Obstacle(promotion::Obstacle::Leads(server, term)));
+            return Err(Stop::Obstacle(Obstacle::Leads(server, term)));
         }
         Err(obstacle) => return Err(Stop::Obstacle(obstacle)),
     };
@@ -303,7 +351,10 @@
         received:? = (candidate.received.term.0, candidate.received.index);
         "replica with every acknowledged commit"
     );
-    order(core, service, &candidate, token).await?;
+    // The claim names the server before the order is sent, so that a host which takes over while
+    // the order has no answer chooses the same server.
+    let token = claim(core, service, Some(&candidate.server), token).await?;
+    let token = order(core, service, &candidate, token).await?;
     let promoted = Promoted {
         service: service.clone(),
         server: candidate.server.clone(),
@@ -361,7 +412,7 @@
     let best = held
         .into_iter()
         .find(|(_, position)| promotion::includes_all(*position, &all));
-    let (server, received) = best.ok_or(Stop::Obstacle(promotion::Obstacle::NoCandidate))?;
+    let (server, received) = best.ok_or(Stop::Obstacle(Obstacle::NoCandidate))?;
     Ok(Candidate {
         server,
         received,
@@ -369,14 +420,14 @@
     })
 }
 
-/// Orders the promotion. A call without an answer may be carried out later, so it is repeated
+/// Orders the promotion and returns the token that was accepted. A call without an answer may be carried out later, so it is repeated
 /// with a greater token, which makes the earlier call harmless.
 async fn order<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
     candidate: &Candidate,
     token: u64,
-) -> Result<(), Stop> {
+) -> Result<u64, Stop> {
     let mut token = token;
     let mut is_open = false;
     for _ in 0..ORDER_TRIES {
@@ -387,14 +438,15 @@
             server: candidate.server.clone(),
         };
         match core.platform.promote(&order).await {
-            Ok(Verdict::Accepted) => return Ok(()),
+            Ok(Verdict::Accepted) => return Ok(token),
             Ok(Verdict::Refused) if is_open => return Err(Stop::Unsettled),
             Ok(Verdict::Refused) => return Err(Stop::Refused),
             Ok(Verdict::Throttled) => sleep(ASK_PAUSE * 4).await,
             Err(error) => {
                 log::warn!(event = "order_unanswered", service = service.as_str(), token, cause:% = error; "repeating the order with a greater token");
                 is_open = true;
-                token = claim(core, service, token).await.map_err(|stop| {
+                let claimed = claim(core, service, Some(&candidate.server), token).await;
+                token = claimed.map_err(|stop| {
                     log::warn!(event = "order_open", service = service.as_str(), token, cause:% = stop; "cannot repeat the order now");
                     Stop::Unsettled
                 })?;
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -41,15 +41,20 @@
     pub pause_term: Term,
 }
 
-/// Chooses the replica with the longest log.
+/// Chooses the replica with the longest log, or the one that an earlier order names.
 ///
 /// With one synchronous replica an acknowledged commit may be on any single one, so all of them
-/// have to answer.
+/// have to answer. An order without an answer may still be carried out; its replica must then
+/// have every acknowledged commit, so the others stop receiving and it is chosen again.
 ///
 /// # Errors
 ///
 /// Why no replica can be promoted now.
-pub fn candidate(voters: &[Voter], known_term: Term) -> Result<Candidate, Obstacle> {
+pub fn candidate(
+    voters: &[Voter],
+    known_term: Term,
+    ordered: Option<&Name>,
+) -> Result<Candidate, Obstacle> {
     let unanswered = voters.iter().find(|voter| voter.status.is_none());
     if let Some(voter) = unanswered {
         return Err(Obstacle::Unanswered(voter.server.clone()));
@@ -71,7 +76,8 @@
         let order = rank(one.received).cmp(&rank(other.received));
         order.then_with(|| right.server.cmp(&left.server))
     });
-    let (voter, status) = best.ok_or(Obstacle::NoCandidate)?;
+    let again = answered().find(|(voter, _)| Some(&voter.server) == ordered);
+    let (voter, status) = again.or(best).ok_or(Obstacle::NoCandidate)?;
     Ok(Candidate {
         server: voter.server.clone(),
         received: status.received,
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -34,7 +34,7 @@
         ..voter("b", 0)
     };
 
-    let result = promotion::candidate(&[voter("a", 10), silent], Term(0));
+    let result = promotion::candidate(&[voter("a", 10), silent], Term(0), None);
 
     assert_eq!(result, Err(Obstacle::Unanswered("b".into())));
 }
@@ -44,7 +44,7 @@
 fn the_longest_log_takes_over() {
     let voters = [voter("a", 10), voter("b", 12), voter("c", 11)];
 
-    let candidate = promotion::candidate(&voters, Term(0)).expect("a candidate");
+    let candidate = promotion::candidate(&voters, Term(0), None).expect("a candidate");
 
     assert_eq!(candidate.server, "b".into());
     assert_eq!(candidate.pause_term, Term(4));
@@ -58,7 +58,7 @@
         ..voter("b", 12)
     };
 
-    let candidate = promotion::candidate(&[voter("a", 10), leaving], Term(0));
+    let candidate = promotion::candidate(&[voter("a", 10), leaving], Term(0), None);
 
     assert_eq!(candidate.expect("a candidate").server, "a".into());
 }
@@ -73,7 +73,7 @@
         received: position(4, 12),
     });
 
-    let result = promotion::candidate(&[voter("a", 10), leads], Term(0));
+    let result = promotion::candidate(&[voter("a", 10), leads], Term(0), None);
 
     assert_eq!(result, Err(Obstacle::Leads("b".into(), Term(4))));
 }
@@ -101,7 +101,7 @@
 /// Guards against the loss of a commit that only a replica held which has left.
 #[test]
 fn a_candidate_needs_what_is_known_to_be_acknowledged() {
-    let candidate = promotion::candidate(&[voter("a", 10)], Term(0)).expect("a candidate");
+    let candidate = promotion::candidate(&[voter("a", 10)], Term(0), None).expect("a candidate");
 
     let unknown = promotion::complete(&candidate, None);
     let held = promotion::complete(&candidate, Some(position(3, 10)));
@@ -112,3 +112,27 @@
     let behind = Obstacle::Behind("a".into(), position(3, 10), position(3, 11));
     assert_eq!(lacking, Err(behind));
 }
+
+/// Guards against a second candidate while an order for the first one may still be carried out:
+/// commits that only the second one receives would be lost then.
+#[test]
+fn the_candidate_of_an_open_order_is_chosen_again() {
+    let voters = [voter("a", 10), voter("b", 12)];
+    let ordered = "a".into();
+
+    let candidate = promotion::candidate(&voters, Term(0), Some(&ordered));
+
+    let candidate = candidate.expect("a candidate");
+    assert_eq!(candidate.server, ordered);
+}
+
+/// Guards against a promotion that waits for the candidate of an order that has left the group.
+#[test]
+fn an_order_for_a_server_that_left_does_not_count() {
+    let voters = [voter("a", 10), voter("b", 12)];
+    let ordered = "gone".into();
+
+    let candidate = promotion::candidate(&voters, Term(0), Some(&ordered));
+
+    assert_eq!(candidate.expect("a candidate").server, "b".into());
+}
