--- a/fulmargw_pool/src/settings.rs
+++ b/fulmargw_pool/src/settings.rs
@@ -34,6 +34,12 @@
     pub peer_address: SocketAddr,
     /// Address for statements that this host runs for others.
     pub statement_address: SocketAddr,
+    /// Where other hosts reach `peer_address`, if that differs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_peer_address: Option<SocketAddr>,
+    /// Where other hosts reach `statement_address`, if that differs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_statement_address: Option<SocketAddr>,
     /// Address for metrics and the state dump.
     pub metrics_address: SocketAddr,
     /// Addresses of other hosts to start with; they may be out of date.
@@ -46,8 +52,10 @@
     #[must_use]
     pub fn endpoint(&self) -> Endpoint {
         Endpoint {
-            reports: self.peer_address,
-            statements: self.statement_address,
+            reports: self.advertised_peer_address.unwrap_or(self.peer_address),
+            statements: self
+                .advertised_statement_address
+                .unwrap_or(self.statement_address),
         }
     }
 }
