Name all hosts only to a host that knows others

Ruled out: fewer reports; a lost host would be noticed later.

Change: a report has a digest of the hosts that its sender knows. It names them only to a host that told another digest last. A host is joined, and its share counted, by the digest as well.

--- a/fulmargw_peer/src/report.rs
+++ b/fulmargw_peer/src/report.rs
@@ -37,7 +37,9 @@
     pub incarnation: u64,
     /// Version of its configuration, 0 if it has none.
     pub version: u64,
-    /// Hosts that share rates and connections, as it knows them.
+    /// Digest of the names of the hosts that share rates and connections, as it knows them.
+    pub fleet: u64,
+    /// These hosts; empty towards a host that told the same digest.
     pub members: Vec<(Name, Endpoint)>,
     /// Hosts that it heard from recently.
     pub hears: Vec<Name>,
@@ -52,6 +54,18 @@
     pub is_stopping: bool,
 }
 
+impl Report {
+    /// Returns what to send to a host that told this digest last.
+    #[must_use]
+    pub fn towards(&self, told: Option<u64>) -> Self {
+        let mut report = self.clone();
+        if told == Some(self.fleet) {
+            report.members.clear();
+        }
+        report
+    }
+}
+
 /// A promotion that a host ordered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -18,8 +18,10 @@
     loop {
         let sent = own(&core);
         for address in addresses(&core) {
+            let told = core.members.lock().told(address);
+            let report = sent.towards(told);
             core.tasks
-                .spawn(exchange(Arc::clone(&core), address, sent.clone()));
+                .spawn(exchange(Arc::clone(&core), address, report));
         }
         let interval = core.members.lock().report_interval();
         tokio::select! {
@@ -73,18 +75,24 @@
     for (service, position) in &report.acknowledged {
         core.acknowledge(service, *position);
     }
-    let (changed, newer) = {
+    let (changed, newer, knows_all) = {
         let mut members = core.members.lock();
+        let lists_hosts = !report.members.is_empty();
+        let fleet = report.fleet;
         let newer: Vec<_> = promoted
             .into_iter()
             .filter(|promoted| members.promoted(promoted))
             .collect();
-        (members.heard(report, Instant::now()), newer)
+        let changed = members.heard(report, Instant::now());
+        let knows_all = lists_hosts || fleet == members.fleet();
+        (changed, newer, knows_all)
     };
     if changed {
         apply_membership(core);
     }
-    core.joined.send_replace(true);
+    if knows_all {
+        core.joined.send_replace(true);
+    }
     for promoted in newer {
         failover::lead(core, &promoted.service, &promoted.server, "peer");
     }
@@ -95,7 +103,7 @@
     let now = Instant::now();
     let version = core.policy().map_or(0, |policy| policy.catalog.version);
     let host = &core.settings.host;
-    let (members, hears, promoted) = {
+    let (fleet, members, hears, promoted) = {
         let table = core.members.lock();
         let peers = table.peers.iter();
         let members = peers.map(|(name, peer)| (name.clone(), peer.endpoint));
@@ -106,7 +114,7 @@
         let heard = heard.filter(|(_, peer)| peer.is_heard(hearing, now));
         let audible: Vec<Name> = heard.map(|(name, _)| name.clone()).collect();
         let promoted = table.promoted.values().cloned().collect();
-        (members, audible, promoted)
+        (table.fleet(), members, audible, promoted)
     };
     let (answering, acknowledged) = {
         let servers = core.servers.lock();
@@ -126,6 +134,7 @@
         endpoint: host.endpoint(),
         incarnation: core.incarnation,
         version,
+        fleet,
         members,
         hears,
         answering,
@@ -148,8 +157,9 @@
 impl<D: Dialect, P: Platform> report::Handler for Handler<D, P> {
     fn exchange(&self, asked: Report) -> Answer {
         let version = asked.version;
+        let told = asked.fleet;
         hear(&self.0, asked);
-        let own = own(&self.0);
+        let own = own(&self.0).towards(Some(told));
         let newer = self
             .0
             .policy()
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -4,7 +4,12 @@
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promoted, Report};
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash as _, Hasher as _},
+    net::SocketAddr,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Time for which a host that reported counts as alive.
@@ -146,6 +151,22 @@
         names
     }
 
+    /// Returns a digest of the names of all hosts.
+    #[must_use]
+    pub fn fleet(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.names().hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Returns the digest that the host with this address for reports told last.
+    #[must_use]
+    pub fn told(&self, address: SocketAddr) -> Option<u64> {
+        let mut peers = self.peers.values();
+        let peer = peers.find(|peer| peer.endpoint.reports == address)?;
+        peer.report.as_ref().map(|(report, _)| report.fleet)
+    }
+
     /// Returns for how long hosts keep their shares.
     #[must_use]
     pub fn lives(&self) -> Lives {
@@ -247,7 +268,8 @@
     /// Notes a report. Returns whether the list of hosts changed.
     pub fn heard(&mut self, report: Report, now: Instant) -> bool {
         let mut changed = self.learn(&report.host, report.endpoint, now);
-        let counts_this_host = report.members.iter().any(|(name, _)| *name == self.own);
+        let lists_this_host = report.members.iter().any(|(name, _)| *name == self.own);
+        let counts_this_host = lists_this_host || report.fleet == self.fleet();
         if counts_this_host && self.joined.is_none() {
             // The others have kept this host's share since its earlier life.
             self.joined = Some(now.checked_sub(JOIN_DELAY).unwrap_or(now));
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -21,6 +21,7 @@
         endpoint: endpoint(2),
         incarnation: 1,
         version: 0,
+        fleet: 0,
         members: Vec::new(),
         hears: hears.iter().map(|name| Name::new(name)).collect(),
         answering: Vec::new(),
@@ -189,3 +190,30 @@
     members.heard(report("b", &[]), base + HEARD * 2);
     assert!(!members.misses_host(base + HEARD * 2));
 }
+
+/// Guards against a host that waits for its share although the others kept it, because they name
+/// the hosts by a digest only.
+#[tokio::test(start_paused = true)]
+async fn a_report_with_the_same_digest_counts_this_host() {
+    let base = Instant::now();
+    let mut members = Members::new("a".into());
+    members.learn(&"b".into(), endpoint(2), base);
+    let mut same = report("b", &["a"]);
+    same.fleet = members.fleet();
+
+    members.heard(same, base);
+
+    assert!(members.has_share(base));
+}
+
+/// Guards against hosts that a host never hears of, because others think that it knows them.
+#[test]
+fn the_hosts_are_named_to_a_host_that_knows_others() {
+    let mut told = report("b", &[]);
+    told.fleet = 7;
+    told.members = vec![("b".into(), endpoint(2)), ("c".into(), endpoint(3))];
+
+    assert_eq!(told.towards(Some(7)).members, []);
+    assert_eq!(told.towards(Some(8)).members.len(), 2);
+    assert_eq!(told.towards(None).members.len(), 2);
+}
