Ask a lender of tokens that stays silent less often

A cut divided the hosts for 7 s, and a third of all operations were refused with "the rate of the account is exceeded" by hosts that are not among the four which divide the account's rate. A question to a host behind the cut took 400 ms, in which nobody else was asked, and was repeated after 500 ms.

Change: a question for tokens is given up after 150 ms, and the time for which a silent lender is passed over doubles up to 4 s. The failure has a line; it was logged on debug level only.

--- a/fulmargw_pool/src/admission.rs
+++ b/fulmargw_pool/src/admission.rs
@@ -30,8 +30,11 @@
 const RESERVE: Duration = Duration::from_millis(80);
 /// Part of a token below which a lender is not asked.
 const WORTHWHILE: f64 = 0.9;
-/// Time for which a lender that does not answer is not asked again.
+/// Time for which a lender that does not answer is not asked again. It doubles with each further
+/// question without an answer, because nobody else is asked meanwhile.
 const SILENT_TIME: Duration = Duration::from_millis(500);
+/// Times that it doubles.
+const SILENT_DOUBLINGS: u32 = 3;
 
 /// Token buckets of this host, one for each account.
 #[derive(Debug)]
@@ -63,7 +66,16 @@
 struct Lender {
     remaining: f64,
     at: Instant,
-    silent: bool,
+    /// Questions in a row that it did not answer.
+    failures: u32,
+}
+
+impl Lender {
+    /// Reports whether it is passed over because it did not answer.
+    fn is_silent(&self, now: Instant) -> bool {
+        let doublings = self.failures.saturating_sub(1).min(SILENT_DOUBLINGS);
+        self.failures > 0 && now < self.at + SILENT_TIME * (1 << doublings)
+    }
 }
 
 /// A refusal because of an account's rate.
@@ -256,10 +268,11 @@
             return;
         };
         entry.borrowing = false;
+        let failures = entry.lenders.get(lender).map_or(0, |known| known.failures);
         let known = Lender {
             remaining: answer.map_or(0.0, |(_, remaining)| remaining),
             at: now,
-            silent: answer.is_none(),
+            failures: if answer.is_none() { failures + 1 } else { 0 },
         };
         entry.lenders.insert(lender.clone(), known);
         if let Some((Some(grant), _)) = answer {
@@ -337,8 +350,8 @@
         let share = Share::of(&self.account, self.divisor());
         let expected = |home: &Name| match self.lenders.get(home) {
             None => share.burst,
-            Some(known) if known.silent && now < known.at + SILENT_TIME => 0.0,
-            Some(known) if known.silent => share.burst,
+            Some(known) if known.is_silent(now) => 0.0,
+            Some(known) if known.failures > 0 => share.burst,
             Some(known) => {
                 let elapsed = now.saturating_duration_since(known.at).as_secs_f64();
                 (known.remaining + share.rate * elapsed).min(share.burst)
--- a/fulmargw_pool/src/borrow.rs
+++ b/fulmargw_pool/src/borrow.rs
@@ -6,13 +6,17 @@
     dialect::Dialect,
     store::Platform,
 };
+use fulmargw_decision::rate::Grant;
 use fulmargw_model::{fleet::Life, host::Incarnation, name::Name};
 use fulmargw_peer::message::{Demand, Loan};
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Longest time for which an operation waits for tokens.
 const LONGEST_WAIT: Duration = Duration::from_millis(60);
+/// Longest time for the answer to a question for tokens. A host whose processor share is used up
+/// pauses for up to a tenth of a second.
+const LOAN_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time between two looks at the own bucket while waiting.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -78,6 +82,13 @@
     }
 }
 
+/// Notes that a host did not lend.
+fn failed(account: &Name, lender: &Name, cause: &str) -> Option<(Option<Grant>, f64)> {
+    metrics::counter!("fulmargw_pool_loan_failures_total").increment(1);
+    log::info!(event = "loan_failed", account = account.as_str(), lender = lender.as_str(), cause; "host did not lend");
+    None
+}
+
 async fn ask<D: Dialect, P: Platform>(core: &Core<D, P>, account: &Name, question: Question) {
     let Question {
         lender,
@@ -100,15 +111,12 @@
     };
     let answer = match address {
         None => None,
-        Some(address) => match core.peers.borrow(address, &demand).await {
-            Ok(Loan {
+        Some(address) => match timeout(LOAN_TIMEOUT, core.peers.borrow(address, &demand)).await {
+            Ok(Ok(Loan {
                 grant, remaining, ..
-            }) => Some((grant, remaining)),
-            Err(error) => {
-                metrics::counter!("fulmargw_pool_loan_failures_total").increment(1);
-                log::debug!(event = "loan_failed", account = account.as_str(), cause:% = error; "host did not lend");
-                None
-            }
+            })) => Some((grant, remaining)),
+            Ok(Err(error)) => failed(account, &lender, &error.to_string()),
+            Err(_) => failed(account, &lender, "timeout"),
         },
     };
     if answer.is_none() {
--- a/fulmargw_pool/tests/admission.rs
+++ b/fulmargw_pool/tests/admission.rs
@@ -185,3 +185,25 @@
     let tolerated = RATE * limits().quota_factor() + limits().quota_extra();
     assert!(taken <= tolerated, "{taken} taken, {tolerated} tolerated");
 }
+
+/// Guards against an account without tokens on one side of a cut, because hosts ask the homes on
+/// the other side again and again and nobody else meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_lender_that_stays_silent_is_asked_less_often() {
+    let start = Instant::now();
+    let mut hosts = hosts(2, start);
+    let account = "account".into();
+    let mut now = start;
+    let mut asked = 0;
+    hosts[0].wait(&account);
+
+    while now < start + 4 * WINDOW {
+        if let Some(question) = hosts[0].question(&account, false, now) {
+            hosts[0].receive(&account, &question.lender, None, now, now);
+            asked += 1;
+        }
+        now += Duration::from_millis(50);
+    }
+
+    assert!((5..=9).contains(&asked), "asked {asked} times in 20 s");
+}
