Dump the state of the pool on request

Cause: the house style asks for a dump of each process's state; fulmargw pool had none, so what a host believed of servers, holders and tokens could only be put together from its lines.

Change: GET /state of the metrics address returns JSON: readiness, configuration version, other hosts, services with their holder, queue, primary and servers, and the tokens of each account. It has no keys and no statements.

--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -10,7 +10,7 @@
 use crate::{recorder, serve::signal::Signals};
 use fulmargw_peer::{forward as statement, report};
 use fulmargw_pool::{
-    core::Core, failover, follow, forward, listener, probe, settings::Settings, worker,
+    core::Core, dump, failover, follow, forward, listener, probe, settings::Settings, worker,
 };
 use platform::{client::Client, frame};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
@@ -67,7 +67,14 @@
     let stop = core.stop.clone();
     tasks.spawn(probe::ready(ready, move || readiness.is_ready(), stop));
     let stop = core.stop.clone();
-    tasks.spawn(probe::metrics(scrapes, move || metrics.render(), stop));
+    let described = Arc::clone(&core);
+    let state = move || render(&described);
+    tasks.spawn(probe::observe(
+        scrapes,
+        move || metrics.render(),
+        state,
+        stop,
+    ));
     tasks.spawn(listener::run(Arc::clone(&core), callers));
     signals.next().await;
     stop::stop(&core).await;
@@ -76,6 +83,14 @@
     Ok(())
 }
 
+/// Renders the state dump.
+fn render(core: &Pool) -> String {
+    serde_json::to_string_pretty(&dump::dump(core)).unwrap_or_else(|cause| {
+        log::error!(event = "dump_failed", cause:% = cause; "cannot encode the state dump");
+        String::new()
+    })
+}
+
 async fn bind(listener: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
--- a/fulmargw_pool/src/admission.rs
+++ b/fulmargw_pool/src/admission.rs
@@ -3,7 +3,7 @@
 //! The rate of an account is divided over a few homes among the hosts. Every host may admit
 //! operations; one that lacks tokens borrows them from the homes.
 
-use crate::{catalog::Catalog, settings::Limits};
+use crate::{catalog::Catalog, dump, settings::Limits};
 use fulmargw_decision::{
     meter::Meter,
     rate::{Bucket, GRANT_LIFE, Grant, Settlement, Share},
@@ -144,6 +144,21 @@
         }
     }
 
+    /// Describes the accounts for a dump.
+    #[must_use]
+    pub fn accounts(&self) -> BTreeMap<Name, dump::Account> {
+        let described = self.entries.iter().map(|(name, entry)| {
+            let account = dump::Account {
+                rate: entry.account.rate,
+                available: entry.bucket.available(),
+                lent: entry.bucket.lent(),
+                is_home: entry.homes.contains(&self.own),
+            };
+            (name.clone(), account)
+        });
+        described.collect()
+    }
+
     /// Takes the hosts that share the rates.
     pub fn share_among(&mut self, hosts: Vec<Name>) {
         self.hosts = hosts;
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod dialect;
 pub mod dispatch;
+pub mod dump;
 pub mod exchange;
 pub mod failover;
 pub mod follow;
--- a/fulmargw_pool/src/probe.rs
+++ b/fulmargw_pool/src/probe.rs
@@ -1,12 +1,19 @@
-//! Answers the balancer whether this host is ready, and serves metrics.
+//! Answers the balancer whether this host is ready, and serves metrics and the state dump.
 
-use axum::{Router, extract::State, http::StatusCode, routing::get};
+use axum::{
+    Router,
+    extract::State,
+    http::{StatusCode, header::CONTENT_TYPE},
+    routing::get,
+};
 use std::{io, sync::Arc};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
+/// Path of the state dump.
+const STATE_PATH: &str = "/state";
 
 /// Answers every path with 200 while `is_ready`, and with 503 otherwise.
 ///
@@ -30,19 +37,29 @@
     serve(listener, router, stop).await
 }
 
-/// Serves metrics as text.
+/// Serves metrics as text, and the state dump as JSON.
 ///
 /// # Errors
 ///
 /// If the listener fails.
-pub async fn metrics<F>(listener: TcpListener, render: F, stop: CancellationToken) -> io::Result<()>
+pub async fn observe<F, G>(
+    listener: TcpListener,
+    metrics: F,
+    state: G,
+    stop: CancellationToken,
+) -> io::Result<()>
 where
     F: Fn() -> String + Send + Sync + 'static,
+    G: Fn() -> String + Send + Sync + 'static,
 {
-    let answer = async |State(render): State<Arc<F>>| render();
+    let answer_metrics = async |State(renders): State<Arc<(F, G)>>| renders.0();
+    let answer_state = async |State(renders): State<Arc<(F, G)>>| {
+        ([(CONTENT_TYPE, "application/json")], renders.1())
+    };
     let router = Router::new()
-        .route(METRICS_PATH, get(answer))
-        .with_state(Arc::new(render));
+        .route(METRICS_PATH, get(answer_metrics))
+        .route(STATE_PATH, get(answer_state))
+        .with_state(Arc::new((metrics, state)));
     serve(listener, router, stop).await
 }
 
