Prove a lead in one place

Cause: sampling and the question of other hosts each began and rolled back a transaction to find out whether a server leads. Change: Connection::prove_lead serves both. A connection that is left in a transaction counts as failed in both.

--- a/fulmargw_pool/src/connection.rs
+++ b/fulmargw_pool/src/connection.rs
@@ -37,6 +37,15 @@
     prepared: HashSet<Text>,
 }
 
+/// What a server said when it was asked whether it leads.
+#[derive(Debug, Clone, Copy)]
+pub struct Lead {
+    /// Whether it led when it was asked.
+    pub is_proven: bool,
+    /// Last position of its log.
+    pub position: Option<Position>,
+}
+
 /// Failures to open a connection.
 #[derive(Debug)]
 pub enum Error {
@@ -101,6 +110,26 @@
         Ok(replies)
     }
 
+    /// Begins and ends a transaction, which a server that has lost the lead refuses.
+    ///
+    /// # Errors
+    ///
+    /// The stream failed, or the connection is left in a transaction.
+    pub async fn prove_lead(&mut self) -> io::Result<Lead> {
+        let begin = Command::Begin {
+            read_only: false,
+            after: None,
+        };
+        let replies = self.run(vec![begin, Command::Rollback]).await?;
+        match replies.as_slice() {
+            [first, ended] if ended.state == State::Idle => Ok(Lead {
+                is_proven: first.end.is_ok() && first.state == State::Open,
+                position: first.position,
+            }),
+            _ => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+
     /// Returns the commands that give the connection a session's values and a shape.
     #[must_use]
     pub fn adapt(&self, values: &Values, shape: Option<&Shape>) -> Vec<Command> {
--- a/fulmargw_pool/src/failover/reach.rs
+++ b/fulmargw_pool/src/failover/reach.rs
@@ -1,10 +1,8 @@
 //! Finds out whether a primary is gone for all hosts or for this one only.
 
 use super::takeover::connect;
-use crate::{
-    connection::Connection, core::Core, dialect::Dialect, message::Command, store::Platform,
-};
-use fulmargw_model::{name::Name, position::Position, work::State};
+use crate::{core::Core, dialect::Dialect, store::Platform};
+use fulmargw_model::{name::Name, position::Position};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::{Instant, timeout};
 
@@ -101,18 +99,8 @@
     };
     let asked = timeout(PROBE_TIMEOUT, async {
         let mut connection = connect(core, &server).await?;
-        leads(&mut connection).await
+        connection.prove_lead().await.ok()
     });
-    asked.await.ok().flatten().unwrap_or(false)
-}
-
-/// Begins and ends a transaction, which a server that has lost the lead refuses.
-async fn leads<D: Dialect>(connection: &mut Connection<D>) -> Option<bool> {
-    let begin = Command::Begin {
-        read_only: false,
-        after: None,
-    };
-    let replies = connection.run(vec![begin, Command::Rollback]).await.ok()?;
-    let first = replies.first()?;
-    Some(first.end.is_ok() && first.state == State::Open)
+    let lead = asked.await.ok().flatten();
+    lead.is_some_and(|lead| lead.is_proven)
 }
--- a/fulmargw_pool/src/sampling.rs
+++ b/fulmargw_pool/src/sampling.rs
@@ -5,10 +5,9 @@
     core::Core,
     dialect::Dialect,
     freshness::{Moment, Sample},
-    message::Command,
     store::Platform,
 };
-use fulmargw_model::work::{Key, State};
+use fulmargw_model::work::Key;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout};
 
@@ -54,19 +53,15 @@
     }
 }
 
-/// Begins and ends a transaction, which a server that has lost the lead refuses.
+/// Asks a server for its position and for a proof that it leads.
 async fn ask_position<D: Dialect, P: Platform>(
     core: Arc<Core<D, P>>,
     key: Key,
     mut connection: Connection<D>,
 ) {
     let moment = Moment::now();
-    let begin = Command::Begin {
-        read_only: false,
-        after: None,
-    };
-    let run = timeout(ASK_TIMEOUT, connection.run(vec![begin, Command::Rollback])).await;
-    let Ok(Ok(replies)) = run else {
+    let asked = timeout(ASK_TIMEOUT, connection.prove_lead()).await;
+    let Ok(Ok(lead)) = asked else {
         core.with_member(&key, |member| {
             member.closed();
             member.belief.failed(Instant::now());
@@ -74,24 +69,18 @@
         core.suspicion.notify_one();
         return;
     };
-    let mut replies = replies.into_iter();
-    if let (Some(begun), Some(ended)) = (replies.next(), replies.next())
-        && ended.state == State::Idle
-    {
-        let mut servers = core.servers.lock();
-        if let Some(group) = servers.groups.get_mut(&key.service) {
-            if let (Ok(_), Some(position)) = (&begun.end, begun.position) {
-                group.freshness.add(Sample {
-                    asked: moment.now,
-                    asked_since_boot: moment.since_boot,
-                    position,
-                });
-            }
-            if let Some(member) = group.members.get_mut(&key.server) {
-                member.restore(connection);
-            }
-        }
+    let mut servers = core.servers.lock();
+    let Some(group) = servers.groups.get_mut(&key.service) else {
         return;
+    };
+    if let (true, Some(position)) = (lead.is_proven, lead.position) {
+        group.freshness.add(Sample {
+            asked: moment.now,
+            asked_since_boot: moment.since_boot,
+            position,
+        });
+    }
+    if let Some(member) = group.members.get_mut(&key.server) {
+        member.restore(connection);
     }
-    core.with_member(&key, crate::table::Member::closed);
 }
