Take changed limits on a reload of the settings

Cause: SIGHUP and silent changes of the settings file were read, checked and logged, and nothing else happened until the next start.

Change: tolerated excess, drain time, grace period and the bound of sessions follow the file at once. Addresses, identity and the number of cores need a start; the line says so. A broken file changes nothing.

--- a/fulmargw/src/pool/reload.rs
+++ b/fulmargw/src/pool/reload.rs
@@ -10,8 +10,8 @@
 /// Time between two looks at the file, which may change without a signal.
 const INTERVAL: Duration = Duration::from_secs(5);
 
-/// Reads the settings file on SIGHUP and at intervals. Addresses and identity hold until the
-/// process is started again, so a change is checked and logged.
+/// Reads the settings file on SIGHUP and at intervals, and takes its limits. Addresses, identity
+/// and the number of cores hold until the process is started again.
 pub async fn run(core: Arc<Pool>, file: PathBuf) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
@@ -32,8 +32,13 @@
         }
         match &read {
             Ok(read) => {
-                let changed = *read != core.settings;
-                log::info!(event = "reload", signalled, changed; "settings file read");
+                let is_changed = read.limits != *core.limits();
+                if is_changed {
+                    core.apply(read.limits.clone());
+                }
+                let needs_restart =
+                    (&read.host, &read.platform) != (&core.settings.host, &core.settings.platform);
+                log::info!(event = "reload", signalled, limits_changed = is_changed, needs_restart; "settings file read");
             }
             Err(error) => {
                 log::error!(event = "reload_failed", signalled, cause:% = error; "keeping the settings in force");
--- a/fulmargw/src/pool/stop.rs
+++ b/fulmargw/src/pool/stop.rs
@@ -14,7 +14,7 @@
 /// transactions get half of the grace period.
 pub async fn stop(core: &Pool) {
     let start = Instant::now();
-    let grace = core.settings.limits.grace();
+    let grace = core.limits().grace();
     log::info!(event = "draining", sessions = core.sessions.len(), grace_ms = u64::try_from(grace.as_millis()).unwrap_or(u64::MAX); "process stops gracefully");
     core.draining.cancel();
     core.members.lock().is_stopping = true;
--- a/fulmargw_pool/src/admission.rs
+++ b/fulmargw_pool/src/admission.rs
@@ -144,6 +144,14 @@
         }
     }
 
+    /// Takes other bounds, by which the rates of a configuration are tolerated.
+    pub fn limit(&mut self, limits: Limits, catalog: Option<&Catalog>, now: Instant) {
+        self.limits = limits;
+        if let Some(catalog) = catalog {
+            self.configure(catalog, now);
+        }
+    }
+
     /// Describes the accounts for a dump.
     #[must_use]
     pub fn accounts(&self) -> BTreeMap<Name, dump::Account> {
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -7,7 +7,7 @@
     dialect::Dialect,
     job::{Done, Held, Job, Pin},
     member::Members,
-    settings::Settings,
+    settings::{Limits, Settings},
     store::Platform,
     table::{Member, Queues, Servers, Shares},
 };
@@ -50,8 +50,10 @@
 /// The shared state. Tables are locked in the order of their ranks.
 #[derive(Debug)]
 pub struct Core<D: Dialect, P: Platform> {
-    /// Settings of the process.
+    /// Settings that the process started with.
     pub settings: Settings,
+    /// Bounds in force; a reload of the settings changes them.
+    limits: watch::Sender<Arc<Limits>>,
     /// Identifier of this life of the process.
     pub incarnation: u64,
     /// The platform.
@@ -102,9 +104,11 @@
         let incarnation = rand::random();
         let own = settings.host.name.clone();
         let members = Members::new(own.clone());
-        let admission = Admission::new(own, incarnation, settings.limits.clone());
+        let limits = settings.limits.clone();
+        let admission = Admission::new(own, incarnation, limits.clone());
         Self {
             settings,
+            limits: watch::Sender::new(Arc::new(limits)),
             incarnation,
             platform,
             peers,
@@ -134,6 +138,29 @@
         self.next_session.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns the bounds in force.
+    #[must_use]
+    pub fn limits(&self) -> Arc<Limits> {
+        Arc::clone(&self.limits.borrow())
+    }
+
+    /// Takes other bounds.
+    pub fn apply(&self, limits: Limits) {
+        {
+            let mut admission = self.admission.lock();
+            let policy = self.policy();
+            let catalog = policy.as_ref().map(|policy| &policy.catalog);
+            admission.limit(limits.clone(), catalog, Instant::now());
+        }
+        self.limits.send_replace(Arc::new(limits));
+        let shares = self.shares();
+        let mut servers = self.servers.lock();
+        let groups = servers.groups.values_mut();
+        for member in groups.flat_map(|group| group.members.values_mut()) {
+            member.shares = shares(&member.server);
+        }
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn policy(&self) -> Option<Arc<Policy>> {
@@ -180,7 +207,7 @@
     /// Returns what this host may use of the servers, by their connection limits and slots.
     pub fn shares(&self) -> impl Fn(&Server) -> Shares + use<D, P> {
         let hosts = self.members.lock().count();
-        let limits = self.settings.limits.clone();
+        let limits = self.limits();
         let policy = self.policy();
         move |server| {
             let services = policy.as_ref().map(|policy| &policy.catalog.services);
--- a/fulmargw_pool/src/listener.rs
+++ b/fulmargw_pool/src/listener.rs
@@ -9,13 +9,13 @@
 
 /// Accepts callers until the pool closes idle sessions.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>, listener: TcpListener) {
-    let most = core.settings.limits.sessions();
     let mut is_full = false;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = core.closing.cancelled() => return,
         };
+        let most = core.limits().sessions();
         match accepted {
             Ok((stream, _)) if core.sessions.len() >= most => {
                 metrics::counter!("fulmargw_pool_sessions_refused_total").increment(1);
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -45,7 +45,7 @@
 
 fn take<D: Dialect, P: Platform>(core: &Core<D, P>) -> Option<Ready<D>> {
     let moment = Moment::now();
-    let drain_use = core.settings.limits.drain_use();
+    let drain_use = core.limits().drain_use();
     let mut queues = core.queues.lock();
     if let Some(job) = queues.held.pop_front() {
         drop(queues);
@@ -145,7 +145,7 @@
         Consistency::Bounded(bound) | Consistency::Session(bound) => Some(bound),
     };
     let floor = bound.filter(|_| !primary_only).and_then(|bound| {
-        let usable = bound.saturating_sub(core.settings.limits.staleness_margin());
+        let usable = bound.saturating_sub(core.limits().staleness_margin());
         let sample = group.freshness.within(usable, moment)?;
         let age = sample.age(moment);
         routing::floor(
