Refuse what gets no token within a fifth of its latency objective

Cause: an operation waited 60 ms for a token, half of the objective of an urgent commit, and was refused then.

Change: the wait is 60 ms or a fifth of the route's latency objective, whichever is shorter.

--- a/fulmargw_pool/src/borrow.rs
+++ b/fulmargw_pool/src/borrow.rs
@@ -12,15 +12,23 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// Longest time for which an operation waits for tokens.
+/// Longest time for which an operation waits for tokens, and longest part of its latency
+/// objective. What is refused then can still be tried again in time.
 const LONGEST_WAIT: Duration = Duration::from_millis(60);
+const WAIT_SHARE: f64 = 0.2;
 /// Longest time for the answer to a question for tokens. A host whose processor share is used up
 /// pauses for up to a tenth of a second.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time between two looks at the own bucket while waiting.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Takes one operation out of an account's rate.
+/// Returns the longest time for which an operation with a latency objective waits for tokens.
+#[must_use]
+pub fn patience(objective: Duration) -> Duration {
+    LONGEST_WAIT.min(objective.mul_f64(WAIT_SHARE))
+}
+
+/// Takes one operation with a latency objective out of an account's rate.
 ///
 /// # Errors
 ///
@@ -28,6 +36,7 @@
 pub async fn admit<D: Dialect, P: Platform>(
     core: &Arc<Core<D, P>>,
     account: &Name,
+    objective: Duration,
 ) -> Result<(), Refusal> {
     let now = Instant::now();
     let has_share = core.members.lock().has_share(now);
@@ -42,7 +51,7 @@
     let Some(changed) = core.admission.lock().wait(account) else {
         return taken;
     };
-    let limit = now + LONGEST_WAIT;
+    let limit = now + patience(objective);
     let mut taken = taken;
     while taken.is_err() && Instant::now() < limit {
         start(core, account, has_share, Instant::now());
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -332,7 +332,7 @@
             None if route.is_open => return Ok(Name::new(OPEN_ACCOUNT)),
             None => return Err(Failure::new(Code::Denied, "the key was withdrawn")),
         };
-        let taken = borrow::admit(&self.core, &account).await;
+        let taken = borrow::admit(&self.core, &account, route.objective).await;
         taken.map(|()| account.clone()).map_err(|refusal| {
             log::info!(
                 event = "rate_exceeded", session = self.session.number,
--- a/fulmargw_pool/tests/admission.rs
+++ b/fulmargw_pool/tests/admission.rs
@@ -3,6 +3,7 @@
 use fulmargw_model::{client_account::Account, name::Name};
 use fulmargw_pool::{
     admission::{Admission, Attempt},
+    borrow,
     catalog::Catalog,
     settings::Limits,
 };
@@ -207,3 +208,13 @@
 
     assert!((5..=9).contains(&asked), "asked {asked} times in 20 s");
 }
+
+/// Guards against refusals that come when too little of the latency objective is left to try again.
+#[test]
+fn operations_wait_for_tokens_a_small_part_of_their_objective() {
+    let urgent = Duration::from_millis(120);
+    let slow = Duration::from_secs(4);
+
+    assert!(borrow::patience(urgent) < urgent / 4);
+    assert!(borrow::patience(slow) < Duration::from_millis(100));
+}
