--- a/fulmargw/src/pool/stop.rs
+++ b/fulmargw/src/pool/stop.rs
@@ -1,6 +1,7 @@
 //! Graceful stop of a pooling process.
 
 use super::Pool;
+use fulmargw_pool::clock;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
@@ -15,7 +16,7 @@
 pub async fn stop(core: &Pool) {
     let start = Instant::now();
     let grace = core.limits().grace();
-    log::info!(event = "draining", sessions = core.sessions.len(), grace_ms = u64::try_from(grace.as_millis()).unwrap_or(u64::MAX); "process stops gracefully");
+    log::info!(event = "draining", sessions = core.sessions.len(), grace_ms = clock::millis(grace); "process stops gracefully");
     core.draining.cancel();
     core.members.lock().is_stopping = true;
     core.announce.notify_one();
--- a/fulmargw_pool/src/clock.rs
+++ b/fulmargw_pool/src/clock.rs
@@ -1,4 +1,4 @@
-//! A clock that also counts the time for which the host was suspended.
+//! A clock that also counts the time for which the host was suspended, and times in log lines.
 
 use nix::time::{ClockId, clock_gettime};
 use std::time::Duration;
@@ -11,3 +11,9 @@
 pub fn since_boot() -> Duration {
     clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
 }
+
+/// Returns a time in milliseconds.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/fulmargw_pool/src/dump.rs
+++ b/fulmargw_pool/src/dump.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::Server,
+    clock::millis,
     core::Core,
     dialect::Dialect,
     member::Members,
@@ -10,7 +11,7 @@
 };
 use fulmargw_model::{name::Name, position::Position};
 use serde::Serialize;
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 use tokio::time::Instant;
 
 /// State of a process.
@@ -178,7 +179,3 @@
         applied: member.belief.applied,
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -1,14 +1,16 @@
 //! Notices primaries that are gone, do not answer or leave.
 
+mod claim;
 mod reach;
 mod takeover;
 
+pub(crate) use claim::KEY_PREFIX;
 pub(crate) use reach::reaches;
-pub(crate) use takeover::KEY_PREFIX;
 
 use self::takeover::{Patience, Stop, attempt};
 use crate::{
-    belief::Trouble, core::Core, dialect::Dialect, promotion::Obstacle, sampling, store::Platform,
+    belief::Trouble, clock::millis, core::Core, dialect::Dialect, promotion::Obstacle, sampling,
+    store::Platform,
 };
 use fulmargw_model::name::Name;
 use std::{
@@ -101,7 +103,7 @@
 }
 
 fn report(service: &Name, reason: Reason, started: Instant, result: &Result<Name, Stop>) {
-    let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let elapsed_ms = millis(started.elapsed());
     match result {
         Ok(server) => {
             metrics::counter!("fulmargw_pool_promotions_total").increment(1);
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -5,6 +5,7 @@
 pub mod report;
 
 use crate::{
+    clock::millis,
     core::{self, Core},
     dialect::Dialect,
     member::MANY_HOSTS,
@@ -44,7 +45,7 @@
 
     fn succeeded(&mut self) {
         if let Some(since) = self.lost.take() {
-            let lost_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let lost_ms = millis(since.elapsed());
             log::info!(event = "dependency_regained", dependency = self.name, lost_ms; "platform answers again");
         }
     }
--- a/fulmargw_pool/src/forward.rs
+++ b/fulmargw_pool/src/forward.rs
@@ -4,6 +4,7 @@
 
 pub use self::visitor::Handler;
 use crate::{
+    clock::millis,
     core::Core,
     dialect::Dialect,
     dispatch::{self, remaining},
@@ -141,7 +142,7 @@
             }
         }
         core.members.lock().holders.found(&host);
-        let lost_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let lost_ms = millis(since.elapsed());
         log::info!(event = "holder_found", host = host.as_str(), lost_ms; "host answers again");
     });
 }
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -3,10 +3,11 @@
 use super::{
     Output, RETRY_AFTER, Service,
     failure::{self, Failure},
-    trace::{count, display, millis},
+    trace::{count, display},
 };
 use crate::{
     borrow,
+    clock::millis,
     core::Policy,
     dialect::Dialect,
     dispatch::{self, RETRY_SHARE},
--- a/fulmargw_pool/src/session/trace.rs
+++ b/fulmargw_pool/src/session/trace.rs
@@ -1,12 +1,11 @@
 //! Log lines and counters of decisions on statements.
 
 use super::{Service, failure::Failure};
-use crate::{core::Policy, dialect::Dialect, statement::Query, store::Platform};
+use crate::{clock::millis, core::Policy, dialect::Dialect, statement::Query, store::Platform};
 use fulmargw_model::{
     name::Name,
     work::{Code, Place, Reply, Text},
 };
-use std::time::Duration;
 use tokio::time::Instant;
 
 impl<D: Dialect, P: Platform> Service<D, P> {
@@ -65,7 +64,3 @@
 pub(super) fn display(id: &Text) -> String {
     String::from_utf8_lossy(id).into_owned()
 }
-
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
