Leave replicas paused for the host that has claimed the service meanwhile

Cause: found by reading. A host that stood still between pausing the replicas and naming its candidate finds the service claimed by another host. It then let the replicas receive again, on which the other host relied: a commit that only they acknowledge would be lost by its promotion.

Ruled out: the first claim of an attempt, before which nothing is paused.

Change: an attempt that ends because another host has claimed the service resumes nothing; that host does, or its promotion.

--- a/fulmargw_pool/src/failover/takeover.rs
+++ b/fulmargw_pool/src/failover/takeover.rs
@@ -110,9 +110,9 @@
     let needed = acknowledged.filter(|_| patience == Patience::Left);
     let result = take_over(core, service, token, needed, ordered.as_ref(), &mut asked).await;
     match result {
-        // The replicas stay paused, so that the candidate of the open order keeps receiving every
-        // commit that is acknowledged.
-        Err(Stop::Unsettled) => return result,
+        // The replicas stay paused, so that the candidate of the open order, or of the host that
+        // has claimed the service meanwhile, keeps receiving every commit that is acknowledged.
+        Err(Stop::Unsettled | Stop::Claimed) => return result,
         Err(ref stop)
             if ordered.is_some() && !matches!(stop, Stop::Obstacle(Obstacle::Leads(..))) =>
         {
