Do not recompute connection shares on a reload

Cause: a reload of the limits computed the shares of all servers anew, in a copy of the loop that follows a change of the membership. Shares follow from slots, connection limits and the number of hosts; no limit of the settings enters them. Change: the copy is gone; behaviour is unchanged.

--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -153,12 +153,6 @@
             admission.limit(limits.clone(), catalog, Instant::now());
         }
         self.limits.send_replace(Arc::new(limits));
-        let shares = self.shares();
-        let mut servers = self.servers.lock();
-        let groups = servers.groups.values_mut();
-        for member in groups.flat_map(|group| group.members.values_mut()) {
-            member.shares = shares(&member.server);
-        }
     }
 
     /// Returns the configuration in force.
