--- a/fulmargw_lab/src/database/observation.rs
+++ b/fulmargw_lab/src/database/observation.rs
@@ -26,17 +26,29 @@
 }
 
 impl Observation {
-    /// Counts a new connection and returns whether it is within `limit`.
-    pub fn record_connection(&mut self, limit: usize) -> bool {
-        self.connections += 1;
-        self.peak_connections = self.peak_connections.max(self.connections);
-        let is_within_limit = self.connections <= limit;
-        if !is_within_limit {
-            self.violations += 1;
+    /// Counts a new connection if it is within `limit`, and returns whether it was counted.
+    ///
+    /// The check and the count are one step: of two new connections that wait for a closed one to
+    /// be noticed, only one may take its place.
+    pub fn admit(&mut self, limit: usize) -> bool {
+        let is_within_limit = self.connections < limit;
+        if is_within_limit {
+            self.record_open();
         }
         is_within_limit
     }
 
+    /// Counts a new connection that exceeds the limit.
+    pub fn record_violation(&mut self) {
+        self.record_open();
+        self.violations += 1;
+    }
+
+    fn record_open(&mut self) {
+        self.connections += 1;
+        self.peak_connections = self.peak_connections.max(self.connections);
+    }
+
     /// Records the values of start-up parameters.
     pub fn record_startup_texts<'a>(&mut self, values: impl Iterator<Item = &'a String>) {
         for value in values {
--- a/fulmargw_lab/src/database/session.rs
+++ b/fulmargw_lab/src/database/session.rs
@@ -53,18 +53,9 @@
 
 /// Serves a connection and counts it while it is open.
 async fn serve_connection(server: &Arc<Server>, stream: TcpStream) -> io::Result<()> {
-    let limit = server.settings.max_connections;
-    let deadline = Instant::now() + CLOSE_GRACE_PERIOD;
-    while server.observation.lock().connections >= limit && Instant::now() < deadline {
-        time::sleep(CLOSE_CHECK_INTERVAL).await;
-    }
-    let readiness = stream
-        .ready(Interest::READABLE | Interest::WRITABLE)
-        .await?;
-    if readiness.is_read_closed() {
+    let Some(is_within_limit) = admit(server, &stream).await? else {
         return Ok(());
-    }
-    let is_within_limit = server.observation.lock().record_connection(limit);
+    };
     if !is_within_limit {
         server.exit_if_strict("too many connections");
     }
@@ -73,6 +64,30 @@
     result
 }
 
+/// Counts a new connection, and returns whether it is within the limit; `None` if the client has
+/// closed it. A connection beyond the limit waits for [`CLOSE_GRACE_PERIOD`] until a closed one is
+/// noticed.
+async fn admit(server: &Server, stream: &TcpStream) -> io::Result<Option<bool>> {
+    let limit = server.settings.max_connections;
+    let deadline = Instant::now() + CLOSE_GRACE_PERIOD;
+    loop {
+        let readiness = stream
+            .ready(Interest::READABLE | Interest::WRITABLE)
+            .await?;
+        if readiness.is_read_closed() {
+            return Ok(None);
+        }
+        if server.observation.lock().admit(limit) {
+            return Ok(Some(true));
+        }
+        if Instant::now() >= deadline {
+            server.observation.lock().record_violation();
+            return Ok(Some(false));
+        }
+        time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+}
+
 async fn run_session(
     server: &Arc<Server>,
     stream: TcpStream,
--- a/fulmargw_lab/tests/chaos.rs
+++ b/fulmargw_lab/tests/chaos.rs
@@ -117,7 +117,11 @@
 
 async fn heal(fleet: &mut Fleet, fault: Fault, primary: &str) -> std::io::Result<()> {
     match fault {
-        Fault::KillPrimary | Fault::ExitAfterCommit => {
+        Fault::KillPrimary => fleet.start_server(primary, Start::Restarted),
+        Fault::ExitAfterCommit => {
+            // The process has not exited if no commit reached it, because a host had fenced it
+            // before. It would still have its addresses when it is started again.
+            fleet.kill(primary)?;
             fleet.start_server(primary, Start::Restarted)
         }
         Fault::PartitionPrimary | Fault::PartitionReplication | Fault::PartitionHostFromPrimary => {
