Detect silent hosts by gossip, and scale the calls to the store

Cause: two hosts exchange reports only once in peers/8 rounds, and rounds get longer with the peers, so among 78 hosts a pair met every 23 s on average, but a host counted as silent after 15 s. All hosts also started their rounds with the same four peers, and every registered server woke every host's watch.

Change: reports carry how long ago each host was last heard of, merged from host to host (fulmargw_decision::gossip); rounds, silence, removal, renewals and watches follow from the number of hosts by formulas instead of a step at 10 hosts; each host reports in an order of its own; watches pause after a change, so that changes that come together cost few calls. A removed host is not added again from the list of a peer that still has it.

--- a/fulmargw_decision/src/lib.rs
+++ b/fulmargw_decision/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod absence;
 pub mod access;
+pub mod gossip;
 pub mod lease;
 pub mod membership;
 pub mod meter;
--- a/fulmargw_peer/src/report.rs
+++ b/fulmargw_peer/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::message::{LoanRequest, LoanResponse};
 use axum::{Router, body::Bytes, extract::State, http::StatusCode, routing::post};
+use fulmargw_decision::gossip::Age;
 use fulmargw_model::{name::Name, position::Position};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -42,9 +43,9 @@
     /// The hosts that share rates and connections. Empty in a report to a host that reported
     /// the same digest.
     pub members: Vec<(Name, Endpoint)>,
-    /// Hosts whose reports this host received recently.
-    #[serde(rename = "hears")]
-    pub reachable_hosts: Vec<Name>,
+    /// How long ago each member was last heard of by this host or, as far as it knows, by any
+    /// other one, in the order of the members' names.
+    pub ages: Vec<Age>,
     /// Primaries that responded to this host recently.
     #[serde(rename = "answering")]
     pub responsive_primaries: Vec<Name>,
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -8,18 +8,20 @@
     clock::millis,
     core::{self, Core},
     dialect::Dialect,
-    member::LARGE_FLEET,
     store::{Error, Kind, Platform},
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
-/// Maximum wait of one watch call. A connection that no longer responds is noticed shortly after
-/// this time; until then, reports of peers deliver newer configurations.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
-/// The same for the configuration in a large fleet, where reports of any watching host deliver
-/// newer configurations.
-const LARGE_FLEET_CATALOG_TIMEOUT: Duration = Duration::from_secs(15);
+/// Minimum of the longest wait of one watch call. A connection that no longer responds is noticed
+/// shortly after this time; until then, reports of peers deliver newer configurations.
+const MIN_WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+/// Share of each host in the longest wait of one watch call, so that the hosts together make the
+/// same number of calls a second in a fleet of any size.
+const WATCH_TIMEOUT_PER_HOST: Duration = Duration::from_millis(500);
+/// Maximum of the longest wait for a newer configuration. Reports of any watching host deliver it
+/// too.
+const MAX_CATALOG_TIMEOUT: Duration = Duration::from_secs(15);
 /// Delay after a failed call to the platform.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -64,7 +66,7 @@
         let response = match revision {
             None => core.platform.catalog().await,
             Some(revision) => {
-                let wait = by_fleet_size(&core, WATCH_TIMEOUT, LARGE_FLEET_CATALOG_TIMEOUT);
+                let wait = watch_timeout(&core, MAX_CATALOG_TIMEOUT);
                 core.platform.watch_catalog(revision, wait).await
             }
         };
@@ -90,18 +92,11 @@
     }
 }
 
-/// Returns the interval for a small or a large fleet, which limits the rate of calls to the
-/// platform.
-fn by_fleet_size<D: Dialect, P: Platform>(
-    core: &Core<D, P>,
-    small: Duration,
-    large: Duration,
-) -> Duration {
-    if core.members.lock().count() < LARGE_FLEET {
-        small
-    } else {
-        large
-    }
+/// Returns the longest wait of one watch call, which grows with the fleet up to `maximum`.
+fn watch_timeout<D: Dialect, P: Platform>(core: &Core<D, P>, maximum: Duration) -> Duration {
+    let hosts = core.members.lock().count();
+    let wait = WATCH_TIMEOUT_PER_HOST.saturating_mul(hosts);
+    wait.min(maximum).max(MIN_WATCH_TIMEOUT)
 }
 
 /// Returns the revision from which to watch after a failed call. If it has been compacted,
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -1,11 +1,11 @@
 //! Registers this host in the store, and removes the member rows of expired hosts.
 
-use super::{Dependency, RETRY_DELAY, apply_membership, by_fleet_size};
+use super::{Dependency, RETRY_DELAY, apply_membership};
 use crate::{
     core::Core,
     dialect::Dialect,
     failover,
-    member::{self, Record},
+    member::{self, Members, Record},
     store::{Error, Kind, Platform},
 };
 use bytes::Bytes;
@@ -13,15 +13,19 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
-/// Interval between renewals of this host's member row.
-const RENEW_INTERVAL: Duration = Duration::from_secs(4);
-/// The same in a large fleet. It is well below the time without renewal after which a host loses
-/// its share.
-const LARGE_FLEET_RENEW_INTERVAL: Duration = Duration::from_secs(7);
-
-/// The same while a peer does not report: its share is divided as soon as its member row is
-/// removed.
-const UNRESPONSIVE_PEER_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Minimum interval between renewals of this host's member row.
+const MIN_RENEW_INTERVAL: Duration = Duration::from_secs(4);
+/// Share of each host in the interval between renewals, so that the hosts together make the same
+/// number of calls a second in a fleet of any size.
+const RENEW_INTERVAL_PER_HOST: Duration = Duration::from_millis(250);
+/// Minimum interval between renewals while there is no sign of life of a peer: its share is divided
+/// as soon as its member row is removed.
+const MIN_UNRESPONSIVE_PEER_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Share of each host in that interval.
+const UNRESPONSIVE_PEER_INTERVAL_PER_HOST: Duration = Duration::from_millis(50);
+/// Interval between renewals while this host is isolated: its member row is the only sign of its
+/// life then.
+const ISOLATED_RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Registers this host, renews its member row and removes the rows of expired hosts until the
 /// process stops.
@@ -31,14 +35,7 @@
         match renew(&core).await {
             Ok(()) => {
                 dependency.record_success();
-                let has_unresponsive_peer =
-                    core.members.lock().has_unresponsive_peer(Instant::now());
-                let interval = if has_unresponsive_peer {
-                    UNRESPONSIVE_PEER_INTERVAL
-                } else {
-                    by_fleet_size(&core, RENEW_INTERVAL, LARGE_FLEET_RENEW_INTERVAL)
-                };
-                sleep(interval).await;
+                wait_for_renewal(&core).await;
             }
             Err(error) => {
                 dependency.record_failure(&error);
@@ -48,6 +45,38 @@
     }
 }
 
+/// Waits until this host's member row has to be renewed.
+async fn wait_for_renewal<D: Dialect, P: Platform>(core: &Core<D, P>) {
+    let renewed_at = Instant::now();
+    loop {
+        let now = Instant::now();
+        let interval = renew_interval(&core.members.lock(), now);
+        let left = interval.saturating_sub(now.saturating_duration_since(renewed_at));
+        if left.is_zero() {
+            return;
+        }
+        // The interval gets shorter when this host becomes isolated.
+        sleep(left.min(ISOLATED_RENEW_INTERVAL)).await;
+    }
+}
+
+/// Returns the interval between renewals of this host's member row.
+#[must_use]
+pub fn renew_interval(members: &Members, now: Instant) -> Duration {
+    let hosts = members.count();
+    let scaled = |minimum: Duration, per_host: Duration| minimum.max(per_host.saturating_mul(hosts));
+    if members.is_isolated(now) {
+        ISOLATED_RENEW_INTERVAL
+    } else if members.has_unresponsive_peer(now) {
+        scaled(
+            MIN_UNRESPONSIVE_PEER_INTERVAL,
+            UNRESPONSIVE_PEER_INTERVAL_PER_HOST,
+        )
+    } else {
+        scaled(MIN_RENEW_INTERVAL, RENEW_INTERVAL_PER_HOST)
+    }
+}
+
 async fn renew<D: Dialect, P: Platform>(core: &Arc<Core<D, P>>) -> Result<(), Error> {
     let host = &core.settings.host;
     let requested = Instant::now();
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -1,6 +1,6 @@
 //! Keeps the table of backend servers in step with the registry.
 
-use super::{Dependency, RETRY_DELAY, WATCH_TIMEOUT, by_fleet_size, revision_after_failure};
+use super::{Dependency, RETRY_DELAY, revision_after_failure, watch_timeout};
 use crate::{
     backend::{Registry, Server},
     core::Core,
@@ -12,9 +12,15 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
-/// Maximum wait of one watch call in a large fleet. Reports do not include the registry, so this is
-/// well below the time for which a draining server may get new statements.
-const LARGE_FLEET_REGISTRY_TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest wait of one watch call as a fraction of the time for which a draining server may get new
+/// statements. Reports do not include the registry, so a connection to the store that no longer
+/// responds has to be noticed well within that time.
+const WAIT_PER_DRAIN_WINDOW: f64 = 0.9;
+/// Share of each host in the pause after a change before the next watch call. Changes that come
+/// together, as when all servers register, then cost each host few calls.
+const CHANGE_PAUSE_PER_HOST: Duration = Duration::from_millis(10);
+/// Maximum of that pause.
+const MAX_CHANGE_PAUSE: Duration = Duration::from_secs(1);
 /// Time for which a server is kept after its entry expired. Entries that expired while the store
 /// was unavailable are written again within about two seconds of its return.
 const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2_500);
@@ -73,7 +79,8 @@
             }),
             Some(revision) => {
                 let wait = if entries.expired.is_empty() {
-                    by_fleet_size(&core, WATCH_TIMEOUT, LARGE_FLEET_REGISTRY_TIMEOUT)
+                    let maximum = core.limits().drain_window();
+                    watch_timeout(&core, maximum.mul_f64(WAIT_PER_DRAIN_WINDOW))
                 } else {
                     EXPIRED_ENTRY_GRACE / 2
                 };
@@ -91,8 +98,14 @@
                 }
                 dependency.record_success();
                 revision = Some(seen);
+                let has_changed = entries.registered != registered;
                 entries.update(registered, now);
                 reconcile(&core, &entries);
+                if has_changed {
+                    let hosts = core.members.lock().count();
+                    let pause = CHANGE_PAUSE_PER_HOST.saturating_mul(hosts);
+                    sleep(pause.min(MAX_CHANGE_PAUSE)).await;
+                }
             }
             Err(error) => {
                 dependency.record_failure(&error);
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -2,7 +2,6 @@
 
 use super::apply_membership;
 use crate::{catalog::Catalog, core::Core, dialect::Dialect, failover, store::Platform};
-use fulmargw_model::name::Name;
 use fulmargw_peer::{
     message::{LoanRequest, LoanResponse},
     report::{self, Report, Response},
@@ -23,7 +22,7 @@
             core.tasks
                 .spawn(exchange(Arc::clone(&core), address, report));
         }
-        let interval = core.members.lock().report_interval();
+        let interval = core.members.lock().timing().round;
         tokio::select! {
             () = sleep(interval) => {}
             () = core.report_now.notified() => {}
@@ -108,18 +107,14 @@
         .configuration()
         .map_or(0, |configuration| configuration.catalog.version);
     let host = &core.settings.host;
-    let (members_digest, members, reachable_hosts, promotions) = {
+    let (members_digest, members, ages, promotions) = {
         let table = core.members.lock();
         let peers = table.peers.iter();
         let members = peers.map(|(name, peer)| (name.clone(), peer.endpoint));
         let mut members: Vec<_> = members.collect();
         members.push((host.name.clone(), host.endpoint()));
-        let timeout = table.peer_timeout();
-        let reachable = table.peers.iter();
-        let reachable = reachable.filter(|(_, peer)| peer.has_reported(timeout, now));
-        let reachable_hosts: Vec<Name> = reachable.map(|(name, _)| name.clone()).collect();
         let promotions = table.promotions.values().cloned().collect();
-        (table.digest(), members, reachable_hosts, promotions)
+        (table.digest(), members, table.ages(now), promotions)
     };
     let (responsive_primaries, acknowledged_positions) = {
         let servers = core.servers.lock();
@@ -144,7 +139,7 @@
         version,
         members_digest,
         members,
-        reachable_hosts,
+        ages,
         responsive_primaries,
         acknowledged_positions,
         promotions,
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -1,6 +1,7 @@
 //! The hosts of the fleet, which share rates and connections, and the reports of the other ones.
 
 use crate::holder::Holders;
+use fulmargw_decision::gossip::{Age, Rotation, Timing};
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
 use serde::{Deserialize, Serialize};
@@ -12,31 +13,16 @@
 };
 use tokio::time::Instant;
 
-/// Time since its last report for which a host counts as alive; [`Members::peer_timeout`] is longer
-/// in a large fleet.
-pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Minimum time between two rounds of reports.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of hosts to which a host reports in one round; each of them responds with its own report.
-pub const FANOUT: usize = 4;
-/// Number of peers above which the interval between rounds grows with their number.
-const MAX_PEERS_AT_FULL_RATE: u32 = 16;
-/// Number of rounds per peer without a report after which a peer counts as unresponsive. Two hosts
-/// exchange reports once in an eighth as many rounds as there are hosts.
-const PEER_TIMEOUT_ROUNDS: f64 = 0.4;
-/// Number of hosts from which on each of them calls the platform less often.
-pub const LARGE_FLEET: u32 = 10;
-/// Timeouts of a small fleet, whose hosts renew their member rows every few seconds.
-pub const SMALL_FLEET_TIMEOUTS: Timeouts = Timeouts {
-    share: Duration::from_secs(6),
-    removal: Duration::from_secs(8),
-};
-/// Timeouts of a fleet of [`LARGE_FLEET`] hosts or more.
-pub const LARGE_FLEET_TIMEOUTS: Timeouts = Timeouts {
-    share: Duration::from_secs(10),
-    removal: Duration::from_secs(15),
-};
-/// Time without a report of a peer after which the member rows are read more often.
+/// Time for which a report of a peer is evidence of what it saw just before, such as a response of a
+/// primary. It does not grow with the fleet, because such evidence gets old.
+pub const EVIDENCE_LIFETIME: Duration = Duration::from_millis(1_600);
+/// Shortest time after which the peers of a host without a sign of life remove it.
+const MIN_REMOVAL: Duration = Duration::from_secs(8);
+/// Minimum ratio of that time to the time after which a host counts as silent.
+const REMOVAL_PER_SILENCE: f64 = 1.5;
+/// Time by which a host stops using its share before its peers remove it.
+const SHARE_MARGIN: Duration = Duration::from_secs(2);
+/// Time without a sign of life of a peer after which the member rows are read more often.
 const MIN_UNRESPONSIVE_TIME: Duration = Duration::from_secs(2);
 
 /// For how long a host that neither renews its member row nor reports keeps its share.
@@ -49,11 +35,24 @@
     pub removal: Duration,
 }
 
+impl Timeouts {
+    /// Returns the timeouts of a fleet of `hosts` hosts.
+    #[must_use]
+    pub fn of(hosts: u32) -> Self {
+        let silence = Timing::of(hosts).silence;
+        let removal = MIN_REMOVAL.max(silence.mul_f64(REMOVAL_PER_SILENCE));
+        Self {
+            share: removal - SHARE_MARGIN,
+            removal,
+        }
+    }
+}
+
 /// Time after joining before a host uses its share. Meanwhile its peers learn of it.
 pub const JOIN_DELAY: Duration = Duration::from_secs(3);
 
-/// Time for which a host that has not reported yet may be chosen as a holder.
-const FIRST_REPORT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Minimum time for which a host without a sign of life yet may be chosen as a holder.
+const MIN_FIRST_SIGN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Prefix of the keys of member rows.
 pub const KEY_PREFIX: &str = "member/";
@@ -75,6 +74,8 @@
     pub endpoint: Endpoint,
     /// Its last report, and when this host received it.
     pub report: Option<(Report, Instant)>,
+    /// Last sign of its life: a report to this host or, according to peers, to any other host.
+    pub heard_at: Option<Instant>,
     /// Revision of its member row, and when this host first read it.
     pub row: Option<(u64, Instant)>,
     /// Time at which this host learned of it.
@@ -85,8 +86,10 @@
 #[derive(Debug)]
 pub struct Members {
     own: Name,
-    /// Index of the first peer in the next round of reports.
-    next_peer: usize,
+    /// Order of the peers to which this host reports.
+    rotation: Rotation,
+    /// Digest of the names of all hosts.
+    digest: u64,
     /// Peers by name.
     pub peers: BTreeMap<Name, Peer>,
     /// Time of the last renewal of this host's member row.
@@ -105,15 +108,27 @@
 }
 
 impl Peer {
-    /// Reports whether the host has reported within the last `within` and is not stopping.
+    /// Reports whether there was a sign of the host's life within the last `within`, and it is not
+    /// stopping.
     #[must_use]
     pub fn is_alive(&self, within: Duration, now: Instant) -> bool {
         let report = self.report.as_ref();
         let is_stopping = report.is_some_and(|(report, _)| report.is_stopping);
-        self.has_reported(within, now) && !is_stopping
+        self.is_heard(within, now) && !is_stopping
+    }
+
+    /// Reports whether there was a sign of the host's life within the last `within`.
+    #[must_use]
+    pub fn is_heard(&self, within: Duration, now: Instant) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= within)
+    }
+
+    fn record_sign(&mut self, at: Instant) {
+        self.heard_at = Some(self.heard_at.map_or(at, |known| known.max(at)));
     }
 
-    /// Reports whether the host has reported within the last `within`.
+    /// Reports whether the host has reported to this one within the last `within`.
     #[must_use]
     pub fn has_reported(&self, within: Duration, now: Instant) -> bool {
         self.report
@@ -126,9 +141,10 @@
     /// Returns a list of this host alone.
     #[must_use]
     pub fn new(own: Name) -> Self {
-        Self {
+        let mut members = Self {
             own,
-            next_peer: 0,
+            rotation: Rotation::default(),
+            digest: 0,
             peers: BTreeMap::new(),
             renewed_at: None,
             joined_at: None,
@@ -136,7 +152,18 @@
             is_stopping: false,
             holders: Holders::new(),
             claims: BTreeMap::new(),
-        }
+        };
+        members.hosts_changed();
+        members
+    }
+
+    /// Updates what depends on the list of hosts.
+    fn hosts_changed(&mut self) {
+        let mut hasher = DefaultHasher::new();
+        self.names().hash(&mut hasher);
+        self.digest = hasher.finish();
+        self.holders.clear_rankings();
+        self.rotation.restart();
     }
 
     /// Returns the number of hosts in the fleet, including this one.
@@ -157,9 +184,19 @@
     /// Returns a digest of the names of all hosts.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.names().hash(&mut hasher);
-        hasher.finish()
+        self.digest
+    }
+
+    /// Returns how long ago each host was last heard of, in the order of [`Self::names`].
+    #[must_use]
+    pub fn ages(&self, now: Instant) -> Vec<Age> {
+        let age = |name: &Name| match self.peers.get(name) {
+            None => Age::from(Duration::ZERO),
+            Some(peer) => peer.heard_at.map_or(Age::UNKNOWN, |at| {
+                Age::from(now.saturating_duration_since(at))
+            }),
+        };
+        self.names().iter().map(age).collect()
     }
 
     /// Returns the digest in the last report of the peer that receives reports at `address`.
@@ -175,64 +212,57 @@
     /// Returns the timeouts for the present number of hosts.
     #[must_use]
     pub fn timeouts(&self) -> Timeouts {
-        if self.count() < LARGE_FLEET {
-            SMALL_FLEET_TIMEOUTS
-        } else {
-            LARGE_FLEET_TIMEOUTS
-        }
+        Timeouts::of(self.count())
+    }
+
+    /// Returns the intervals of reports for the present number of hosts.
+    #[must_use]
+    pub fn timing(&self) -> Timing {
+        Timing::of(self.count())
     }
 
-    /// Reports whether a peer has not reported for long enough that it may have failed.
+    /// Reports whether there has been no sign of life of a peer for long enough that it may have
+    /// failed.
     #[must_use]
     pub fn has_unresponsive_peer(&self, now: Instant) -> bool {
-        let timeout = self.peer_timeout().max(MIN_UNRESPONSIVE_TIME);
+        let timeout = self.timing().silence.max(MIN_UNRESPONSIVE_TIME);
         self.peers.values().any(|peer| {
             let is_new = now.saturating_duration_since(peer.discovered_at) < timeout;
-            !is_new && !peer.has_reported(timeout, now)
+            !is_new && !peer.is_heard(timeout, now)
         })
     }
 
-    /// Returns the time since its last report for which a peer counts as alive. It grows with the
-    /// number of peers, because each host reports only to a few of them at a time.
+    /// Reports whether this host is cut off from most of its peers: fewer than half of them have
+    /// given a sign of life. Its peers then may not hear of it either, so that only its member row
+    /// shows them that it is alive.
     #[must_use]
-    pub fn peer_timeout(&self) -> Duration {
-        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        PEER_TIMEOUT.max(
-            REPORT_INTERVAL
-                .saturating_mul(peers)
-                .mul_f64(PEER_TIMEOUT_ROUNDS),
-        )
-    }
-
-    /// Returns the time between two rounds of reports.
-    #[must_use]
-    pub fn report_interval(&self) -> Duration {
-        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        REPORT_INTERVAL.max(REPORT_INTERVAL.saturating_mul(peers) / MAX_PEERS_AT_FULL_RATE)
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let silence = self.timing().silence;
+        let may_be_alive = |peer: &&Peer| {
+            let is_new = now.saturating_duration_since(peer.discovered_at) < silence;
+            is_new || peer.is_heard(silence, now)
+        };
+        self.peers.values().filter(may_be_alive).count() * 2 < self.peers.len()
     }
 
     /// Returns the addresses of the peers in the next round of reports.
     pub fn next_round(&mut self) -> Vec<SocketAddr> {
-        let count = self.peers.len();
-        let start = self.next_peer;
-        self.next_peer = (self.next_peer + FANOUT) % count.max(1);
-        let from_start = self.peers.values().cycle().skip(start);
-        from_start
-            .take(FANOUT.min(count))
-            .map(|peer| peer.endpoint.reports)
-            .collect()
+        let names = self.rotation.next(&self.own, self.peers.keys());
+        let peers = names.iter().filter_map(|name| self.peers.get(name));
+        peers.map(|peer| peer.endpoint.reports).collect()
     }
 
     /// Returns the name and address of the host that runs the statements of a service; `None` if it
     /// is this one.
     pub fn holder(&mut self, service: &Name, now: Instant) -> Option<(Name, SocketAddr)> {
-        let timeout = self.peer_timeout();
+        let timeout = self.timing().silence;
         let hosts = self.peers.keys().chain([&self.own]);
-        // A host that has not reported yet may be the holder: a failed connection to it excludes
+        // A host that was not heard of yet may be the holder: a failed connection to it excludes
         // it.
+        let first_sign_timeout = timeout.max(MIN_FIRST_SIGN_TIMEOUT);
         let is_new = |peer: &Peer| {
-            peer.report.is_none()
-                && now.saturating_duration_since(peer.discovered_at) < FIRST_REPORT_TIMEOUT
+            peer.heard_at.is_none()
+                && now.saturating_duration_since(peer.discovered_at) < first_sign_timeout
         };
         let is_alive = |host: &Name| match self.peers.get(host) {
             Some(peer) => peer.is_alive(timeout, now) || is_new(peer),
@@ -246,7 +276,7 @@
     /// Returns the names of the hosts that are alive, including this one.
     #[must_use]
     pub fn alive(&self, now: Instant) -> Vec<Name> {
-        let timeout = self.peer_timeout();
+        let timeout = self.timing().silence;
         let peers = self.peers.iter();
         let alive = peers.filter(|(_, peer)| peer.is_alive(timeout, now));
         let mut names: Vec<Name> = alive.map(|(name, _)| name.clone()).collect();
@@ -266,34 +296,64 @@
         let peer = Peer {
             endpoint,
             report: None,
+            heard_at: None,
             row: None,
             discovered_at: now,
         };
         self.peers.insert(name.clone(), peer);
-        self.holders.clear_rankings();
+        self.hosts_changed();
         true
     }
 
     /// Records a report of a peer. Returns whether the list of hosts changed.
     pub fn record_report(&mut self, report: Report, now: Instant) -> bool {
-        let mut changed = self.add_peer(&report.host, report.endpoint, now);
         let lists_this_host = report.members.iter().any(|(name, _)| *name == self.own);
         let counts_this_host = lists_this_host || report.members_digest == self.digest();
         if counts_this_host && self.joined_at.is_none() {
             // The peers have kept this host's share since before its restart.
             self.joined_at = Some(now.checked_sub(JOIN_DELAY).unwrap_or(now));
         }
+        let signs = self.signs(&report, now);
+        let mut changed = self.add_peer(&report.host, report.endpoint, now);
+        let silence = self.timing().silence;
         for (name, endpoint) in &report.members {
-            if !self.peers.contains_key(name) {
+            // A host that nobody has heard of lately may have been removed. It is added again only
+            // by its member row or its own report.
+            let is_heard = signs
+                .get(name)
+                .is_some_and(|at| now.saturating_duration_since(*at) <= silence);
+            if is_heard && !self.peers.contains_key(name) {
                 changed |= self.add_peer(name, *endpoint, now);
             }
         }
+        for (name, at) in signs {
+            if let Some(peer) = self.peers.get_mut(&name) {
+                peer.record_sign(at);
+            }
+        }
         if let Some(peer) = self.peers.get_mut(&report.host) {
+            peer.record_sign(now);
             peer.report = Some((report, now));
         }
         changed
     }
 
+    /// Returns the last sign of life of each host according to a report. Its ages are in the order
+    /// of the listed hosts or, if it lists none, of the hosts that this host knows too.
+    fn signs(&self, report: &Report, now: Instant) -> BTreeMap<Name, Instant> {
+        let mut order: Vec<Name> = report.members.iter().map(|it| it.0.clone()).collect();
+        order.sort_unstable();
+        if order.is_empty() && report.members_digest == self.digest() {
+            order = self.names();
+        }
+        if order.len() != report.ages.len() {
+            return BTreeMap::new();
+        }
+        let ages = order.into_iter().zip(&report.ages);
+        let known = ages.filter_map(|(name, age)| Some((name, now.checked_sub(age.duration()?)?)));
+        known.collect()
+    }
+
     /// Applies the member rows, given with their revisions. Returns whether the list of hosts
     /// changed.
     pub fn apply_rows(&mut self, rows: &BTreeMap<Name, (Record, u64)>, now: Instant) -> bool {
@@ -308,13 +368,14 @@
         }
         let own = &self.own;
         let Timeouts { removal, .. } = self.timeouts();
+        let silence = self.timing().silence;
         let before = self.peers.len();
         self.peers.retain(|name, peer| {
             let is_new = now.saturating_duration_since(peer.discovered_at) < removal;
-            name == own || rows.contains_key(name) || peer.has_reported(PEER_TIMEOUT, now) || is_new
+            name == own || rows.contains_key(name) || peer.is_heard(silence, now) || is_new
         });
         if self.peers.len() != before {
-            self.holders.clear_rankings();
+            self.hosts_changed();
             changed = true;
         }
         changed
@@ -326,17 +387,8 @@
     pub fn expired_rows(&self, now: Instant) -> Vec<(Name, u64)> {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let Timeouts { removal, .. } = self.timeouts();
-        let has_reported_to_peer = |name: &Name| {
-            self.peers.values().any(|peer| {
-                peer.report.as_ref().is_some_and(|(report, at)| {
-                    elapsed(*at) <= PEER_TIMEOUT && report.reachable_hosts.contains(name)
-                })
-            })
-        };
-        let unresponsive = self
-            .peers
-            .iter()
-            .filter(|(name, peer)| !peer.has_reported(removal, now) && !has_reported_to_peer(name));
+        let peers = self.peers.iter();
+        let unresponsive = peers.filter(|(_, peer)| !peer.is_heard(removal, now));
         unresponsive
             .filter_map(|(name, peer)| {
                 let (revision, seen) = peer.row?;
@@ -350,13 +402,13 @@
     pub fn has_share(&self, now: Instant) -> bool {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let has_joined = self.joined_at.is_some_and(|at| elapsed(at) >= JOIN_DELAY);
-        let has_renewed = self
-            .renewed_at
-            .is_some_and(|at| elapsed(at) < self.timeouts().share);
+        let Timeouts { share, .. } = self.timeouts();
+        let has_renewed = self.renewed_at.is_some_and(|at| elapsed(at) < share);
+        let silence = self.timing().silence;
         let in_contact = self
             .peers
             .values()
-            .any(|peer| peer.has_reported(PEER_TIMEOUT, now));
+            .any(|peer| peer.has_reported(silence, now));
         has_joined && (has_renewed || in_contact)
     }
 
@@ -385,7 +437,7 @@
     pub fn responds_to_peers(&self, server: &Name, now: Instant) -> bool {
         self.peers.values().any(|peer| {
             peer.report.as_ref().is_some_and(|(report, at)| {
-                now.saturating_duration_since(*at) <= PEER_TIMEOUT
+                now.saturating_duration_since(*at) <= EVIDENCE_LIFETIME
                     && report.responsive_primaries.contains(server)
             })
         })
