Search the queue only for statements that a server could take

Cause: each finished statement searches the queue for the next one, and the search computed the candidates and requirements of every waiting statement, also while no server had a free slot.

Change: candidates are computed once per search, a group without a free slot is skipped, and statements for which only a full primary would do are passed over before anything is computed for them. The freshness sample is found by binary search.

Tests: routing.rs.

--- a/fulmargw_pool/src/freshness.rs
+++ b/fulmargw_pool/src/freshness.rs
@@ -85,8 +85,11 @@
     /// are most likely to have applied this one.
     #[must_use]
     pub fn within(&self, bound: Duration, moment: Moment) -> Option<Sample> {
-        let fresh = |sample: &&Sample| sample.age(moment) <= bound;
-        self.samples.iter().find(fresh).copied()
+        // The samples are in the order of their age.
+        let first = self
+            .samples
+            .partition_point(|sample| sample.age(moment) > bound);
+        self.samples.get(first).copied()
     }
 
     /// Returns the age of the newest sample.
--- a/fulmargw_pool/src/routing.rs
+++ b/fulmargw_pool/src/routing.rs
@@ -15,10 +15,6 @@
     pub primary_only: bool,
     /// Log position that a replica must have applied; `None` if no sufficient position is known.
     pub min_position: Option<MinPosition>,
-    /// Availability zone of this host.
-    pub zone: Name,
-    /// Client account on whose behalf it runs.
-    pub account: Name,
 }
 
 /// Log position that a replica must have applied to run a read.
@@ -64,11 +60,51 @@
     Exhausted,
 }
 
+/// Which servers of a group have a free slot.
+///
+/// Under a backlog each finished statement searches the queue for the next one. With this the search
+/// skips statements that no server can take, without computing what each of them requires.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FreeSlots {
+    primary: bool,
+    replica: bool,
+}
+
+impl FreeSlots {
+    /// Returns the free slots of the candidates.
+    #[must_use]
+    pub fn of(candidates: &[Candidate]) -> Self {
+        let has_free = |is_primary| {
+            let mut servers = candidates.iter();
+            servers.any(|server| server.is_primary == is_primary && server.has_free_slot())
+        };
+        Self {
+            primary: has_free(true),
+            replica: has_free(false),
+        }
+    }
+
+    /// Reports whether no server has a free slot.
+    #[must_use]
+    pub fn is_empty(self) -> bool {
+        !self.primary && !self.replica
+    }
+
+    /// Reports whether some server could take a statement, which may be one that only the primary
+    /// can run.
+    #[must_use]
+    pub fn may_take(self, primary_only: bool) -> bool {
+        self.primary || (self.replica && !primary_only)
+    }
+}
+
 impl Candidate {
+    fn has_free_slot(&self) -> bool {
+        self.is_usable && self.running < self.max_running
+    }
+
     fn is_free(&self) -> bool {
-        self.is_usable
-            && self.running < self.max_running
-            && self.availability != Availability::Exhausted
+        self.has_free_slot() && self.availability != Availability::Exhausted
     }
 
     /// Reports whether a replica is expected to have applied a position.
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -11,7 +11,7 @@
     backend::{Registry, Role, Server},
     dialect::Dialect,
     freshness::Freshness,
-    routing::Candidate,
+    routing::{Availability, Candidate},
 };
 use fulmargw_model::{execution::ServerId, name::Name, position::Position};
 use std::{collections::BTreeMap, time::Duration};
@@ -240,16 +240,11 @@
         self.backends.get(self.primary_id.as_ref()?)
     }
 
-    /// Returns the servers as candidates for a statement of an account. A draining primary is
-    /// usable for `drain_window`.
+    /// Returns the servers as candidates for the statements that wait now. Whether a connection is
+    /// available depends on the account of a statement, see [`Self::for_account`]. A draining
+    /// primary is usable for `drain_window`.
     #[must_use]
-    pub fn candidates(
-        &self,
-        zone: &Name,
-        account: &Name,
-        drain_window: Duration,
-        now: Instant,
-    ) -> Vec<Candidate> {
+    pub fn candidates(&self, zone: &Name, drain_window: Duration, now: Instant) -> Vec<Candidate> {
         // A draining primary runs statements until another server is the primary, but no longer
         // than `drain_window`.
         let is_in_service = |backend: &Backend<D>| {
@@ -263,7 +258,7 @@
             is_primary: self.primary_id.as_ref() == Some(&backend.server.id),
             is_same_zone: backend.server.zone == *zone,
             is_usable: backend.health.is_usable(now) && is_in_service(backend),
-            availability: backend.availability(account, now),
+            availability: Availability::Exhausted,
             running: backend.running,
             max_running: backend.share().running,
             applied: backend.health.applied,
@@ -271,4 +266,27 @@
         };
         self.backends.values().map(candidate).collect()
     }
+
+    /// Returns candidates with the connections that are available to an account, without the
+    /// replica `avoid`.
+    #[must_use]
+    pub fn for_account(
+        &self,
+        candidates: &[Candidate],
+        account: &Name,
+        avoid: Option<&Name>,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let remaining = candidates
+            .iter()
+            .filter(|candidate| candidate.is_primary || avoid != Some(&candidate.id));
+        let with_connections = remaining.filter_map(|candidate| {
+            let backend = self.backends.get(&candidate.id)?;
+            Some(Candidate {
+                availability: backend.availability(account, now),
+                ..candidate.clone()
+            })
+        });
+        with_connections.collect()
+    }
 }
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -7,12 +7,12 @@
     exchange,
     freshness::Moment,
     job::{Job, Outcome, PooledConnection},
-    routing::{self, Choice, Requirements},
+    routing::{self, Choice, FreeSlots, Requirements},
     store::Platform,
     table::Checkout,
 };
 use fulmargw_model::{
-    execution::{Code, Consistency, Kind, NotRun, ServerId, Trace},
+    execution::{Code, Consistency, Kind, NotRun, Request, ServerId, Trace, Visibility},
     name::Name,
 };
 use std::{pin::pin, sync::Arc, time::Duration};
@@ -46,7 +46,7 @@
 /// Takes the next job that can run now and checks out a connection for it.
 fn next_assignment<D: Dialect, P: Platform>(core: &Core<D, P>) -> Option<Assignment<D>> {
     let moment = Moment::now();
-    let drain_window = core.limits().drain_window();
+    let limits = core.limits();
     let mut queues = core.queues.lock();
     if let Some(job) = queues.pinned.pop_front() {
         drop(queues);
@@ -57,17 +57,26 @@
         let Some(group) = servers.groups.get_mut(&name) else {
             continue;
         };
+        let zone = &core.settings.host.zone;
+        let candidates = group.candidates(zone, limits.drain_window(), moment.now);
+        let free_slots = FreeSlots::of(&candidates);
+        if free_slots.is_empty() {
+            continue;
+        }
         let choose = |job: &Job<D>| {
-            let requirements = requirements(core, job, group, moment);
-            let mut candidates = group.candidates(
-                &requirements.zone,
-                &requirements.account,
-                drain_window,
-                moment.now,
-            );
-            candidates.retain(|candidate| {
-                candidate.is_primary || job.request.avoid.as_ref() != Some(&candidate.id)
-            });
+            let Request {
+                account,
+                avoid,
+                statement,
+                visibility,
+                ..
+            } = &job.request;
+            let is_current = visibility.consistency == Consistency::Current;
+            if !free_slots.may_take(is_current || statement.kind.needs_primary()) {
+                return None;
+            }
+            let candidates = group.for_account(&candidates, account, avoid.as_ref(), moment.now);
+            let requirements = requirements(job, group, limits.staleness_margin(), moment);
             routing::choose(&requirements, &candidates)
         };
         let Some((job, choice)) = queues.service(&name).pop(moment.now, choose) else {
@@ -152,14 +161,18 @@
     })
 }
 
-fn requirements<D: Dialect, P: Platform>(
-    core: &Core<D, P>,
+fn requirements<D: Dialect>(
     job: &Job<D>,
     group: &crate::table::Group<D>,
+    staleness_margin: Duration,
     moment: Moment,
 ) -> Requirements {
     let primary_only = job.request.statement.kind.needs_primary();
-    let max_staleness = match job.request.visibility.consistency {
+    let Visibility {
+        consistency,
+        last_commit,
+    } = job.request.visibility;
+    let max_staleness = match consistency {
         Consistency::Current => None,
         Consistency::Bounded(max_staleness) | Consistency::Session(max_staleness) => {
             Some(max_staleness)
@@ -168,20 +181,13 @@
     let min_position = max_staleness
         .filter(|_| !primary_only)
         .and_then(|max_staleness| {
-            let max_age = max_staleness.saturating_sub(core.limits().staleness_margin());
+            let max_age = max_staleness.saturating_sub(staleness_margin);
             let sample = group.freshness.within(max_age, moment)?;
             let age = sample.age(moment);
-            routing::min_position(
-                job.request.visibility.consistency,
-                job.request.visibility.last_commit,
-                Some(sample),
-                age,
-            )
+            routing::min_position(consistency, last_commit, Some(sample), age)
         });
     Requirements {
         primary_only,
         min_position,
-        zone: core.settings.host.zone.clone(),
-        account: job.request.account.clone(),
     }
 }
--- a/fulmargw_pool/tests/routing.rs
+++ b/fulmargw_pool/tests/routing.rs
@@ -6,7 +6,7 @@
 };
 use fulmargw_pool::{
     freshness::{Freshness, Moment, Sample},
-    routing::{self, Availability, Candidate, MinPosition, Requirements},
+    routing::{self, Availability, Candidate, FreeSlots, MinPosition, Requirements},
 };
 use std::time::Duration;
 use tokio::time::Instant;
@@ -43,8 +43,6 @@
     Requirements {
         primary_only: false,
         min_position,
-        zone: "a".into(),
-        account: "account".into(),
     }
 }
 
@@ -267,3 +265,64 @@
     assert_eq!(without.min_position, None);
     assert_eq!(written.min_position, None);
 }
+
+/// Returns a candidate whose properties are the bits of a number.
+fn candidate_of_bits(bits: u8) -> Candidate {
+    let is_set = |bit: u8| bits & (1 << bit) != 0;
+    Candidate {
+        is_usable: is_set(0),
+        availability: if is_set(1) {
+            Availability::Openable
+        } else {
+            Availability::Exhausted
+        },
+        running: if is_set(2) { 0 } else { 2 },
+        applied: is_set(3).then(|| position(3, 100)),
+        ..candidate("replica")
+    }
+}
+
+/// Guards against a search of the queue that skips a statement which a server could run: the
+/// shortcut for backlogs must allow every statement for which a server would be chosen.
+#[test]
+fn free_slots_allow_every_statement_that_can_run() {
+    for bits in 0..=u16::MAX {
+        let [one, other] = bits.to_be_bytes();
+        let mut candidates = vec![candidate_of_bits(one), candidate_of_bits(other)];
+        candidates[0].is_primary = one & 16 != 0;
+        let free_slots = FreeSlots::of(&candidates);
+        for primary_only in [true, false] {
+            for min_position in [None, Some(min_position(50))] {
+                let requirements = Requirements {
+                    primary_only,
+                    min_position,
+                };
+
+                let is_chosen = chosen(&requirements, &candidates).is_some();
+
+                let needs_primary = primary_only || min_position.is_none();
+                assert!(!is_chosen || free_slots.may_take(needs_primary));
+                assert!(!is_chosen || !free_slots.is_empty());
+            }
+        }
+    }
+}
+
+/// Guards against a backlog that costs the processor time of all waiting statements for each one
+/// that finishes: a group without free slots is not searched, and one whose replicas are free is
+/// searched for reads only.
+#[test]
+fn servers_without_a_free_slot_take_nothing() {
+    let full = |candidate: Candidate| Candidate {
+        running: candidate.max_running,
+        ..candidate
+    };
+
+    let none = FreeSlots::of(&[full(primary("p")), full(candidate("r"))]);
+    let replica = FreeSlots::of(&[full(primary("p")), candidate("r")]);
+    let main = FreeSlots::of(&[primary("p"), full(candidate("r"))]);
+
+    assert!(none.is_empty());
+    assert!(replica.may_take(false) && !replica.may_take(true));
+    assert!(main.may_take(false) && main.may_take(true));
+}
