Refuse statements at once while no primary can be reached for long

Callers came back late, or not at all, although other hosts reached the primary.

Change: a circuit breaker. When this host has known no working primary for longer than a replacement takes, statements that only the primary can run are refused at once with a time to come back; two at a time may wait, so that the return of the primary is noticed. Reads whose samples are too old for every replica count as statements for the primary.

--- a/fulmargw_decision/src/lib.rs
+++ b/fulmargw_decision/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod absence;
 pub mod access;
+pub mod breaker;
 pub mod gossip;
 pub mod lease;
 pub mod membership;
--- a/fulmargw_model/src/execution.rs
+++ b/fulmargw_model/src/execution.rs
@@ -278,3 +278,12 @@
     /// Server that rejected the previous attempt.
     pub avoid: Option<Name>,
 }
+
+impl Request {
+    /// Reports whether only the primary can run the statement.
+    #[must_use]
+    pub fn needs_primary(&self) -> bool {
+        let is_current = self.visibility.consistency == Consistency::Current;
+        is_current || self.statement.kind.needs_primary()
+    }
+}
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -5,23 +5,31 @@
     backend::Server,
     catalog::{Catalog, Keyring},
     dialect::Dialect,
+    freshness::Moment,
     job::{Job, Outcome, Pin, PooledConnection},
     member::Members,
     settings::{Limits, Settings},
     store::Platform,
     table::{Backend, Queues, Servers, Shares},
+    worker,
+};
+use fulmargw_decision::{
+    breaker,
+    queue::{Capacity, Entry, Ticket, Urgency},
 };
-use fulmargw_decision::queue::{Capacity, Entry, Ticket, Urgency};
 use fulmargw_model::{
-    execution::ServerId,
+    execution::{Request, ServerId},
     lock::{Mutex, Rank},
     name::Name,
     position::Position,
 };
 use fulmargw_peer::{forward, report};
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 use tokio::{
     sync::{Notify, watch},
@@ -330,6 +338,23 @@
         primary.is_none_or(|primary| !primary.health.is_usable(now))
     }
 
+    /// Returns for how long this host has known no primary, if only the primary can run the
+    /// statement now and that is too long for another one to wait for it. See [`breaker`].
+    #[must_use]
+    pub fn refuses_without_primary(&self, request: &Request) -> Option<Duration> {
+        let moment = Moment::now();
+        let margin = self.limits().staleness_margin();
+        let waiting = self.queues.lock().service(&request.service).len();
+        let servers = self.servers.lock();
+        let group = servers.groups.get(&request.service)?;
+        let away = group.time_without_primary(moment.now);
+        if breaker::admits(away, waiting) {
+            return None;
+        }
+        let requirements = worker::requirements(request, group, margin, moment);
+        requirements.min_position.is_none().then_some(away)
+    }
+
     /// Sends the outcome of a job to its submitter. If the submitter no longer waits for it, rolls
     /// back the open transaction.
     pub fn send_outcome(&self, job: Job<D>, done: Outcome<D>) {
--- a/fulmargw_pool/src/dispatch.rs
+++ b/fulmargw_pool/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Runs statements on the backend servers through the queues and workers of this host.
 
 use crate::{
+    clock::millis,
     core::Core,
     dialect::Dialect,
     job::{Job, Outcome, PooledConnection},
@@ -24,13 +25,20 @@
 /// Runs a statement, on the pinned connection if it belongs to an open transaction.
 ///
 /// A statement that no worker takes within its latency objective ends as not run. While no primary
-/// is known, it waits for [`RETRY_FRACTION`] of its timeout instead. Dropping the future removes
-/// the statement from the queue.
+/// is known, it waits for [`RETRY_FRACTION`] of its timeout instead, and is refused at once if none
+/// has been known for long. Dropping the future removes the statement from the queue.
 pub(crate) async fn run<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     request: Request,
     pinned: Option<PooledConnection<D>>,
 ) -> Outcome<D> {
+    if pinned.is_none()
+        && let Some(away) = core.refuses_without_primary(&request)
+    {
+        metrics::counter!("fulmargw_pool_refused_without_primary_total").increment(1);
+        log::info!(event = "primary_away", request:% = request.statement.request(), service = request.service.as_str(), away_ms = millis(away); "no primary is known for long; refusing the statement at once");
+        return not_run(Code::ReadOnly);
+    }
     let now = Instant::now();
     let retry_time = request.remaining.mul_f64(RETRY_FRACTION);
     let limits = [retry_time.min(request.objective), retry_time].map(|limit| now + limit);
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -245,6 +245,9 @@
     {
         let mut servers = core.servers.lock();
         if let Some(group) = servers.groups.get_mut(&trace.server_id.service) {
+            if is_proven && trace.as_primary {
+                group.confirm_primary();
+            }
             if let (true, Some(position)) = (is_proven, reply.position) {
                 group.freshness.add(Sample {
                     requested_at: sent.sent_at,
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod settings;
 pub mod statement;
 pub mod store;
+pub mod supervisor;
 pub mod table;
 pub mod worker;
--- a/fulmargw_pool/src/sampling.rs
+++ b/fulmargw_pool/src/sampling.rs
@@ -73,6 +73,9 @@
     let Some(group) = servers.groups.get_mut(&server_id.service) else {
         return;
     };
+    if check.is_primary && group.primary_id.as_ref() == Some(&server_id.server) {
+        group.confirm_primary();
+    }
     if let (true, Some(position)) = (check.is_primary, check.position) {
         group.freshness.add(Sample {
             requested_at: moment.now,
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -1,7 +1,7 @@
 //! Runs statements of a session, with retries, and relays the replies.
 
 use super::{
-    Driver, Output, RETRY_AFTER,
+    Driver, Output,
     failure::{self, Failure},
     trace::{count_error, display_id},
 };
@@ -153,6 +153,8 @@
         }
         let mut avoid = None;
         let mut lagging_rejections = 0;
+        // Whether an attempt was sent and got no response. It may have run, so its token is spent.
+        let mut may_have_run = false;
         for _ in 0..MAX_ATTEMPTS {
             let outcome = self
                 .submit(
@@ -199,9 +201,10 @@
                         sleep(RETRY_DELAY).await;
                         continue;
                     }
-                    borrow::refund(&self.core, &account);
-                    let failure =
-                        Failure::later(Code::Busy, "no backend server is free", RETRY_AFTER);
+                    if !may_have_run {
+                        borrow::refund(&self.core, &account);
+                    }
+                    let failure = failure::not_run(server.as_ref(), &code);
                     log::info!(event = "not_run", request:% = display_id(&query.id), session = self.session.number, service = route.service.as_str(), code = code.label(), elapsed_ms = millis(received.elapsed()); "request refused; no backend server ran it in time");
                     return self.refuse_and_end(&failure);
                 }
@@ -209,6 +212,7 @@
                     let can_retry =
                         statement.kind == Kind::Read && !timed_out && Instant::now() < retry_until;
                     if can_retry {
+                        may_have_run = true;
                         avoid = server;
                         continue;
                     }
@@ -218,11 +222,11 @@
                 }
             }
         }
-        self.refuse_and_end(&Failure::later(
-            Code::Busy,
-            "no backend server is free",
-            RETRY_AFTER,
-        ))
+        if !may_have_run {
+            borrow::refund(&self.core, &account);
+        }
+        log::info!(event = "attempts_exhausted", request:% = display_id(&query.id), session = self.session.number, service = route.service.as_str(), attempts = MAX_ATTEMPTS, elapsed_ms = millis(received.elapsed()); "request refused; every attempt was rejected");
+        self.refuse_and_end(&failure::not_run(None, &Code::Busy))
     }
 
     #[allow(
--- a/fulmargw_pool/src/session/failure.rs
+++ b/fulmargw_pool/src/session/failure.rs
@@ -1,9 +1,16 @@
 //! Refusals and errors that this host generates itself.
 
+use super::RETRY_AFTER;
 use crate::message::Response;
-use fulmargw_model::execution::{Code, Kind, Statement, Text};
+use fulmargw_model::{
+    execution::{Code, Kind, Statement, Text},
+    name::Name,
+};
 use std::time::Duration;
 
+/// Largest part of a retry delay that is chosen at random.
+const MAX_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A refusal or error that this host generates itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Failure {
@@ -38,6 +45,18 @@
     }
 }
 
+/// Returns the refusal of a statement that certainly did not run, with the code of the last
+/// rejection and the server that gave it, if one did.
+pub(super) fn not_run(server: Option<&Name>, code: &Code) -> Failure {
+    let is_without_primary = server.is_none() && *code == Code::ReadOnly;
+    if is_without_primary {
+        // Spreads the retries, so that the callers do not come back in the same moment.
+        let delay = RETRY_AFTER + rand::random_range(RETRY_AFTER..=MAX_RETRY_AFTER);
+        return Failure::later(Code::Busy, "no primary can be reached", delay);
+    }
+    Failure::later(Code::Busy, "no backend server is free", RETRY_AFTER)
+}
+
 /// Returns the error for a statement that was sent to a backend server and got no response.
 pub(super) fn no_response(statement: &Statement, timed_out: bool) -> Failure {
     match statement.kind {
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -11,6 +11,7 @@
     backend::{Registry, Role, Server},
     dialect::Dialect,
     freshness::Freshness,
+    health::Trouble,
     routing::{Availability, Candidate},
 };
 use fulmargw_model::{execution::ServerId, name::Name, position::Position};
@@ -39,6 +40,8 @@
     pub primary_id: Option<Name>,
     /// Time at which this host learned of its promotion, if it was promoted.
     promoted_at: Option<Instant>,
+    /// Time since which there has been no assumed primary, or it has denied to be the primary.
+    without_primary_since: Option<Instant>,
     /// Samples of the primary's log position.
     pub freshness: Freshness,
     /// Greatest log position that the primary is known to have acknowledged, to this host or to one
@@ -121,6 +124,7 @@
         Self {
             primary_id: None,
             promoted_at: None,
+            without_primary_since: None,
             freshness: Freshness::default(),
             acknowledged: None,
             sample_requested: None,
@@ -153,6 +157,7 @@
         };
         if is_new_primary && self.primary_id.as_ref() != Some(&server.id) {
             self.primary_id = Some(server.id.clone());
+            self.without_primary_since = None;
             changes.push(Change::PrimaryChanged(server.clone()));
         }
     }
@@ -203,6 +208,28 @@
             .values()
             .find(|backend| backend.server.role == Role::Primary)
             .map(|backend| backend.server.id.clone());
+        self.without_primary_since = self.primary_id.is_none().then(Instant::now);
+    }
+
+    /// Records that the assumed primary has proved to be the primary.
+    pub fn confirm_primary(&mut self) {
+        self.without_primary_since = None;
+    }
+
+    /// Returns for how long this host has known no server that works as the primary; zero if it
+    /// knows one.
+    #[must_use]
+    pub fn time_without_primary(&self, now: Instant) -> Duration {
+        let since = self.without_primary_since;
+        let missing = since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let trouble = self
+            .primary()
+            .and_then(|primary| primary.health.trouble(now));
+        match trouble {
+            Some((Trouble::Unreachable | Trouble::Silent, age)) => missing.max(age),
+            // A server that does not complete commits still runs other statements.
+            Some((Trouble::Stuck, _)) | None => missing,
+        }
     }
 
     /// Makes a server the assumed primary because a host has promoted it. Returns whether this
@@ -212,6 +239,7 @@
         if is_new {
             self.primary_id = Some(server.clone());
             self.promoted_at = Some(now);
+            self.without_primary_since = None;
         }
         is_new
     }
@@ -225,12 +253,14 @@
         if self.primary_id.as_ref() != Some(server) || is_being_promoted {
             return None;
         }
+        self.without_primary_since.get_or_insert(now);
         let other = self.backends.values().find(|backend| {
             let is_registered =
                 backend.server.role == Role::Primary && backend.server.id != *server;
             is_registered && backend.health.trouble(now).is_none()
         })?;
         self.primary_id = Some(other.server.id.clone());
+        self.without_primary_since = None;
         self.primary_id.clone()
     }
 
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -9,7 +9,7 @@
     job::{Job, Outcome, PooledConnection},
     routing::{self, Choice, FreeSlots, Requirements},
     store::Platform,
-    table::Checkout,
+    table::{Checkout, Group},
 };
 use fulmargw_decision::queue::Readiness;
 use fulmargw_model::{
@@ -72,17 +72,15 @@
             let Request {
                 account,
                 avoid,
-                statement,
-                visibility,
                 objective,
                 ..
             } = &job.request;
-            let is_current = visibility.consistency == Consistency::Current;
-            if !free_slots.may_take(is_current || statement.kind.needs_primary()) {
+            if !free_slots.may_take(job.request.needs_primary()) {
                 return None;
             }
             group.set_account(&mut candidates, account, avoid.as_ref(), moment.now);
-            let requirements = requirements(job, group, limits.staleness_margin(), moment);
+            let margin = limits.staleness_margin();
+            let requirements = requirements(&job.request, group, margin, moment);
             let choice = routing::choose(&requirements, &candidates)?;
             let waited = moment.now.saturating_duration_since(job.queued);
             let is_ready = !choice.opens || waited >= objective.mul_f64(READY_FIRST_FRACTION);
@@ -176,17 +174,18 @@
     })
 }
 
-fn requirements<D: Dialect>(
-    job: &Job<D>,
-    group: &crate::table::Group<D>,
+/// Returns what a statement requires of the server that runs it.
+pub(crate) fn requirements<D: Dialect>(
+    request: &Request,
+    group: &Group<D>,
     staleness_margin: Duration,
     moment: Moment,
 ) -> Requirements {
-    let primary_only = job.request.statement.kind.needs_primary();
+    let primary_only = request.statement.kind.needs_primary();
     let Visibility {
         consistency,
         last_commit,
-    } = job.request.visibility;
+    } = request.visibility;
     let max_staleness = match consistency {
         Consistency::Current => None,
         Consistency::Bounded(max_staleness) | Consistency::Session(max_staleness) => {
