Survive odd registry entries, and keep the writes of a silent holder

Odd entries: an entry with 4,294,967,295 slots overflowed a share (debug builds: the task that follows the registry ended for good; release builds: 0 slots), an entry whose unused fields were malformed counted as a server that never responds, which blocks promotions, and an entry for a service that no configuration names started promotions.

Silence: a holder that did not answer a ping for 400 ms lost all that it ran: writes ended as INDOUBT, transactions were rolled back. It gets no new statements after 400 ms and reads go elsewhere, but writes and transactions are given up only after 1.2 s.

--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -10,7 +10,8 @@
 use crate::{recorder, serve::signal::Signals};
 use fulmargw_peer::{forward as statement, report};
 use fulmargw_pool::{
-    core::Core, dump, failover, follow, forward, listener, probe, settings::Settings, worker,
+    core::Core, dump, failover, follow, forward, listener, probe, settings::Settings, supervisor,
+    worker,
 };
 use platform::{client::Client, codec};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
@@ -52,13 +53,13 @@
     let tasks = &core.tasks;
     tasks.spawn(sink.clone().flush_periodically());
     for _ in 0..WORKER_COUNT {
-        tasks.spawn(worker::run(Arc::clone(&core)));
+        supervise(&core, "worker", worker::run);
     }
-    tasks.spawn(follow::catalog(Arc::clone(&core)));
-    tasks.spawn(follow::registry::run(Arc::clone(&core)));
-    tasks.spawn(follow::membership::run(Arc::clone(&core)));
-    tasks.spawn(follow::report::run(Arc::clone(&core)));
-    tasks.spawn(failover::run(Arc::clone(&core)));
+    supervise(&core, "configuration", follow::catalog);
+    supervise(&core, "registry", follow::registry::run);
+    supervise(&core, "membership", follow::membership::run);
+    supervise(&core, "reports", follow::report::run);
+    supervise(&core, "failover", failover::run);
     tasks.spawn(reload::run(Arc::clone(&core), file.to_owned()));
     let handler = follow::report::Handler(Arc::clone(&core));
     tasks.spawn(report::serve(report_listener, handler, core.stop.clone()));
@@ -92,6 +93,16 @@
     Ok(())
 }
 
+/// Spawns a task that runs as long as the process, also after it has failed.
+fn supervise<F>(core: &Arc<Pool>, task: &'static str, run: fn(Arc<Pool>) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let shared = Arc::clone(core);
+    let start = move || run(Arc::clone(&shared));
+    core.tasks.spawn(supervisor::run(task, start));
+}
+
 /// Renders the state dump as JSON; empty if it cannot be encoded.
 fn render_state(core: &Pool) -> String {
     serde_json::to_string_pretty(&dump::dump(core)).unwrap_or_else(|cause| {
--- a/fulmargw_decision/src/gossip.rs
+++ b/fulmargw_decision/src/gossip.rs
@@ -109,7 +109,7 @@
     pub fn next<'a>(
         &mut self,
         own: &Name,
-        peers: impl ExactSizeIterator<Item = &'a Name> + Clone,
+        peers: &(impl ExactSizeIterator<Item = &'a Name> + Clone),
     ) -> Vec<Name> {
         let count = FANOUT.min(peers.len());
         let mut round = Vec::with_capacity(count);
--- a/fulmargw_decision/src/rate.rs
+++ b/fulmargw_decision/src/rate.rs
@@ -253,10 +253,10 @@
     }
 
     fn shortage(&self, missing: f64) -> Shortage {
-        let seconds = (missing / self.share.rate).min(MAX_WAIT.as_secs_f64());
+        let wait = Duration::try_from_secs_f64(missing / self.share.rate);
         Shortage {
             missing,
-            wait: Duration::from_secs_f64(seconds),
+            wait: wait.unwrap_or(MAX_WAIT).min(MAX_WAIT),
         }
     }
 
--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -2,7 +2,11 @@
 
 use super::{ForwardClient, Outcome, TransactionId};
 use crate::connection::{Connection, Stub, Target};
-use fulmargw_model::{execution::Request, name::Name, position::Position};
+use fulmargw_model::{
+    execution::{Kind, Request},
+    name::Name,
+    position::Position,
+};
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -20,12 +24,19 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval of pings while a connection is in use.
 const PING_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without a response to a ping after which the connection is replaced. A process that has
-/// used up its CPU quota is paused for up to 100 ms.
+/// Time without a response to a ping after which a peer counts as silent: it gets no new statements,
+/// and reads are retried elsewhere. A process that has used up its CPU quota is paused for up to
+/// 100 ms.
 const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time of silence after which the connection is replaced, which gives up the writes and
+/// transactions that the peer runs. A peer that was only slow responds before.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 /// Time beyond the timeout of a statement that a peer gets to report its outcome.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
+/// Cause of an error of a peer that is silent.
+const NO_RESPONSE_TO_PINGS: &str = "no response to pings";
+
 /// A failed call to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
 pub enum Error {
@@ -60,6 +71,8 @@
     address: SocketAddr,
     connection: Connection<ForwardClient>,
     use_count: watch::Sender<usize>,
+    /// Whether the peer has not responded to the last ping.
+    is_silent: watch::Sender<bool>,
     _ping_task: AbortOnDropHandle<()>,
 }
 
@@ -119,6 +132,9 @@
     ) -> Result<(Outcome, Option<RemoteTransaction>), Error> {
         let peer = PeerGuard::new(self.peer(address));
         let stub = peer.0.stub().await?;
+        if *peer.0.is_silent.borrow() {
+            return Err(peer.0.unreachable_error(NO_RESPONSE_TO_PINGS.to_owned()));
+        }
         let outcome = peer.0.run(&stub, request, None).await?;
         let remote = match &outcome {
             Outcome::Answered {
@@ -185,7 +201,7 @@
         called.await.map_err(|_| peer.lost_error(&"timeout"))?
     }
 
-    /// Checks that a peer responds; otherwise its connection is replaced.
+    /// Checks that a peer responds; otherwise its connection is replaced, unless it is in use.
     ///
     /// # Errors
     ///
@@ -196,7 +212,9 @@
         if ping(&stub).await {
             return Ok(());
         }
-        peer.connection.report_unresponsive(&stub);
+        if *peer.use_count.borrow() == 0 {
+            peer.connection.report_unresponsive(&stub);
+        }
         Err(peer.lost_error(&"timeout"))
     }
 
@@ -250,11 +268,19 @@
             timeout: CONNECT_TIMEOUT,
         });
         let (use_count, use_count_receiver) = watch::channel(0);
-        let task = tokio::spawn(send_pings(address, connection.clone(), use_count_receiver));
+        let is_silent = watch::Sender::new(false);
+        let pings = Pings {
+            peer: address,
+            connection: connection.clone(),
+            use_count: use_count_receiver,
+            is_silent: is_silent.clone(),
+        };
+        let task = tokio::spawn(pings.run());
         Arc::new(Self {
             address,
             connection,
             use_count,
+            is_silent,
             _ping_task: AbortOnDropHandle::new(task),
         })
     }
@@ -266,10 +292,7 @@
             Ok(Err(cause)) => cause,
             Err(_) => "timeout while connecting".to_owned(),
         };
-        Err(Error::Unreachable {
-            peer: self.address,
-            cause,
-        })
+        Err(self.unreachable_error(cause))
     }
 
     async fn run(
@@ -279,8 +302,15 @@
         transaction: Option<TransactionId>,
     ) -> Result<Outcome, Error> {
         let deadline = Instant::now() + request.remaining + RESPONSE_MARGIN;
+        let is_read = transaction.is_none() && request.statement.kind == Kind::Read;
         let response = stub.client.run(context_of(deadline), request, transaction);
-        match timeout_at(deadline, response).await {
+        let response = tokio::select! {
+            response = timeout_at(deadline, response) => response,
+            () = self.wait_for_silence(), if is_read => {
+                return Err(self.lost_error(&NO_RESPONSE_TO_PINGS));
+            }
+        };
+        match response {
             Ok(Ok(outcome)) => Ok(outcome),
             Ok(Err(RpcError::Shutdown)) => Err(self.lost_error(&"the connection broke")),
             Ok(Err(cause)) => Err(self.lost_error(&cause)),
@@ -288,6 +318,19 @@
         }
     }
 
+    async fn wait_for_silence(&self) {
+        let mut is_silent = self.is_silent.subscribe();
+        // The sender lives as long as this peer.
+        let _ = is_silent.wait_for(|is_silent| *is_silent).await;
+    }
+
+    fn unreachable_error(&self, cause: String) -> Error {
+        Error::Unreachable {
+            peer: self.address,
+            cause,
+        }
+    }
+
     fn lost_error(&self, cause: &impl ToString) -> Error {
         Error::Lost {
             peer: self.address,
@@ -296,21 +339,41 @@
     }
 }
 
-/// Pings a peer while its connection is in use, and has the connection replaced if the peer does
-/// not respond.
-async fn send_pings(
+/// Pings of one peer.
+struct Pings {
     peer: SocketAddr,
     connection: Connection<ForwardClient>,
-    mut use_count: watch::Receiver<usize>,
-) {
-    while use_count.wait_for(|count| *count > 0).await.is_ok() {
-        sleep(PING_INTERVAL).await;
-        let Some(stub) = connection.connected_stub() else {
-            continue;
-        };
-        if !ping(&stub).await && *use_count.borrow() > 0 {
-            log::info!(event = "host_silent", host:% = peer; "host does not respond; replacing the connection to it");
-            connection.report_unresponsive(&stub);
+    use_count: watch::Receiver<usize>,
+    is_silent: watch::Sender<bool>,
+}
+
+impl Pings {
+    /// Pings the peer while its connection is in use. Records whether it responds, and has the
+    /// connection replaced if it does not for [`SILENCE_LIMIT`].
+    async fn run(mut self) {
+        let mut silent_since: Option<Instant> = None;
+        while self.use_count.wait_for(|count| *count > 0).await.is_ok() {
+            sleep(PING_INTERVAL).await;
+            let Some(stub) = self.connection.connected_stub() else {
+                self.is_silent.send_replace(false);
+                silent_since = None;
+                continue;
+            };
+            let sent = Instant::now();
+            let is_responsive = ping(&stub).await;
+            if is_responsive || *self.use_count.borrow() == 0 {
+                self.is_silent.send_replace(false);
+                silent_since = None;
+                continue;
+            }
+            let since = *silent_since.get_or_insert(sent);
+            if !self.is_silent.send_replace(true) {
+                log::info!(event = "host_silent", host:% = self.peer; "host does not respond to pings; sending it no new statements");
+            }
+            if since.elapsed() >= SILENCE_LIMIT {
+                log::info!(event = "host_given_up", host:% = self.peer, silent_ms = since.elapsed().as_millis(); "host stays silent; replacing the connection to it");
+                self.connection.report_unresponsive(&stub);
+            }
         }
     }
 }
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -183,7 +183,17 @@
         if core.draining.is_cancelled() {
             return Vec::new();
         }
-        let names: Vec<Name> = core.servers.lock().groups.keys().cloned().collect();
+        let Some(configuration) = core.configuration() else {
+            return Vec::new();
+        };
+        // An entry of the registry may name a service that is not configured. Nobody uses it, so
+        // its servers are left alone.
+        let is_configured = |name: &&Name| configuration.catalog.services.contains_key(*name);
+        let names: Vec<Name> = {
+            let servers = core.servers.lock();
+            let names = servers.groups.keys().filter(is_configured);
+            names.cloned().collect()
+        };
         let mut due = Vec::new();
         for service in names {
             let reason = assess(core, &service, now);
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -64,7 +64,8 @@
 #[must_use]
 pub fn renew_interval(members: &Members, now: Instant) -> Duration {
     let hosts = members.count();
-    let scaled = |minimum: Duration, per_host: Duration| minimum.max(per_host.saturating_mul(hosts));
+    let scaled =
+        |minimum: Duration, per_host: Duration| minimum.max(per_host.saturating_mul(hosts));
     if members.is_isolated(now) {
         ISOLATED_RENEW_INTERVAL
     } else if members.has_unresponsive_peer(now) {
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -247,7 +247,7 @@
 
     /// Returns the addresses of the peers in the next round of reports.
     pub fn next_round(&mut self) -> Vec<SocketAddr> {
-        let names = self.rotation.next(&self.own, self.peers.keys());
+        let names = self.rotation.next(&self.own, &self.peers.keys());
         let peers = names.iter().filter_map(|name| self.peers.get(name));
         peers.map(|peer| peer.endpoint.reports).collect()
     }
--- a/fulmargw_pool/src/settings.rs
+++ b/fulmargw_pool/src/settings.rs
@@ -175,7 +175,7 @@
         };
         Share {
             connections: (connection_limit - reserve).max(MIN_CONNECTIONS),
-            running: slots + PIPELINED_STATEMENTS,
+            running: slots.saturating_add(PIPELINED_STATEMENTS),
         }
     }
 
--- a/fulmargw_pool/tests/routing.rs
+++ b/fulmargw_pool/tests/routing.rs
@@ -342,6 +342,12 @@
     };
     let read = requirements(Some(min_position(50)));
 
-    assert_eq!(chosen(&read, &[busy_primary.clone(), avoided]), Some("p".into()));
-    assert_eq!(chosen(&read, &[busy_primary, candidate("r")]), Some("r".into()));
+    assert_eq!(
+        chosen(&read, &[busy_primary.clone(), avoided]),
+        Some("p".into())
+    );
+    assert_eq!(
+        chosen(&read, &[busy_primary, candidate("r")]),
+        Some("r".into())
+    );
 }
