--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -22,8 +22,13 @@
 /// Maximum of the longest wait for a newer configuration. Reports of any watching host deliver it
 /// too.
 const MAX_CATALOG_TIMEOUT: Duration = Duration::from_secs(15);
-/// Delay after a failed call to the platform.
+/// Delay after a failed call to the platform; it doubles with each further failure in a row.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Maximum of that delay. It is well below the time in which a new configuration has to be in force
+/// after the store is back.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+/// Part of that delay that is chosen at random, so that hosts do not call in the same moment.
+const RETRY_JITTER: f64 = 0.5;
 
 /// Tracks whether calls to the platform for one purpose succeed, and logs each change once.
 #[derive(Debug)]
@@ -31,6 +36,8 @@
     name: &'static str,
     /// Time of the first failed call since the last successful one.
     failing_since: Option<Instant>,
+    /// Failed calls since the last successful one.
+    failures: u32,
 }
 
 impl Dependency {
@@ -38,19 +45,31 @@
         Self {
             name,
             failing_since: None,
+            failures: 0,
         }
     }
 
     fn record_failure(&mut self, error: &Error) {
         metrics::counter!("fulmargw_pool_platform_failures_total", "purpose" => self.name)
             .increment(1);
+        self.failures += 1;
         if self.failing_since.is_none() {
             self.failing_since = Some(Instant::now());
             log::warn!(event = "dependency_lost", dependency = self.name, cause:% = error; "platform call failed");
         }
     }
 
+    /// Returns the delay before the next call after a failed one.
+    fn retry_delay(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(1).min(8);
+        let delay = RETRY_DELAY
+            .saturating_mul(1 << doublings)
+            .min(MAX_RETRY_DELAY);
+        delay.mul_f64(1.0 - RETRY_JITTER * rand::random::<f64>())
+    }
+
     fn record_success(&mut self) {
+        self.failures = 0;
         if let Some(since) = self.failing_since.take() {
             let lost_ms = millis(since.elapsed());
             log::info!(event = "dependency_regained", dependency = self.name, lost_ms; "platform responds again");
@@ -86,7 +105,7 @@
             Err(error) => {
                 dependency.record_failure(&error);
                 revision = revision_after_failure(revision, &error);
-                sleep(RETRY_DELAY).await;
+                sleep(dependency.retry_delay()).await;
             }
         }
     }
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -1,6 +1,6 @@
 //! Registers this host in the store, and removes the member rows of expired hosts.
 
-use super::{Dependency, RETRY_DELAY, apply_membership};
+use super::{Dependency, apply_membership};
 use crate::{
     core::Core,
     dialect::Dialect,
@@ -39,7 +39,7 @@
             }
             Err(error) => {
                 dependency.record_failure(&error);
-                sleep(RETRY_DELAY * 2).await;
+                sleep(dependency.retry_delay()).await;
             }
         }
     }
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -1,6 +1,6 @@
 //! Keeps the table of backend servers in step with the registry.
 
-use super::{Dependency, RETRY_DELAY, revision_after_failure, watch_timeout};
+use super::{Dependency, revision_after_failure, watch_timeout};
 use crate::{
     backend::{Registry, Server},
     core::Core,
@@ -111,7 +111,7 @@
                 dependency.record_failure(&error);
                 revision = revision_after_failure(revision, &error);
                 entries.restart_grace(now);
-                sleep(RETRY_DELAY).await;
+                sleep(dependency.retry_delay()).await;
             }
         }
     }
