Dispatch the newest statements first under a backlog

Cause: in the order of arrival an overload makes every statement wait as long as its objective allows; all are answered late and the slots work for callers that no longer profit.

Change: adaptive LIFO. In a lane whose oldest statement has waited for 80 ms the newest goes first; turns between accounts stay as they are.

--- a/fulmargw_decision/src/queue.rs
+++ b/fulmargw_decision/src/queue.rs
@@ -2,11 +2,17 @@
 
 use fulmargw_model::name::Name;
 use serde::Serialize;
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
 /// Cost that a lane may spend in one round.
 const QUANTUM: u32 = 4;
+/// Age of the oldest item of a lane above which the newest items go first (adaptive LIFO).
+///
+/// In the order of arrival a backlog makes every item wait as long as its submitter allows, and all
+/// of them are late. In reverse order most are served in time, and the others would have been late
+/// anyway.
+const BACKLOG_AGE: Duration = Duration::from_millis(80);
 /// Number of items that a search looks at, after the first that could be dispatched, for one that
 /// can start at once.
 const LOOK_AHEAD: usize = 32;
@@ -54,6 +60,8 @@
     pub urgency: Urgency,
     /// Cost in the deficit round robin, from 1 to 4.
     pub cost: u32,
+    /// Time at which the item arrived.
+    pub queued_at: Instant,
     /// Time after which the item is not dispatched any more.
     pub deadline: Instant,
     /// The item itself.
@@ -91,6 +99,7 @@
 struct Waiting<T> {
     ticket: Ticket,
     cost: u32,
+    queued_at: Instant,
     deadline: Instant,
     item: T,
 }
@@ -145,6 +154,7 @@
         lane.waiting.push_back(Waiting {
             ticket,
             cost: entry.cost.clamp(1, QUANTUM),
+            queued_at: entry.queued_at,
             deadline: entry.deadline,
             item: entry.item,
         });
@@ -273,8 +283,8 @@
         let mut first: Option<Found<U>> = None;
         let mut looked_at = 0;
         let items = self.lanes.iter().enumerate().flat_map(|(lane, content)| {
-            let items = content.waiting.iter().enumerate();
-            items.map(move |(item, waiting)| (lane, item, waiting))
+            let order = content.order(now);
+            order.map(move |item| (lane, item, &content.waiting[item]))
         });
         for (lane, item, waiting) in items.filter(|(_, _, waiting)| waiting.deadline > now) {
             if first.is_some() {
@@ -360,6 +370,22 @@
 }
 
 impl<T> Lane<T> {
+    /// Returns the indexes of the items in the order of dispatch: the order of arrival or, under a
+    /// backlog, the reverse.
+    fn order(&self, now: Instant) -> impl Iterator<Item = usize> + use<T> {
+        let count = self.waiting.len();
+        let oldest = self.waiting.front();
+        let has_backlog = oldest
+            .is_some_and(|oldest| now.saturating_duration_since(oldest.queued_at) > BACKLOG_AGE);
+        (0..count).map(move |index| {
+            if has_backlog {
+                count - 1 - index
+            } else {
+                index
+            }
+        })
+    }
+
     /// Removes an item and charges its cost to the deficit counter.
     fn take(&mut self, index: usize) -> Option<T> {
         let taken = self.waiting.remove(index)?;
--- a/fulmargw_decision/tests/queue.rs
+++ b/fulmargw_decision/tests/queue.rs
@@ -15,6 +15,7 @@
         account: Name::new(account),
         urgency,
         cost: 1,
+        queued_at: Instant::now(),
         deadline: Instant::now() + Duration::from_secs(5),
         item,
     }
--- a/fulmargw_engine/src/execute/dispatch.rs
+++ b/fulmargw_engine/src/execute/dispatch.rs
@@ -82,6 +82,7 @@
             account: job.request.account.clone(),
             urgency: job::urgency(job.request.class),
             cost: job.operation.cost(),
+            queued_at: Instant::now(),
             deadline: job.request.deadline,
             item: job,
         };
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -259,6 +259,7 @@
             } else {
                 1
             },
+            queued_at: job.queued,
             deadline: job.deadline,
             item: job,
         };
