Remove a notification that nothing awaited

primary_suspected was notified in eight places and awaited in none; the primaries are checked every 100 ms. An encoding failure has a kind of its own, and a replica that rejected a read is a state of its availability. No change of behaviour.

--- a/fulmargw_decision/tests/breaker.rs
+++ b/fulmargw_decision/tests/breaker.rs
@@ -16,7 +16,7 @@
     while now < outage {
         leaves_at.retain(|at| *at > now);
         let wait = if breaker::admits(now, leaves_at.len()) {
-            let wait = WAIT.min(outage - now);
+            let wait = WAIT.min(outage.saturating_sub(now));
             leaves_at.push(now + wait);
             wait
         } else {
@@ -48,7 +48,9 @@
     let refused_at_once = later.count() - waiting.len();
     // Two probes at a time, each for 250 ms: 8 a second of 400.
     assert!(refused_at_once * 100 >= waits.len() * 75);
-    let gaps = waiting.windows(2).map(|pair| pair[1].0 - pair[0].0);
+    let gaps = waiting
+        .windows(2)
+        .map(|pair| pair[1].0.saturating_sub(pair[0].0));
     assert!(gaps.max().expect("probes") <= WAIT + ARRIVAL_INTERVAL);
     assert_eq!(PROBES, 2);
 }
--- a/fulmargw_decision/tests/queue.rs
+++ b/fulmargw_decision/tests/queue.rs
@@ -150,7 +150,7 @@
         queue.push(entry("a", Urgency::Urgent, item));
     }
 
-    let even_is_ready = |item: &u32| Some(((), readiness(item % 2 == 0)));
+    let even_is_ready = |item: &u32| Some(((), readiness(item.is_multiple_of(2))));
     let popped = (0..6).filter_map(|_| queue.pop_ready_first(Instant::now(), even_is_ready));
     let order: Vec<u32> = popped.map(|(item, ())| item).collect();
 
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -82,8 +82,6 @@
     pub servers: Mutex<Servers<D>>,
     /// Notified when a job starts to wait, or a server may run another statement.
     pub work_ready: Notify,
-    /// Notified when a primary may have to be replaced.
-    pub primary_suspected: Notify,
     /// Notified when a report should be sent to peers at once.
     pub report_now: Notify,
     /// Cancelled when the host stops accepting new sessions.
@@ -128,7 +126,6 @@
             queues: Mutex::new(Rank::Queue, Queues::new(QUEUE_BOUND)),
             servers: Mutex::new(Rank::Server, Servers::new()),
             work_ready: Notify::new(),
-            primary_suspected: Notify::new(),
             report_now: Notify::new(),
             draining: CancellationToken::new(),
             closing_idle: CancellationToken::new(),
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -116,13 +116,11 @@
         }
         Ok(Err(connection::Error::Unreachable(cause))) => {
             record_outcome(Health::record_failure);
-            core.primary_suspected.notify_one();
             log::info!(event = "connection_failed", request:% = job.request.statement.request(), server = trace.server_id.server.as_str(), cause:% = cause; "cannot open a connection to a backend server");
             Err(Code::Busy)
         }
         Err(_) => {
             record_outcome(Health::record_failure);
-            core.primary_suspected.notify_one();
             log::info!(event = "connection_failed", request:% = job.request.statement.request(), server = trace.server_id.server.as_str(), cause = "timeout"; "cannot open a connection to a backend server");
             Err(Code::Busy)
         }
@@ -194,7 +192,6 @@
                     backend.health.record_failure(now);
                 }
             });
-            core.primary_suspected.notify_one();
             core.work_ready.notify_one();
             drop(connection);
             let outcome = Outcome::Lost {
@@ -394,6 +391,5 @@
         Failure::NotSent | Failure::Rejected(_) => "not sent".to_owned(),
     };
     log::info!(event = "connection_lost", request:% = statement.request(), server = trace.server_id.server.as_str(), cause:% = cause; "connection to a backend server failed");
-    core.primary_suspected.notify_one();
     core.work_ready.notify_one();
 }
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -159,6 +159,6 @@
     rmp_serde::to_vec(record).map_err(|cause| Error {
         step: "encode the member row",
         peer: String::new(),
-        kind: Kind::Undecodable(cause.to_string()),
+        kind: Kind::Unencodable(cause.to_string()),
     })
 }
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -126,7 +126,6 @@
     }
     if !changes.is_empty() {
         core.work_ready.notify_one();
-        core.primary_suspected.notify_one();
     }
     core.registry_read.send_if_modified(|is_read| {
         let is_first = !*is_read && !all.is_empty();
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -42,7 +42,7 @@
         let silence = Timing::of(hosts).silence;
         let removal = MIN_REMOVAL.max(silence.mul_f64(REMOVAL_PER_SILENCE));
         Self {
-            share: removal - SHARE_MARGIN,
+            share: removal.saturating_sub(SHARE_MARGIN),
             removal,
         }
     }
--- a/fulmargw_pool/src/routing.rs
+++ b/fulmargw_pool/src/routing.rs
@@ -37,8 +37,6 @@
     pub is_same_zone: bool,
     /// Whether it may get new statements.
     pub is_usable: bool,
-    /// Whether it rejected the previous attempt to run the statement.
-    pub is_avoided: bool,
     /// Whether a connection is available to the account.
     pub availability: Availability,
     /// Number of statements of this host that run there.
@@ -60,6 +58,8 @@
     Openable,
     /// All connections of this host are in use, or none may be opened now.
     Exhausted,
+    /// None is to be used, because the server rejected the previous attempt to run the statement.
+    Avoided,
 }
 
 /// Which servers of a group have a free slot.
@@ -108,7 +108,11 @@
     }
 
     fn is_free(&self) -> bool {
-        self.has_free_slot() && !self.is_avoided && self.availability != Availability::Exhausted
+        let has_connection = matches!(
+            self.availability,
+            Availability::Idle | Availability::Openable
+        );
+        self.has_free_slot() && has_connection
     }
 
     /// Reports whether a replica is expected to have applied a position.
@@ -219,7 +223,7 @@
         candidates.iter().any(|candidate| {
             !candidate.is_primary
                 && candidate.is_usable
-                && !candidate.is_avoided
+                && candidate.availability != Availability::Avoided
                 && candidate.is_expected_to_have(&min_position, LAG_RETRY_DELAY)
         })
     })
--- a/fulmargw_pool/src/sampling.rs
+++ b/fulmargw_pool/src/sampling.rs
@@ -66,7 +66,6 @@
             backend.connection_closed();
             backend.health.record_failure(Instant::now());
         });
-        core.primary_suspected.notify_one();
         return;
     };
     let mut servers = core.servers.lock();
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -115,6 +115,8 @@
     Compacted,
     /// the content cannot be decoded: {0}
     Undecodable(String),
+    /// the content cannot be encoded: {0}
+    Unencodable(String),
 }
 
 impl std::error::Error for Error {}
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -288,7 +288,6 @@
             is_primary: self.primary_id.as_ref() == Some(&backend.server.id),
             is_same_zone: backend.server.zone == *zone,
             is_usable: backend.health.is_usable(now) && is_in_service(backend),
-            is_avoided: false,
             availability: Availability::Exhausted,
             running: backend.running,
             max_running: backend.share().running,
@@ -308,10 +307,14 @@
         now: Instant,
     ) {
         for (candidate, backend) in candidates.iter_mut().zip(self.backends.values()) {
-            candidate.is_avoided = !candidate.is_primary && avoid == Some(&candidate.id);
-            if candidate.has_free_slot() {
-                candidate.availability = backend.availability(account, now);
-            }
+            let is_avoided = !candidate.is_primary && avoid == Some(&candidate.id);
+            candidate.availability = if is_avoided {
+                Availability::Avoided
+            } else if candidate.has_free_slot() {
+                backend.availability(account, now)
+            } else {
+                Availability::Exhausted
+            };
         }
     }
 }
--- a/fulmargw_pool/tests/routing.rs
+++ b/fulmargw_pool/tests/routing.rs
@@ -24,7 +24,6 @@
         is_primary: false,
         is_same_zone: false,
         is_usable: true,
-        is_avoided: false,
         availability: Availability::Idle,
         running: 0,
         max_running: 2,
@@ -333,7 +332,7 @@
 #[test]
 fn a_replica_that_rejected_a_read_is_avoided() {
     let avoided = Candidate {
-        is_avoided: true,
+        availability: Availability::Avoided,
         ..candidate("r")
     };
     let busy_primary = Candidate {
