--- a/fulmargw_decision/src/gossip.rs
+++ b/fulmargw_decision/src/gossip.rs
@@ -1,5 +1,5 @@
 //! Gossip-style failure detection: in each round a host exchanges reports with a few peers, and the
-//! reports say how long ago each host was last heard of.
+//! reports say how long ago each host was last seen.
 //!
 //! A round takes longer the more hosts there are, so that the bytes a second of a host stay bounded.
 //! What one host knows has reached all others after a number of rounds that grows with the logarithm
@@ -16,11 +16,11 @@
 pub const FANOUT: usize = 4;
 /// Minimum time between two rounds of reports.
 pub const MIN_ROUND: Duration = Duration::from_millis(500);
-/// Minimum time without a sign of life after which a host counts as silent.
-pub const MIN_SILENCE: Duration = Duration::from_millis(1_600);
+/// Minimum time since a host was last seen after which it counts as unresponsive.
+pub const MIN_PEER_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Number of peers above which rounds take longer.
 const PEERS_AT_MIN_ROUND: f64 = 8.0;
-/// Rounds that a sign of life may take beyond those that it needs on average. Lost reports and the
+/// Rounds that news of a host may take beyond those that it needs on average. Lost reports and the
 /// random choice of peers delay it.
 const SPARE_ROUNDS: u32 = 3;
 /// Resolution of a reported age.
@@ -31,8 +31,8 @@
 pub struct Timing {
     /// Time between two rounds of reports.
     pub round: Duration,
-    /// Time without a sign of life after which a host counts as silent.
-    pub silence: Duration,
+    /// Time since a host was last seen after which it counts as unresponsive.
+    pub peer_timeout: Duration,
 }
 
 impl Timing {
@@ -41,7 +41,7 @@
     pub fn of(hosts: u32) -> Self {
         // A report has a fixed part and a part that grows with the number of hosts. With the square
         // root, hosts of a large fleet send fewer bytes a second than those of a small one, and
-        // still notice a silent host soon.
+        // still notice an unresponsive host soon.
         let peers = f64::from(hosts.saturating_sub(1));
         let round = MIN_ROUND.mul_f64((peers / PEERS_AT_MIN_ROUND).sqrt().max(1.0));
         let spread = match rounds_to_reach(hosts) {
@@ -49,8 +49,11 @@
             0 | 1 => 0,
             rounds => rounds,
         };
-        let silence = MIN_SILENCE.max(round * (spread + SPARE_ROUNDS));
-        Self { round, silence }
+        let peer_timeout = MIN_PEER_TIMEOUT.max(round * (spread + SPARE_ROUNDS));
+        Self {
+            round,
+            peer_timeout,
+        }
     }
 }
 
@@ -67,13 +70,13 @@
     rounds
 }
 
-/// Time since a host was last heard of, rounded up to tenths of a second.
+/// Time since a host was last seen, rounded up to tenths of a second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Age(u16);
 
 impl Age {
-    /// The host was not heard of, or too long ago.
+    /// The host was not seen, or too long ago.
     pub const UNKNOWN: Self = Self(u16::MAX);
 
     /// Returns the age as a duration; `None` if it is unknown.
--- a/fulmargw_decision/tests/gossip.rs
+++ b/fulmargw_decision/tests/gossip.rs
@@ -1,6 +1,6 @@
 //! Intervals and order of the reports that hosts exchange.
 
-use fulmargw_decision::gossip::{Age, FANOUT, MIN_ROUND, MIN_SILENCE, Rotation, Timing};
+use fulmargw_decision::gossip::{Age, FANOUT, MIN_PEER_TIMEOUT, MIN_ROUND, Rotation, Timing};
 use fulmargw_model::name::Name;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -32,19 +32,19 @@
     assert!(bytes_per_s(300) <= bytes_per_s(78));
 }
 
-/// Guards against a host that takes longer to notice silence in a smaller fleet than in a larger
+/// Guards against a host that takes longer to notice an unresponsive peer in a smaller fleet than in a larger
 /// one, and against a change of the intervals of small fleets.
 #[test]
-fn silence_takes_longer_in_larger_fleets() {
+fn timeouts_are_longer_in_larger_fleets() {
     let timings = SIZES.map(Timing::of);
 
     let small = Timing {
         round: MIN_ROUND,
-        silence: MIN_SILENCE,
+        peer_timeout: MIN_PEER_TIMEOUT,
     };
     assert_eq!(timings[..2], [small; 2]);
-    assert!(timings.is_sorted_by_key(|timing| timing.silence));
-    assert!(timings[5].silence <= Duration::from_secs(30));
+    assert!(timings.is_sorted_by_key(|timing| timing.peer_timeout));
+    assert!(timings[5].peer_timeout <= Duration::from_secs(30));
 }
 
 /// Guards against peers that a host never reports to, and against peers that get the reports of many
--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -24,17 +24,17 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval of pings while a connection is in use.
 const PING_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without a response to a ping after which a peer counts as silent: it gets no new statements,
+/// Time without a response to a ping after which a peer counts as unresponsive: it gets no new statements,
 /// and reads are retried elsewhere. A process that has used up its CPU quota is paused for up to
 /// 100 ms.
 const PING_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time of silence after which the connection is replaced, which gives up the writes and
+/// Time without a response to pings after which the connection is replaced, which gives up the writes and
 /// transactions that the peer runs. A peer that was only slow responds before.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+const UNRESPONSIVE_LIMIT: Duration = Duration::from_millis(1_200);
 /// Time beyond the timeout of a statement that a peer gets to report its outcome.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Cause of an error of a peer that is silent.
+/// Cause of an error of an unresponsive peer.
 const NO_RESPONSE_TO_PINGS: &str = "no response to pings";
 
 /// A failed call to a peer.
@@ -72,7 +72,7 @@
     connection: Connection<ForwardClient>,
     use_count: watch::Sender<usize>,
     /// Whether the peer has not responded to the last ping.
-    is_silent: watch::Sender<bool>,
+    is_unresponsive: watch::Sender<bool>,
     _ping_task: AbortOnDropHandle<()>,
 }
 
@@ -132,7 +132,7 @@
     ) -> Result<(Outcome, Option<RemoteTransaction>), Error> {
         let peer = PeerGuard::new(self.peer(address));
         let stub = peer.0.stub().await?;
-        if *peer.0.is_silent.borrow() {
+        if *peer.0.is_unresponsive.borrow() {
             return Err(peer.0.unreachable_error(NO_RESPONSE_TO_PINGS.to_owned()));
         }
         let outcome = peer.0.run(&stub, request, None).await?;
@@ -268,19 +268,19 @@
             timeout: CONNECT_TIMEOUT,
         });
         let (use_count, use_count_receiver) = watch::channel(0);
-        let is_silent = watch::Sender::new(false);
+        let is_unresponsive = watch::Sender::new(false);
         let pings = Pings {
             peer: address,
             connection: connection.clone(),
             use_count: use_count_receiver,
-            is_silent: is_silent.clone(),
+            is_unresponsive: is_unresponsive.clone(),
         };
         let task = tokio::spawn(pings.run());
         Arc::new(Self {
             address,
             connection,
             use_count,
-            is_silent,
+            is_unresponsive,
             _ping_task: AbortOnDropHandle::new(task),
         })
     }
@@ -306,7 +306,7 @@
         let response = stub.client.run(context_of(deadline), request, transaction);
         let response = tokio::select! {
             response = timeout_at(deadline, response) => response,
-            () = self.wait_for_silence(), if is_read => {
+            () = self.wait_until_unresponsive(), if is_read => {
                 return Err(self.lost_error(&NO_RESPONSE_TO_PINGS));
             }
         };
@@ -318,10 +318,12 @@
         }
     }
 
-    async fn wait_for_silence(&self) {
-        let mut is_silent = self.is_silent.subscribe();
+    async fn wait_until_unresponsive(&self) {
+        let mut is_unresponsive = self.is_unresponsive.subscribe();
         // The sender lives as long as this peer.
-        let _ = is_silent.wait_for(|is_silent| *is_silent).await;
+        let _ = is_unresponsive
+            .wait_for(|is_unresponsive| *is_unresponsive)
+            .await;
     }
 
     fn unreachable_error(&self, cause: String) -> Error {
@@ -344,34 +346,34 @@
     peer: SocketAddr,
     connection: Connection<ForwardClient>,
     use_count: watch::Receiver<usize>,
-    is_silent: watch::Sender<bool>,
+    is_unresponsive: watch::Sender<bool>,
 }
 
 impl Pings {
     /// Pings the peer while its connection is in use. Records whether it responds, and has the
-    /// connection replaced if it does not for [`SILENCE_LIMIT`].
+    /// connection replaced if it does not for [`UNRESPONSIVE_LIMIT`].
     async fn run(mut self) {
-        let mut silent_since: Option<Instant> = None;
+        let mut unresponsive_since: Option<Instant> = None;
         while self.use_count.wait_for(|count| *count > 0).await.is_ok() {
             sleep(PING_INTERVAL).await;
             let Some(stub) = self.connection.connected_stub() else {
-                self.is_silent.send_replace(false);
-                silent_since = None;
+                self.is_unresponsive.send_replace(false);
+                unresponsive_since = None;
                 continue;
             };
             let sent = Instant::now();
             let is_responsive = ping(&stub).await;
             if is_responsive || *self.use_count.borrow() == 0 {
-                self.is_silent.send_replace(false);
-                silent_since = None;
+                self.is_unresponsive.send_replace(false);
+                unresponsive_since = None;
                 continue;
             }
-            let since = *silent_since.get_or_insert(sent);
-            if !self.is_silent.send_replace(true) {
+            let since = *unresponsive_since.get_or_insert(sent);
+            if !self.is_unresponsive.send_replace(true) {
                 log::info!(event = "host_silent", host:% = self.peer; "host does not respond to pings; sending it no new statements");
             }
-            if since.elapsed() >= SILENCE_LIMIT {
-                log::info!(event = "host_given_up", host:% = self.peer, silent_ms = since.elapsed().as_millis(); "host stays silent; replacing the connection to it");
+            if since.elapsed() >= UNRESPONSIVE_LIMIT {
+                log::info!(event = "host_given_up", host:% = self.peer, unresponsive_ms = since.elapsed().as_millis(); "host still does not respond to pings; replacing the connection to it");
                 self.connection.report_unresponsive(&stub);
             }
         }
--- a/fulmargw_peer/src/report.rs
+++ b/fulmargw_peer/src/report.rs
@@ -43,7 +43,7 @@
     /// The hosts that share rates and connections. Empty in a report to a host that reported
     /// the same digest.
     pub members: Vec<(Name, Endpoint)>,
-    /// How long ago each member was last heard of by this host or, as far as it knows, by any
+    /// How long ago each member was last seen by this host or, as far as it knows, by any
     /// other one, in the order of the members' names.
     pub ages: Vec<Age>,
     /// Primaries that responded to this host recently.
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -16,13 +16,13 @@
 /// Time for which a report of a peer is evidence of what it saw just before, such as a response of a
 /// primary. It does not grow with the fleet, because such evidence gets old.
 pub const EVIDENCE_LIFETIME: Duration = Duration::from_millis(1_600);
-/// Shortest time after which the peers of a host without a sign of life remove it.
+/// Shortest time since a host was last seen after which its peers remove it.
 const MIN_REMOVAL: Duration = Duration::from_secs(8);
-/// Minimum ratio of that time to the time after which a host counts as silent.
-const REMOVAL_PER_SILENCE: f64 = 1.5;
+/// Minimum ratio of that time to the time after which a host counts as unresponsive.
+const REMOVAL_PER_PEER_TIMEOUT: f64 = 1.5;
 /// Time by which a host stops using its share before its peers remove it.
 const SHARE_MARGIN: Duration = Duration::from_secs(2);
-/// Time without a sign of life of a peer after which the member rows are read more often.
+/// Time since a peer was last seen after which the member rows are read more often.
 const MIN_UNRESPONSIVE_TIME: Duration = Duration::from_secs(2);
 
 /// For how long a host that neither renews its member row nor reports keeps its share.
@@ -39,8 +39,8 @@
     /// Returns the timeouts of a fleet of `hosts` hosts.
     #[must_use]
     pub fn of(hosts: u32) -> Self {
-        let silence = Timing::of(hosts).silence;
-        let removal = MIN_REMOVAL.max(silence.mul_f64(REMOVAL_PER_SILENCE));
+        let peer_timeout = Timing::of(hosts).peer_timeout;
+        let removal = MIN_REMOVAL.max(peer_timeout.mul_f64(REMOVAL_PER_PEER_TIMEOUT));
         Self {
             share: removal.saturating_sub(SHARE_MARGIN),
             removal,
@@ -51,8 +51,8 @@
 /// Time after joining before a host uses its share. Meanwhile its peers learn of it.
 pub const JOIN_DELAY: Duration = Duration::from_secs(3);
 
-/// Minimum time for which a host without a sign of life yet may be chosen as a holder.
-const MIN_FIRST_SIGN_TIMEOUT: Duration = Duration::from_secs(3);
+/// Minimum time for which a host that was not seen yet may be chosen as a holder.
+const MIN_FIRST_SEEN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Prefix of the keys of member rows.
 pub const KEY_PREFIX: &str = "member/";
@@ -74,8 +74,8 @@
     pub endpoint: Endpoint,
     /// Its last report, and when this host received it.
     pub report: Option<(Report, Instant)>,
-    /// Last sign of its life: a report to this host or, according to peers, to any other host.
-    pub heard_at: Option<Instant>,
+    /// Time of its last report to this host or, according to peers, to any other host.
+    pub last_seen: Option<Instant>,
     /// Revision of its member row, and when this host first read it.
     pub row: Option<(u64, Instant)>,
     /// Time at which this host learned of it.
@@ -108,24 +108,23 @@
 }
 
 impl Peer {
-    /// Reports whether there was a sign of the host's life within the last `within`, and it is not
-    /// stopping.
+    /// Reports whether the host was seen within the last `within` and is not stopping.
     #[must_use]
     pub fn is_alive(&self, within: Duration, now: Instant) -> bool {
         let report = self.report.as_ref();
         let is_stopping = report.is_some_and(|(report, _)| report.is_stopping);
-        self.is_heard(within, now) && !is_stopping
+        self.is_seen(within, now) && !is_stopping
     }
 
-    /// Reports whether there was a sign of the host's life within the last `within`.
+    /// Reports whether the host was seen within the last `within`.
     #[must_use]
-    pub fn is_heard(&self, within: Duration, now: Instant) -> bool {
-        self.heard_at
+    pub fn is_seen(&self, within: Duration, now: Instant) -> bool {
+        self.last_seen
             .is_some_and(|at| now.saturating_duration_since(at) <= within)
     }
 
-    fn record_sign(&mut self, at: Instant) {
-        self.heard_at = Some(self.heard_at.map_or(at, |known| known.max(at)));
+    fn record_seen(&mut self, at: Instant) {
+        self.last_seen = Some(self.last_seen.map_or(at, |known| known.max(at)));
     }
 
     /// Reports whether the host has reported to this one within the last `within`.
@@ -187,12 +186,12 @@
         self.digest
     }
 
-    /// Returns how long ago each host was last heard of, in the order of [`Self::names`].
+    /// Returns how long ago each host was last seen, in the order of [`Self::names`].
     #[must_use]
     pub fn ages(&self, now: Instant) -> Vec<Age> {
         let age = |name: &Name| match self.peers.get(name) {
             None => Age::from(Duration::ZERO),
-            Some(peer) => peer.heard_at.map_or(Age::UNKNOWN, |at| {
+            Some(peer) => peer.last_seen.map_or(Age::UNKNOWN, |at| {
                 Age::from(now.saturating_duration_since(at))
             }),
         };
@@ -221,26 +220,25 @@
         Timing::of(self.count())
     }
 
-    /// Reports whether there has been no sign of life of a peer for long enough that it may have
-    /// failed.
+    /// Reports whether a peer has not been seen for long enough that it may have failed.
     #[must_use]
     pub fn has_unresponsive_peer(&self, now: Instant) -> bool {
-        let timeout = self.timing().silence.max(MIN_UNRESPONSIVE_TIME);
+        let timeout = self.timing().peer_timeout.max(MIN_UNRESPONSIVE_TIME);
         self.peers.values().any(|peer| {
             let is_new = now.saturating_duration_since(peer.discovered_at) < timeout;
-            !is_new && !peer.is_heard(timeout, now)
+            !is_new && !peer.is_seen(timeout, now)
         })
     }
 
     /// Reports whether this host is cut off from most of its peers: fewer than half of them have
-    /// given a sign of life. Its peers then may not hear of it either, so that only its member row
-    /// shows them that it is alive.
+    /// been seen. Its peers then may not see it either, so that only its member row shows
+    /// them that it is alive.
     #[must_use]
     pub fn is_isolated(&self, now: Instant) -> bool {
-        let silence = self.timing().silence;
+        let peer_timeout = self.timing().peer_timeout;
         let may_be_alive = |peer: &&Peer| {
-            let is_new = now.saturating_duration_since(peer.discovered_at) < silence;
-            is_new || peer.is_heard(silence, now)
+            let is_new = now.saturating_duration_since(peer.discovered_at) < peer_timeout;
+            is_new || peer.is_seen(peer_timeout, now)
         };
         self.peers.values().filter(may_be_alive).count() * 2 < self.peers.len()
     }
@@ -255,14 +253,14 @@
     /// Returns the name and address of the host that runs the statements of a service; `None` if it
     /// is this one.
     pub fn holder(&mut self, service: &Name, now: Instant) -> Option<(Name, SocketAddr)> {
-        let timeout = self.timing().silence;
+        let timeout = self.timing().peer_timeout;
         let hosts = self.peers.keys().chain([&self.own]);
-        // A host that was not heard of yet may be the holder: a failed connection to it excludes
+        // A host that was not seen yet may be the holder: a failed connection to it excludes
         // it.
-        let first_sign_timeout = timeout.max(MIN_FIRST_SIGN_TIMEOUT);
+        let first_seen_timeout = timeout.max(MIN_FIRST_SEEN_TIMEOUT);
         let is_new = |peer: &Peer| {
-            peer.heard_at.is_none()
-                && now.saturating_duration_since(peer.discovered_at) < first_sign_timeout
+            peer.last_seen.is_none()
+                && now.saturating_duration_since(peer.discovered_at) < first_seen_timeout
         };
         let is_alive = |host: &Name| match self.peers.get(host) {
             Some(peer) => peer.is_alive(timeout, now) || is_new(peer),
@@ -276,7 +274,7 @@
     /// Returns the names of the hosts that are alive, including this one.
     #[must_use]
     pub fn alive(&self, now: Instant) -> Vec<Name> {
-        let timeout = self.timing().silence;
+        let timeout = self.timing().peer_timeout;
         let peers = self.peers.iter();
         let alive = peers.filter(|(_, peer)| peer.is_alive(timeout, now));
         let mut names: Vec<Name> = alive.map(|(name, _)| name.clone()).collect();
@@ -296,7 +294,7 @@
         let peer = Peer {
             endpoint,
             report: None,
-            heard_at: None,
+            last_seen: None,
             row: None,
             discovered_at: now,
         };
@@ -313,34 +311,34 @@
             // The peers have kept this host's share since before its restart.
             self.joined_at = Some(now.checked_sub(JOIN_DELAY).unwrap_or(now));
         }
-        let signs = self.signs(&report, now);
+        let last_seen = self.last_seen_times(&report, now);
         let mut changed = self.add_peer(&report.host, report.endpoint, now);
-        let silence = self.timing().silence;
+        let peer_timeout = self.timing().peer_timeout;
         for (name, endpoint) in &report.members {
-            // A host that nobody has heard of lately may have been removed. It is added again only
+            // A host that nobody has seen lately may have been removed. It is added again only
             // by its member row or its own report.
-            let is_heard = signs
+            let is_seen = last_seen
                 .get(name)
-                .is_some_and(|at| now.saturating_duration_since(*at) <= silence);
-            if is_heard && !self.peers.contains_key(name) {
+                .is_some_and(|at| now.saturating_duration_since(*at) <= peer_timeout);
+            if is_seen && !self.peers.contains_key(name) {
                 changed |= self.add_peer(name, *endpoint, now);
             }
         }
-        for (name, at) in signs {
+        for (name, at) in last_seen {
             if let Some(peer) = self.peers.get_mut(&name) {
-                peer.record_sign(at);
+                peer.record_seen(at);
             }
         }
         if let Some(peer) = self.peers.get_mut(&report.host) {
-            peer.record_sign(now);
+            peer.record_seen(now);
             peer.report = Some((report, now));
         }
         changed
     }
 
-    /// Returns the last sign of life of each host according to a report. Its ages are in the order
+    /// Returns when each host was last seen according to a report. Its ages are in the order
     /// of the listed hosts or, if it lists none, of the hosts that this host knows too.
-    fn signs(&self, report: &Report, now: Instant) -> BTreeMap<Name, Instant> {
+    fn last_seen_times(&self, report: &Report, now: Instant) -> BTreeMap<Name, Instant> {
         let mut order: Vec<Name> = report.members.iter().map(|it| it.0.clone()).collect();
         order.sort_unstable();
         if order.is_empty() && report.members_digest == self.digest() {
@@ -368,11 +366,11 @@
         }
         let own = &self.own;
         let Timeouts { removal, .. } = self.timeouts();
-        let silence = self.timing().silence;
+        let peer_timeout = self.timing().peer_timeout;
         let before = self.peers.len();
         self.peers.retain(|name, peer| {
             let is_new = now.saturating_duration_since(peer.discovered_at) < removal;
-            name == own || rows.contains_key(name) || peer.is_heard(silence, now) || is_new
+            name == own || rows.contains_key(name) || peer.is_seen(peer_timeout, now) || is_new
         });
         if self.peers.len() != before {
             self.hosts_changed();
@@ -388,7 +386,7 @@
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let Timeouts { removal, .. } = self.timeouts();
         let peers = self.peers.iter();
-        let unresponsive = peers.filter(|(_, peer)| !peer.is_heard(removal, now));
+        let unresponsive = peers.filter(|(_, peer)| !peer.is_seen(removal, now));
         unresponsive
             .filter_map(|(name, peer)| {
                 let (revision, seen) = peer.row?;
@@ -404,11 +402,11 @@
         let has_joined = self.joined_at.is_some_and(|at| elapsed(at) >= JOIN_DELAY);
         let Timeouts { share, .. } = self.timeouts();
         let has_renewed = self.renewed_at.is_some_and(|at| elapsed(at) < share);
-        let silence = self.timing().silence;
+        let peer_timeout = self.timing().peer_timeout;
         let in_contact = self
             .peers
             .values()
-            .any(|peer| peer.has_reported(silence, now));
+            .any(|peer| peer.has_reported(peer_timeout, now));
         has_joined && (has_renewed || in_contact)
     }
 
--- a/fulmargw_pool/tests/gossip.rs
+++ b/fulmargw_pool/tests/gossip.rs
@@ -154,7 +154,7 @@
 
 /// Guards against holders that failed and are still chosen.
 #[tokio::test(start_paused = true)]
-async fn every_host_notices_that_others_are_silent() {
+async fn every_host_notices_unresponsive_ones() {
     for count in SIZES {
         let mut fleet = Fleet::new(count);
         for _ in 0..10 {
@@ -163,9 +163,9 @@
         let failed: BTreeSet<Name> = fleet.running().step_by(3).map(Host::stop).collect();
         let failed_at = Instant::now();
         let members = &fleet.running().next().expect("host").members;
-        let silence = members.timing().silence;
+        let peer_timeout = members.timing().peer_timeout;
 
-        while failed_at.elapsed() <= silence * 2 {
+        while failed_at.elapsed() <= peer_timeout * 2 {
             fleet.run_round().await;
         }
 
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -1,6 +1,6 @@
 //! The list of hosts in the fleet.
 
-use fulmargw_decision::gossip::{Age, MIN_SILENCE, Timing};
+use fulmargw_decision::gossip::{Age, MIN_PEER_TIMEOUT, Timing};
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
 use fulmargw_pool::member::{JOIN_DELAY, Members, Record, Timeouts};
@@ -90,7 +90,7 @@
     for hosts in [1, 4, 26, 78, 640] {
         let timeouts = Timeouts::of(hosts);
         assert!(timeouts.share < timeouts.removal, "peers wait longer");
-        assert!(Timing::of(hosts).silence < timeouts.share);
+        assert!(Timing::of(hosts).peer_timeout < timeouts.share);
     }
 }
 
@@ -148,9 +148,12 @@
     let mut members = Members::new("a".into());
 
     assert_eq!(members.claim_age("s", 5, base), Duration::ZERO);
-    assert_eq!(members.claim_age("s", 5, base + MIN_SILENCE), MIN_SILENCE);
     assert_eq!(
-        members.claim_age("s", 6, base + MIN_SILENCE),
+        members.claim_age("s", 5, base + MIN_PEER_TIMEOUT),
+        MIN_PEER_TIMEOUT
+    );
+    assert_eq!(
+        members.claim_age("s", 6, base + MIN_PEER_TIMEOUT),
         Duration::ZERO
     );
 }
@@ -167,7 +170,7 @@
     let service = service.expect("a service whose holder is b");
 
     let alive = members.holder(&service, base);
-    let unresponsive = members.holder(&service, base + MIN_SILENCE + STEP);
+    let unresponsive = members.holder(&service, base + MIN_PEER_TIMEOUT + STEP);
     let mut stopping = report("b", &[]);
     stopping.is_stopping = true;
     members.record_report(stopping, base);
@@ -201,10 +204,10 @@
     let mut members = Members::new("a".into());
     members.record_report(report("b", &[]), base);
 
-    assert!(!members.has_unresponsive_peer(base + MIN_SILENCE));
-    assert!(members.has_unresponsive_peer(base + MIN_SILENCE * 2));
-    members.record_report(report("b", &[]), base + MIN_SILENCE * 2);
-    assert!(!members.has_unresponsive_peer(base + MIN_SILENCE * 2));
+    assert!(!members.has_unresponsive_peer(base + MIN_PEER_TIMEOUT));
+    assert!(members.has_unresponsive_peer(base + MIN_PEER_TIMEOUT * 2));
+    members.record_report(report("b", &[]), base + MIN_PEER_TIMEOUT * 2);
+    assert!(!members.has_unresponsive_peer(base + MIN_PEER_TIMEOUT * 2));
 }
 
 /// Guards against a host that waits for its share although its peers have kept it, because they
@@ -239,7 +242,7 @@
 /// some time, although it has reported to others. Hosts of a large fleet then chose different
 /// holders for a service.
 #[tokio::test(start_paused = true)]
-async fn a_sign_of_life_that_a_peer_saw_counts() {
+async fn a_host_that_a_peer_has_seen_is_alive() {
     let base = Instant::now();
     let mut members = Members::new("a".into());
     members.apply_rows(&rows(&[("b", 1), ("c", 1)]), base);
@@ -249,18 +252,18 @@
 
     let is_alive = |members: &Members, now| members.alive(now).contains(&"c".into());
     assert!(is_alive(&members, later));
-    assert!(!is_alive(&members, later + MIN_SILENCE + STEP));
+    assert!(!is_alive(&members, later + MIN_PEER_TIMEOUT + STEP));
 }
 
 /// Guards against a removed host that comes back to the lists because a peer that has not removed it
 /// yet still lists it.
 #[tokio::test(start_paused = true)]
-async fn a_listed_host_that_nobody_has_heard_of_is_not_added() {
+async fn a_listed_host_that_nobody_has_seen_is_not_added() {
     let base = Instant::now();
     let mut members = Members::new("a".into());
     let listed = [
         ("b", Duration::ZERO),
-        ("c", MIN_SILENCE * 2),
+        ("c", MIN_PEER_TIMEOUT * 2),
         ("d", Duration::ZERO),
     ];
 
@@ -293,7 +296,7 @@
     let base = Instant::now();
     let mut members = Members::new("a".into());
     members.apply_rows(&rows(&[("b", 1), ("c", 1), ("d", 1)]), base);
-    let later = base + MIN_SILENCE;
+    let later = base + MIN_PEER_TIMEOUT;
 
     assert!(!members.is_isolated(base));
     assert!(members.is_isolated(later));
