Leave the list of hosts out of reports to peers that have not reported yet

Cause: a report had the list of all hosts unless the recipient's last report had the same digest.

Change: a peer that has not reported is assumed to know the same hosts. If it does not, its response has its list, as responses know the digest of the request.

Test: member.rs.

--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -17,8 +17,8 @@
     loop {
         let report = own_report(&core);
         for address in addresses(&core) {
-            let known_digest = core.members.lock().reported_digest(address);
-            let report = report.for_recipient(known_digest);
+            let assumed_digest = core.members.lock().assumed_digest(address);
+            let report = report.for_recipient(Some(assumed_digest));
             core.tasks
                 .spawn(exchange(Arc::clone(&core), address, report));
         }
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -199,13 +199,16 @@
     }
 
     /// Returns the digest in the last report of the peer that receives reports at `address`.
+    ///
+    /// A peer that has not reported yet is assumed to know the same hosts: in a large fleet two hosts
+    /// seldom exchange reports, and the list of hosts is most of a report. If the assumption is
+    /// wrong, the response has the peer's list, and this host's list is in its responses.
     #[must_use]
-    pub fn reported_digest(&self, address: SocketAddr) -> Option<u64> {
+    pub fn assumed_digest(&self, address: SocketAddr) -> u64 {
         let mut peers = self.peers.values();
-        let peer = peers.find(|peer| peer.endpoint.reports == address)?;
-        peer.report
-            .as_ref()
-            .map(|(report, _)| report.members_digest)
+        let peer = peers.find(|peer| peer.endpoint.reports == address);
+        let report = peer.and_then(|peer| peer.report.as_ref());
+        report.map_or(self.digest, |(report, _)| report.members_digest)
     }
 
     /// Returns the timeouts for the present number of hosts.
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -305,3 +305,23 @@
     members.record_report(report("c", &[]), later);
     assert!(!members.is_isolated(later));
 }
+
+/// Guards against a list of all hosts in each report of a large fleet, in which a host reports to
+/// most peers before they have reported to it.
+#[tokio::test(start_paused = true)]
+async fn a_peer_without_a_report_is_assumed_to_know_the_same_hosts() {
+    let base = Instant::now();
+    let mut members = Members::new("a".into());
+    members.apply_rows(&rows(&[("b", 1)]), base);
+    let address = endpoint(9).reports;
+
+    let before = members.assumed_digest(address);
+    let mut other = report("b", &[]);
+    other.endpoint = endpoint(9);
+    other.members_digest = members.digest() ^ 1;
+    members.record_report(other, base);
+    let after = members.assumed_digest(address);
+
+    assert_eq!(before, members.digest());
+    assert_eq!(after, members.digest() ^ 1);
+}
