--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -24,12 +24,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval of pings while a connection is in use.
 const PING_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without a response to a ping after which a peer counts as unresponsive: it gets no new statements,
-/// and reads are retried elsewhere. A process that has used up its CPU quota is paused for up to
-/// 100 ms.
+/// Time without a response to a ping after which a peer counts as unresponsive: it gets no new
+/// statements, and reads are retried elsewhere. A process that has used up its CPU quota is paused
+/// for up to 100 ms.
 const PING_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time without a response to pings after which the connection is replaced, which gives up the writes and
-/// transactions that the peer runs. A peer that was only slow responds before.
+/// Time without a response to pings after which the connection is replaced, which gives up the
+/// writes and transactions that the peer runs. A peer that was only slow responds before. It is
+/// shorter than the time after which that peer rolls back the transactions of an absent host.
 const UNRESPONSIVE_LIMIT: Duration = Duration::from_millis(1_200);
 /// Time beyond the timeout of a statement that a peer gets to report its outcome.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
--- a/fulmargw_pool/src/dispatch.rs
+++ b/fulmargw_pool/src/dispatch.rs
@@ -36,7 +36,7 @@
         && let Some(away) = core.refuses_without_primary(&request)
     {
         metrics::counter!("fulmargw_pool_refused_without_primary_total").increment(1);
-        log::info!(event = "primary_away", request:% = request.statement.request(), service = request.service.as_str(), away_ms = millis(away); "no primary is known for long; refusing the statement at once");
+        log::info!(event = "primary_away", request:% = request.statement.request(), service = request.service.as_str(), away_ms = millis(away); "no primary has been known for too long; refusing the statement at once");
         return not_run(Code::ReadOnly);
     }
     let now = Instant::now();
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -18,13 +18,13 @@
 /// Share of each host in the interval between renewals, so that the hosts together make the same
 /// number of calls a second in a fleet of any size.
 const RENEW_INTERVAL_PER_HOST: Duration = Duration::from_millis(250);
-/// Minimum interval between renewals while a peer is not seen: its share is divided
-/// as soon as its member row is removed.
+/// Minimum interval between renewals while a peer is not seen: its share is divided as
+/// soon as its member row is removed.
 const MIN_UNRESPONSIVE_PEER_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Share of each host in that interval.
 const UNRESPONSIVE_PEER_INTERVAL_PER_HOST: Duration = Duration::from_millis(50);
-/// Interval between renewals while this host is isolated: only its member row shows that it
-/// lives then.
+/// Interval between renewals while this host is isolated: only its member row shows that it is alive
+/// then.
 const ISOLATED_RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Registers this host, renews its member row and removes the rows of expired hosts until the
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -234,8 +234,8 @@
     }
 
     /// Reports whether this host is cut off from most of its peers: fewer than half of them have
-    /// been seen. Its peers then may not see it either, so that only its member row shows
-    /// them that it is alive.
+    /// been seen. Its peers then may not see it either, so that only its member row shows them
+    /// that it is alive.
     #[must_use]
     pub fn is_isolated(&self, now: Instant) -> bool {
         let peer_timeout = self.timing().peer_timeout;
