Read the era of the store, and log what its watches resume from

The logs did not show that the store had been restored, nor which revision a host watched, so the three hypotheses could not be told apart.

--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -58,6 +58,7 @@
     supervise(&core, "configuration", follow::catalog);
     supervise(&core, "registry", follow::registry::run);
     supervise(&core, "membership", follow::membership::run);
+    supervise(&core, "restorations", follow::restoration::run);
     supervise(&core, "reports", follow::report::run);
     supervise(&core, "failover", failover::run);
     tasks.spawn(reload::run(Arc::clone(&core), file.to_owned()));
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -185,6 +185,9 @@
         let previous = self
             .configuration()
             .map_or(0, |configuration| configuration.catalog.version);
+        if version < previous {
+            log::info!(event = "configuration_kept", version = previous, offered = version, source; "an older configuration was offered");
+        }
         if version <= previous {
             return false;
         }
--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -1,7 +1,11 @@
 //! Claims: rows of the store that let only one host at a time replace the primary of a service.
 
 use super::replacement::Failure;
-use crate::{core::Core, dialect::Dialect, store::Platform};
+use crate::{
+    core::Core,
+    dialect::Dialect,
+    store::{Condition, Platform, Revision},
+};
 use fulmargw_model::name::Name;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -26,27 +30,27 @@
 }
 
 /// An earlier claim that may be replaced.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Previous {
-    /// Revision of its row, 0 if there is none.
-    pub(super) revision: u64,
+    /// State of its row.
+    pub(super) row: Condition,
     /// Server that it named as the candidate.
     pub(super) candidate: Option<Name>,
 }
 
-/// Claims a service if the claim row still has the revision `expected`. The revision of the new row
-/// is the fencing token: it is unique and greater than the one of every earlier claim.
+/// Claims a service if the claim row is still in the state `expected`. Returns the revision of the
+/// new row.
 pub(super) async fn claim<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
     candidate: Option<&Name>,
-    expected: u64,
-) -> Result<u64, Failure> {
+    expected: Condition,
+) -> Result<Revision, Failure> {
     let key = format!("{KEY_PREFIX}{service}");
     let value = encode(core, candidate)?;
     let put = core.platform.put(&key, value.into(), Some(expected)).await;
     match put {
-        Ok(Some(token)) => Ok(token),
+        Ok(Some(revision)) => Ok(revision),
         Ok(None) => Err(Failure::Claimed),
         Err(error) => Err(Failure::Store(error)),
     }
@@ -77,7 +81,10 @@
     loop {
         let rows = core.platform.rows().await.map_err(Failure::Store)?;
         let Some(row) = rows.into_iter().find(|row| row.key == key) else {
-            return Ok(Previous::default());
+            return Ok(Previous {
+                row: Condition::Absent,
+                candidate: None,
+            });
         };
         if *first_revision.get_or_insert(row.revision) != row.revision {
             return Err(Failure::Claimed);
@@ -96,7 +103,7 @@
             .is_some_and(|claim| claim.holder == core.settings.host.name);
         if is_own || age >= CLAIM_VALIDITY {
             return Ok(Previous {
-                revision: row.revision,
+                row: Condition::Unchanged(row.revision),
                 candidate: claim.and_then(|claim| claim.candidate),
             });
         }
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -14,7 +14,7 @@
     health::Trouble,
     message::Command,
     promotion::{self, Candidate, Obstacle, Replica},
-    store::{self, Outcome, Platform},
+    store::{self, Condition, Outcome, Platform, Revision},
 };
 use fulmargw_decision::rendezvous;
 use fulmargw_model::{
@@ -108,8 +108,8 @@
     let earlier_candidate = previous
         .candidate
         .filter(|candidate| may_be_promoted(core, service, candidate));
-    let token = claim(core, service, earlier_candidate.as_ref(), previous.revision).await?;
-    log::info!(event = "promotion_claimed", service = service.as_str(), token, reason:? = reason, ordered:? = earlier_candidate.as_ref().map(Name::as_str); "replacing a primary");
+    let claimed = claim(core, service, earlier_candidate.as_ref(), previous.row).await?;
+    log::info!(event = "promotion_claimed", service = service.as_str(), revision:% = claimed, reason:? = reason, ordered:? = earlier_candidate.as_ref().map(Name::as_str); "replacing a primary");
     let (mut probes, acknowledged) = tokio::join!(
         query_replicas(core, service),
         acknowledged_position(core, service)
@@ -118,7 +118,7 @@
     let result = promote_candidate(
         core,
         service,
-        token,
+        claimed,
         required,
         earlier_candidate.as_ref(),
         &mut probes,
@@ -132,7 +132,7 @@
             if earlier_candidate.is_some()
                 && !matches!(failure, Failure::Obstacle(Obstacle::AlreadyPrimary(..))) =>
         {
-            log::info!(event = "order_open", service = service.as_str(), token, cause:% = failure; "an earlier promotion call may still take effect");
+            log::info!(event = "order_open", service = service.as_str(), revision:% = claimed, cause:% = failure; "an earlier promotion call may still take effect");
             return Err(Failure::Unresolved);
         }
         Err(_) => resume_replicas(&mut probes).await,
@@ -241,7 +241,7 @@
 async fn promote_candidate<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
-    token: u64,
+    claimed: Revision,
     required: Option<Position>,
     earlier_candidate: Option<&Name>,
     probes: &mut [Probe<D>],
@@ -266,14 +266,15 @@
     promotion::check_complete(&candidate, required).map_err(Failure::Obstacle)?;
     log::info!(
         event = "promotion_candidate", service = service.as_str(),
-        server = candidate.server.as_str(), token,
+        server = candidate.server.as_str(), revision:% = claimed,
         received:? = (candidate.received.term.0, candidate.received.index);
         "replica with every acknowledged commit"
     );
     // The claim names the candidate before the promotion call is sent. If the result of the call is
     // unknown, another host that claims the service then chooses the same candidate.
-    let token = claim(core, service, Some(&candidate.server), token).await?;
-    let token = call_promotion(core, service, &candidate, token).await?;
+    let expected = Condition::Unchanged(claimed);
+    let claimed = claim(core, service, Some(&candidate.server), expected).await?;
+    let token = call_promotion(core, service, &candidate, claimed).await?;
     let promotion = report::Promotion {
         service: service.clone(),
         server: candidate.server.clone(),
@@ -350,11 +351,12 @@
     core: &Core<D, P>,
     service: &Name,
     candidate: &Candidate,
-    token: u64,
+    claimed: Revision,
 ) -> Result<u64, Failure> {
-    let mut token = token;
+    let mut claimed = claimed;
     let mut is_unresolved = false;
     for _ in 0..MAX_PROMOTION_CALLS {
+        let token = claimed.number;
         let promotion = store::Promotion {
             host: core.settings.host.name.clone(),
             token,
@@ -369,8 +371,9 @@
             Err(error) => {
                 log::warn!(event = "order_unanswered", service = service.as_str(), token, cause:% = error; "repeating the promotion call with a greater token");
                 is_unresolved = true;
-                let claimed = claim(core, service, Some(&candidate.server), token).await;
-                token = claimed.map_err(|failure| {
+                let expected = Condition::Unchanged(claimed);
+                let repeated = claim(core, service, Some(&candidate.server), expected).await;
+                claimed = repeated.map_err(|failure| {
                     log::warn!(event = "order_open", service = service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
                     Failure::Unresolved
                 })?;
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -3,12 +3,13 @@
 pub mod membership;
 pub mod registry;
 pub mod report;
+pub mod restoration;
 
 use crate::{
     clock::millis,
     core::{self, Core},
     dialect::Dialect,
-    store::{Error, Kind, Platform},
+    store::{Error, Kind, Platform, Revision},
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -68,6 +69,17 @@
         delay.mul_f64(1.0 - RETRY_JITTER * rand::random::<f64>())
     }
 
+    /// Logs the first response after a failed call, or after the store was restored. `after` is the
+    /// revision that was watched; `None` if everything was read.
+    fn log_resumption(&self, after: Option<Revision>, revision: Revision, has_changes: bool) {
+        let is_restored = after.is_some_and(|after| after.era != revision.era);
+        if self.failing_since.is_none() && !is_restored {
+            return;
+        }
+        let after = after.map(|after| after.to_string());
+        log::info!(event = "watch_resumed", dependency = self.name, after = after.as_deref(), revision:% = revision, has_changes; "first response of the store after a failure or a restoration");
+    }
+
     fn record_success(&mut self) {
         self.failures = 0;
         if let Some(since) = self.failing_since.take() {
@@ -91,6 +103,7 @@
         };
         match response {
             Ok((catalog, seen)) => {
+                dependency.log_resumption(revision, seen, catalog.is_some());
                 dependency.record_success();
                 revision = Some(seen);
                 if let Some(catalog) = catalog
@@ -120,7 +133,7 @@
 
 /// Returns the revision from which to watch after a failed call. If it has been compacted,
 /// everything is read again.
-fn revision_after_failure(revision: Option<u64>, error: &Error) -> Option<u64> {
+fn revision_after_failure(revision: Option<Revision>, error: &Error) -> Option<Revision> {
     match error.kind {
         Kind::Compacted => None,
         _ => revision,
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -6,7 +6,7 @@
     dialect::Dialect,
     failover,
     member::{self, Members, Record},
-    store::{Error, Kind, Platform},
+    store::{Condition, Error, Kind, Platform},
 };
 use bytes::Bytes;
 use fulmargw_model::name::Name;
@@ -151,7 +151,8 @@
     let Some(row) = rows.into_iter().find(|row| row.key == key) else {
         return Ok(false);
     };
-    let written = core.platform.put(key, value, Some(row.revision)).await?;
+    let expected = Condition::Unchanged(row.revision);
+    let written = core.platform.put(key, value, Some(expected)).await?;
     Ok(written.is_some())
 }
 
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -96,9 +96,10 @@
                 if dependency.failing_since.is_some() {
                     entries.restart_grace(now);
                 }
+                let has_changed = entries.registered != registered;
+                dependency.log_resumption(revision, seen, has_changed);
                 dependency.record_success();
                 revision = Some(seen);
-                let has_changed = entries.registered != registered;
                 entries.update(registered, now);
                 reconcile(&core, &entries);
                 if has_changed {
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -1,6 +1,6 @@
 //! The hosts of the fleet, which share rates and connections, and the reports of the other ones.
 
-use crate::holder::Holders;
+use crate::{holder::Holders, store::Revision};
 use fulmargw_decision::gossip::{Age, Rotation, Timing};
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
@@ -77,7 +77,7 @@
     /// Time of its last report to this host or, according to peers, to any other host.
     pub last_seen: Option<Instant>,
     /// Revision of its member row, and when this host first read it.
-    pub row: Option<(u64, Instant)>,
+    pub row: Option<(Revision, Instant)>,
     /// Time at which this host learned of it.
     pub discovered_at: Instant,
 }
@@ -104,7 +104,7 @@
     /// Choice of the hosts that run the statements of services.
     pub holders: Holders,
     /// Revisions of claim rows by key, and when this host first read them.
-    pub claims: BTreeMap<String, (u64, Instant)>,
+    pub claims: BTreeMap<String, (Revision, Instant)>,
 }
 
 impl Peer {
@@ -357,7 +357,7 @@
 
     /// Applies the member rows, given with their revisions. Returns whether the list of hosts
     /// changed.
-    pub fn apply_rows(&mut self, rows: &BTreeMap<Name, (Record, u64)>, now: Instant) -> bool {
+    pub fn apply_rows(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) -> bool {
         let mut changed = false;
         for (name, (record, revision)) in rows {
             changed |= self.add_peer(name, record.endpoint, now);
@@ -385,7 +385,7 @@
     /// Returns the names of peers that have neither renewed their member rows nor reported to any
     /// host, with the revisions of these rows.
     #[must_use]
-    pub fn expired_rows(&self, now: Instant) -> Vec<(Name, u64)> {
+    pub fn expired_rows(&self, now: Instant) -> Vec<(Name, Revision)> {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let Timeouts { removal, .. } = self.timeouts();
         let peers = self.peers.iter();
@@ -414,7 +414,7 @@
     }
 
     /// Records the revision of a claim row, and returns for how long this host has known it.
-    pub fn claim_age(&mut self, key: &str, revision: u64, now: Instant) -> Duration {
+    pub fn claim_age(&mut self, key: &str, revision: Revision, now: Instant) -> Duration {
         let known = self.claims.entry(key.to_owned()).or_insert((revision, now));
         if known.0 != revision {
             *known = (revision, now);
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -3,10 +3,43 @@
 use crate::{backend::Registry, catalog::Catalog};
 use bytes::Bytes;
 use fulmargw_model::name::Name;
-use std::{fmt::Debug, future::Future, time::Duration};
+use std::{
+    fmt::{self, Debug, Display, Formatter},
+    future::Future,
+    time::Duration,
+};
+use tokio::sync::watch;
+
+/// Number of a period in which the store has lost nothing that it acknowledged. It increases when
+/// the store is restored from a copy. 0 for a store that does not count eras.
+pub type Era = u64;
 
 /// Revision of a row or of the whole store; it increases with each transaction.
-pub type Revision = u64;
+///
+/// A restored store counts on from an older number, so the same number stands for different
+/// transactions in different eras.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision {
+    /// Era of the store. It comes first in the order.
+    pub era: Era,
+    /// Number of the transaction in this era.
+    pub number: u64,
+}
+
+impl Display for Revision {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.era, self.number)
+    }
+}
+
+/// State of a row on which a write is conditional.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// The row does not exist.
+    Absent,
+    /// The row has this revision.
+    Unchanged(Revision),
+}
 
 /// A row of this program's table in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,6 +55,9 @@
 /// A client of the platform. Each call fails with an [`Error`] if the platform does not respond, or
 /// rejects the call.
 pub trait Platform: Debug + Send + Sync + 'static {
+    /// Returns the greatest era in a response of the store so far; `None` if there was none.
+    fn era(&self) -> watch::Receiver<Option<Era>>;
+
     /// Reads the configuration; `None` if there is none yet.
     fn catalog(&self) -> impl Future<Output = Result<(Option<Catalog>, Revision), Error>> + Send;
 
@@ -47,13 +83,13 @@
     /// Reads the rows of this program's table.
     fn rows(&self) -> impl Future<Output = Result<Vec<Row>, Error>> + Send;
 
-    /// Writes a row. With `expected`, only if the row still has this revision; 0 stands for a row
-    /// that does not exist. Returns the new revision, or `None` if the row has another one.
+    /// Writes a row. With `expected`, only if this condition holds. Returns the new revision, or
+    /// `None` if the condition does not hold.
     fn put(
         &self,
         key: &str,
         value: Bytes,
-        expected: Option<Revision>,
+        expected: Option<Condition>,
     ) -> impl Future<Output = Result<Option<Revision>, Error>> + Send;
 
     /// Removes a row if it still has the revision `expected`; returns whether it was removed.
@@ -74,7 +110,7 @@
     /// Host that requests it.
     pub host: Name,
     /// Fencing token; the platform rejects tokens smaller than one that it has seen.
-    pub token: Revision,
+    pub token: u64,
     /// Service whose primary changes.
     pub service: Name,
     /// Backend server to promote.
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -3,7 +3,10 @@
 use fulmargw_decision::gossip::{Age, MIN_PEER_TIMEOUT, Timing};
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
-use fulmargw_pool::member::{JOIN_DELAY, Members, Record, Timeouts};
+use fulmargw_pool::{
+    member::{JOIN_DELAY, Members, Record, Timeouts},
+    store::Revision,
+};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
@@ -37,17 +40,21 @@
     }
 }
 
-fn rows(hosts: &[(&str, u64)]) -> BTreeMap<Name, (Record, u64)> {
-    let record = |revision| {
+fn revision(number: u64) -> Revision {
+    Revision { era: 1, number }
+}
+
+fn rows(hosts: &[(&str, u64)]) -> BTreeMap<Name, (Record, Revision)> {
+    let record = |number| {
         let record = Record {
             endpoint: endpoint(9),
             incarnation: 1,
         };
-        (record, revision)
+        (record, revision(number))
     };
     hosts
         .iter()
-        .map(|(name, revision)| (Name::new(name), record(*revision)))
+        .map(|(name, number)| (Name::new(name), record(*number)))
         .collect()
 }
 
@@ -109,7 +116,10 @@
     let without_report = later + removal + STEP;
     let old = report("b", &[("b", Duration::ZERO), ("c", removal * 2)]);
     members.record_report(old, without_report);
-    assert_eq!(members.expired_rows(without_report), [("c".into(), 6)]);
+    assert_eq!(
+        members.expired_rows(without_report),
+        [("c".into(), revision(6))]
+    );
 }
 
 /// Guards against the removal of a host that renews its member row.
@@ -147,13 +157,13 @@
     let base = Instant::now();
     let mut members = Members::new("a".into());
 
-    assert_eq!(members.claim_age("s", 5, base), Duration::ZERO);
+    assert_eq!(members.claim_age("s", revision(5), base), Duration::ZERO);
     assert_eq!(
-        members.claim_age("s", 5, base + MIN_PEER_TIMEOUT),
+        members.claim_age("s", revision(5), base + MIN_PEER_TIMEOUT),
         MIN_PEER_TIMEOUT
     );
     assert_eq!(
-        members.claim_age("s", 6, base + MIN_PEER_TIMEOUT),
+        members.claim_age("s", revision(6), base + MIN_PEER_TIMEOUT),
         Duration::ZERO
     );
 }
