--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -5,7 +5,7 @@
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
 use fulmargw_pool::{
     member::{JOIN_DELAY, Members, Record, Timeouts},
-    store::Revision,
+    store::{Era, Revision},
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
@@ -58,6 +58,16 @@
         .collect()
 }
 
+fn in_era(
+    era: Era,
+    rows: BTreeMap<Name, (Record, Revision)>,
+) -> BTreeMap<Name, (Record, Revision)> {
+    let rows = rows.into_iter();
+    let moved =
+        rows.map(|(name, (record, revision))| (name, (record, Revision { era, ..revision })));
+    moved.collect()
+}
+
 /// Guards against shares that add up to more than the limit while a host joins.
 #[tokio::test(start_paused = true)]
 async fn a_host_that_joins_waits_before_it_uses_its_share() {
@@ -122,6 +132,27 @@
     );
 }
 
+/// Guards against a removed host that is listed again, and may be chosen as a holder, because its
+/// row is in the copy from which the store was restored.
+#[tokio::test(start_paused = true)]
+async fn a_removed_host_is_not_listed_again_by_a_restored_row() {
+    let base = Instant::now();
+    let removal = Timeouts::of(3).removal;
+    let mut members = Members::new("a".into());
+    members.apply_rows(&rows(&[("b", 5), ("c", 6)]), base);
+    let later = base + removal + STEP;
+    members.record_report(report("b", &[("b", Duration::ZERO)]), later);
+    members.apply_rows(&rows(&[("b", 7)]), later);
+
+    let restored = in_era(2, rows(&[("b", 5), ("c", 6)]));
+    members.apply_rows(&restored, later);
+    assert_eq!(members.names(), ["a".into(), "b".into()]);
+
+    let renewed = in_era(2, rows(&[("b", 7), ("c", 8)]));
+    members.apply_rows(&renewed, later);
+    assert_eq!(members.names(), ["a".into(), "b".into(), "c".into()]);
+}
+
 /// Guards against the removal of a host that renews its member row.
 #[tokio::test(start_paused = true)]
 async fn a_host_that_renews_its_row_is_not_removed() {
