Read everything again after a restoration of the store

Cause: a watch went on after a revision that it had read before the store was restored. Once the store had counted past that number it sent only later changes; those with smaller numbers were never delivered. Configuration and registry are followed in the same way. Class: a position in a history is used after the history was replaced (reissued identifiers). A watch fails if the store answers in another era, and ends as soon as any response shows one; then everything is read again. A response from before a known restoration is not used.

--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -9,9 +9,9 @@
     clock::millis,
     core::{self, Core},
     dialect::Dialect,
-    store::{Error, Kind, Platform, Revision},
+    store::{Era, Error, Kind, Platform, Revision},
 };
-use std::{sync::Arc, time::Duration};
+use std::{future, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Minimum of the longest wait of one watch call. A connection that no longer responds is noticed
@@ -39,6 +39,8 @@
     failing_since: Option<Instant>,
     /// Failed calls since the last successful one.
     failures: u32,
+    /// Revision of the store in the last successful call.
+    last_seen: Option<Revision>,
 }
 
 impl Dependency {
@@ -47,6 +49,7 @@
             name,
             failing_since: None,
             failures: 0,
+            last_seen: None,
         }
     }
 
@@ -69,18 +72,20 @@
         delay.mul_f64(1.0 - RETRY_JITTER * rand::random::<f64>())
     }
 
-    /// Logs the first response after a failed call, or after the store was restored. `after` is the
-    /// revision that was watched; `None` if everything was read.
-    fn log_resumption(&self, after: Option<Revision>, revision: Revision, has_changes: bool) {
-        let is_restored = after.is_some_and(|after| after.era != revision.era);
-        if self.failing_since.is_none() && !is_restored {
-            return;
+    /// Records a successful call. `after` is the revision that was watched; `None` if everything was
+    /// read.
+    fn record_success(&mut self, after: Option<Revision>, revision: Revision, has_changes: bool) {
+        let previous = self.last_seen.replace(revision);
+        let is_restored = previous.is_some_and(|previous| previous.era != revision.era);
+        if self.failing_since.is_some() || is_restored {
+            let [previous, after] = [previous, after].map(|it| it.map(|it| it.to_string()));
+            log::info!(event = "watch_resumed", dependency = self.name, previous = previous.as_deref(), after = after.as_deref(), revision:% = revision, has_changes; "first response of the store after a failure or a restoration");
         }
-        let after = after.map(|after| after.to_string());
-        log::info!(event = "watch_resumed", dependency = self.name, after = after.as_deref(), revision:% = revision, has_changes; "first response of the store after a failure or a restoration");
+        self.record_response();
     }
 
-    fn record_success(&mut self) {
+    /// Records that the platform has responded.
+    fn record_response(&mut self) {
         self.failures = 0;
         if let Some(since) = self.failing_since.take() {
             let lost_ms = millis(since.elapsed());
@@ -96,15 +101,20 @@
     loop {
         let response = match revision {
             None => core.platform.catalog().await,
-            Some(revision) => {
+            Some(after) => {
                 let wait = watch_timeout(&core, MAX_CATALOG_TIMEOUT);
-                core.platform.watch_catalog(revision, wait).await
+                tokio::select! {
+                    response = core.platform.watch_catalog(after, wait) => response,
+                    () = restored_since(&core, after) => {
+                        revision = None;
+                        continue;
+                    }
+                }
             }
         };
         match response {
             Ok((catalog, seen)) => {
-                dependency.log_resumption(revision, seen, catalog.is_some());
-                dependency.record_success();
+                dependency.record_success(revision, seen, catalog.is_some());
                 revision = Some(seen);
                 if let Some(catalog) = catalog
                     && core.apply_configuration(catalog, "store")
@@ -124,6 +134,16 @@
     }
 }
 
+/// Waits until the store is known to have been restored since it sent `revision`.
+async fn restored_since<D: Dialect, P: Platform>(core: &Core<D, P>, revision: Revision) {
+    let mut eras = core.platform.era();
+    let is_later = |era: &Option<Era>| era.is_some_and(|era| era > revision.era);
+    if eras.wait_for(is_later).await.is_err() {
+        // The client has been dropped, so there are no later eras.
+        future::pending::<()>().await;
+    }
+}
+
 /// Returns the longest wait of one watch call, which grows with the fleet up to `maximum`.
 fn watch_timeout<D: Dialect, P: Platform>(core: &Core<D, P>, maximum: Duration) -> Duration {
     let hosts = core.members.lock().count();
@@ -131,11 +151,11 @@
     wait.min(maximum).max(MIN_WATCH_TIMEOUT)
 }
 
-/// Returns the revision from which to watch after a failed call. If it has been compacted,
-/// everything is read again.
+/// Returns the revision from which to watch after a failed call. If it has been compacted, or lost
+/// in a restoration, everything is read again.
 fn revision_after_failure(revision: Option<Revision>, error: &Error) -> Option<Revision> {
     match error.kind {
-        Kind::Compacted => None,
+        Kind::Compacted | Kind::Restored => None,
         _ => revision,
     }
 }
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -34,7 +34,7 @@
     loop {
         match renew(&core).await {
             Ok(()) => {
-                dependency.record_success();
+                dependency.record_response();
                 wait_for_renewal(&core).await;
             }
             Err(error) => {
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -1,6 +1,6 @@
 //! Keeps the table of backend servers in step with the registry.
 
-use super::{Dependency, revision_after_failure, watch_timeout};
+use super::{Dependency, restored_since, revision_after_failure, watch_timeout};
 use crate::{
     backend::{Registry, Server},
     core::Core,
@@ -77,17 +77,21 @@
                 registered = registry;
                 seen
             }),
-            Some(revision) => {
+            Some(after) => {
                 let wait = if entries.expired.is_empty() {
                     let maximum = core.limits().drain_window();
                     watch_timeout(&core, maximum.mul_f64(WAIT_PER_DRAIN_WINDOW))
                 } else {
                     EXPIRED_ENTRY_GRACE / 2
                 };
-                let watch = core
-                    .platform
-                    .watch_registry(&mut registered, revision, wait);
-                watch.await
+                tokio::select! {
+                    response = core.platform.watch_registry(&mut registered, after, wait) => response,
+                    () = restored_since(&core, after) => {
+                        revision = None;
+                        entries.restart_grace(Instant::now());
+                        continue;
+                    }
+                }
             }
         };
         let now = Instant::now();
@@ -97,8 +101,7 @@
                     entries.restart_grace(now);
                 }
                 let has_changed = entries.registered != registered;
-                dependency.log_resumption(revision, seen, has_changed);
-                dependency.record_success();
+                dependency.record_success(revision, seen, has_changed);
                 revision = Some(seen);
                 entries.update(registered, now);
                 reconcile(&core, &entries);
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -53,7 +53,8 @@
 }
 
 /// A client of the platform. Each call fails with an [`Error`] if the platform does not respond, or
-/// rejects the call.
+/// rejects the call. Reads and watches fail with [`Kind::Restored`] if the store was restored
+/// meanwhile, or since the revision from which to watch.
 pub trait Platform: Debug + Send + Sync + 'static {
     /// Returns the greatest era in a response of the store so far; `None` if there was none.
     fn era(&self) -> watch::Receiver<Option<Era>>;
@@ -149,6 +150,8 @@
     Refused(u16),
     /// the requested revision has been compacted
     Compacted,
+    /// the store was restored from a copy
+    Restored,
     /// the content cannot be decoded: {0}
     Undecodable(String),
     /// the content cannot be encoded: {0}
