Let no condition on a revision of an earlier era hold

Callers could see a promotion by two hosts in turn, or a host that vanished from the list. Cause: conditional writes compared the numbers of revisions only. A restored store gives numbers out again, so a host overwrote the claim of another one, or removed a member row that had been renewed. If the write itself is the first to learn of it, the row may be written, but the caller takes the condition as failed and reads the row.

--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -86,6 +86,9 @@
 
     /// Writes a row. With `expected`, only if this condition holds. Returns the new revision, or
     /// `None` if the condition does not hold.
+    ///
+    /// A condition on a revision does not hold once the store was restored. If the restoration is
+    /// noticed only by the response, the row may have been written nevertheless.
     fn put(
         &self,
         key: &str,
