Put the era of the store into fencing tokens

Cause: the fencing token was the number of the claim's revision, which a restored store gives out again. The platform rejects smaller tokens, peers ignore promotions with smaller ones. Class: reissued identifiers used as an order. Change: the token is the era above 40 bits of the number, so it grows across restorations.

--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -356,7 +356,7 @@
     let mut claimed = claimed;
     let mut is_unresolved = false;
     for _ in 0..MAX_PROMOTION_CALLS {
-        let token = claimed.number;
+        let token = claimed.fencing_token();
         let promotion = store::Promotion {
             host: core.settings.host.name.clone(),
             token,
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -26,6 +26,19 @@
     pub number: u64,
 }
 
+/// Number of bits of a fencing token below the era. Together with eras below 2^13 a token stays an
+/// integer that every JSON parser keeps exactly.
+const NUMBER_BITS: u32 = 40;
+
+impl Revision {
+    /// Returns the fencing token of a claim that was written at this revision. It is unique, and
+    /// greater than the token of every earlier claim, also of those that the store has lost.
+    #[must_use]
+    pub fn fencing_token(self) -> u64 {
+        (self.era << NUMBER_BITS) | self.number
+    }
+}
+
 impl Display for Revision {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}.{}", self.era, self.number)
