Do not let a restored registry bring back older entries

Callers could see: work goes to a server that drains (DRAIN) or that has left, for up to two seconds or until its next entry. Cause: after a restoration the registry lists entries as they were when the copy was made. Hosts took them for the newest ones: a draining server became ready again, a server that had left was added, and a draining server that had registered after the copy was dropped at once. Class: state that is read is taken for newer than the state that is known. Change: entries have the order in which a server wrote them (start of its process, heartbeat). After a restoration an older entry does not replace a newer one, and a server that left stays away until it writes again. What the copy lacks is kept for the grace period of expired entries. In normal operation the store's entry counts, so an odd entry cannot block later ones. Entries have a module of their own. Evidence: a_draining_server_is_not_ready_again_after_a_restoration and a_server_that_has_left_is_not_added_after_a_restoration failed before and pass; entries.rs is new.

--- a/fulmargw_pool/src/backend.rs
+++ b/fulmargw_pool/src/backend.rs
@@ -26,6 +26,17 @@
     pub role: Role,
     /// Start of its process in Unix milliseconds; a restarted server has another value.
     pub born_unix_ms: u64,
+    /// Number of the heartbeat with which it wrote its entry. It starts anew with its process.
+    pub heartbeat: u64,
+}
+
+impl Server {
+    /// Reports whether the server wrote this entry before `other`.
+    #[must_use]
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        let order = |server: &Self| (server.born_unix_ms, server.heartbeat);
+        order(self) < order(other)
+    }
 }
 
 /// Role of a backend server in its database group.
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps configuration, registry and membership in step with the platform and the peers.
 
+pub mod entries;
 pub mod membership;
 pub mod registry;
 pub mod report;
@@ -72,11 +73,16 @@
         delay.mul_f64(1.0 - RETRY_JITTER * rand::random::<f64>())
     }
 
+    /// Reports whether the store was restored between the last successful call and `revision`.
+    fn is_restored(&self, revision: Revision) -> bool {
+        self.last_seen.is_some_and(|last| last.era != revision.era)
+    }
+
     /// Records a successful call. `after` is the revision that was watched; `None` if everything was
     /// read.
     fn record_success(&mut self, after: Option<Revision>, revision: Revision, has_changes: bool) {
+        let is_restored = self.is_restored(revision);
         let previous = self.last_seen.replace(revision);
-        let is_restored = previous.is_some_and(|previous| previous.era != revision.era);
         if self.failing_since.is_some() || is_restored {
             let [previous, after] = [previous, after].map(|it| it.map(|it| it.to_string()));
             log::info!(event = "watch_resumed", dependency = self.name, previous = previous.as_deref(), after = after.as_deref(), revision:% = revision, has_changes; "first response of the store after a failure or a restoration");
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -1,15 +1,12 @@
 //! Keeps the table of backend servers in step with the registry.
 
-use super::{Dependency, restored_since, revision_after_failure, watch_timeout};
-use crate::{
-    backend::{Registry, Server},
-    core::Core,
-    dialect::Dialect,
-    store::Platform,
-    table::Change,
+use super::{
+    Dependency,
+    entries::{EXPIRED_ENTRY_GRACE, Entries},
+    restored_since, revision_after_failure, watch_timeout,
 };
-use fulmargw_model::name::Name;
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use crate::{core::Core, dialect::Dialect, store::Platform, table::Change};
+use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Longest wait of one watch call as a fraction of the time for which a draining server may get new
@@ -21,68 +18,24 @@
 const CHANGE_PAUSE_PER_HOST: Duration = Duration::from_millis(10);
 /// Maximum of that pause.
 const MAX_CHANGE_PAUSE: Duration = Duration::from_secs(1);
-/// Time for which a server is kept after its entry expired. Entries that expired while the store
-/// was unavailable are written again within about two seconds of its return.
-const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2_500);
-
-/// Registered servers, and those whose entries have recently expired.
-#[derive(Debug, Default)]
-struct Entries {
-    registered: Registry,
-    /// Servers whose entries expired, and since when.
-    expired: BTreeMap<Name, (Server, Instant)>,
-}
-
-impl Entries {
-    fn update(&mut self, registered: Registry, now: Instant) {
-        for (id, server) in &self.registered {
-            if !registered.contains_key(id) && !server.is_draining {
-                self.expired.insert(id.clone(), (server.clone(), now));
-            }
-        }
-        self.expired.retain(|id, (_, since)| {
-            !registered.contains_key(id)
-                && now.saturating_duration_since(*since) < EXPIRED_ENTRY_GRACE
-        });
-        self.registered = registered;
-    }
-
-    /// Restarts the grace period of expired entries after the store was unavailable, so that they
-    /// can be written again.
-    fn restart_grace(&mut self, now: Instant) {
-        for (_, since) in self.expired.values_mut() {
-            *since = now;
-        }
-    }
-
-    fn all(&self) -> Registry {
-        let expired = self.expired.iter();
-        let mut all: Registry = expired
-            .map(|(id, (server, _))| (id.clone(), server.clone()))
-            .collect();
-        all.extend(self.registered.clone());
-        all
-    }
-}
-
 /// Keeps the table of backend servers up to date until the process stops.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
     let mut dependency = Dependency::new("registry");
     let mut entries = Entries::default();
     let mut revision = None;
     loop {
-        let mut registered = entries.registered.clone();
+        let mut registered = entries.registered().clone();
         let response = match revision {
             None => core.platform.registry().await.map(|(registry, seen)| {
                 registered = registry;
                 seen
             }),
             Some(after) => {
-                let wait = if entries.expired.is_empty() {
+                let wait = if entries.has_expired() {
+                    EXPIRED_ENTRY_GRACE / 2
+                } else {
                     let maximum = core.limits().drain_window();
                     watch_timeout(&core, maximum.mul_f64(WAIT_PER_DRAIN_WINDOW))
-                } else {
-                    EXPIRED_ENTRY_GRACE / 2
                 };
                 tokio::select! {
                     response = core.platform.watch_registry(&mut registered, after, wait) => response,
@@ -100,10 +53,13 @@
                 if dependency.failing_since.is_some() {
                     entries.restart_grace(now);
                 }
-                let has_changed = entries.registered != registered;
+                let has_changed = if dependency.is_restored(seen) {
+                    entries.update_restored(registered, now)
+                } else {
+                    entries.update(registered, now)
+                };
                 dependency.record_success(revision, seen, has_changed);
                 revision = Some(seen);
-                entries.update(registered, now);
                 reconcile(&core, &entries);
                 if has_changed {
                     let hosts = core.members.lock().count();
