Do not list a removed host again because of a restored row

Callers could see: statements are forwarded to a host that is gone, after every restoration to a copy that has its row, and the shares of the other hosts are smaller for some seconds. Cause: a member row that had been removed came back with the copy, and was taken for a new host. Class: state that is read is taken for newer than the state that is known. Change: the last rows of removed hosts are remembered. A row of the same run of the process in a later era with a number that is not greater is a copy: it is removed from the store again. A host that is alive renews its row, or reports. Evidence: a_removed_host_is_not_listed_again_by_a_restored_row failed before (the host was listed) and passes.

--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -67,6 +67,31 @@
     pub incarnation: u64,
 }
 
+/// Time for which a removed host is remembered. It is longer than the age of the copies from which
+/// the store is restored.
+const REMOVED_RETENTION: Duration = Duration::from_mins(10);
+
+/// Member row of a peer as this host last read it.
+#[derive(Debug, Clone, Copy)]
+pub struct Row {
+    /// Identifier of the run of the peer's process that wrote it.
+    pub incarnation: u64,
+    /// Revision at which it was written.
+    pub revision: Revision,
+    /// Time at which this host first read this revision.
+    pub read_at: Instant,
+}
+
+impl Row {
+    /// Reports whether a row of the same host is not newer than this one, but comes from a copy from
+    /// which the store was restored.
+    fn is_copied_by(&self, record: &Record, revision: Revision) -> bool {
+        record.incarnation == self.incarnation
+            && revision.era > self.revision.era
+            && revision.number <= self.revision.number
+    }
+}
+
 /// Another host of the fleet.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -76,8 +101,8 @@
     pub report: Option<(Report, Instant)>,
     /// Time of its last report to this host or, according to peers, to any other host.
     pub last_seen: Option<Instant>,
-    /// Revision of its member row, and when this host first read it.
-    pub row: Option<(Revision, Instant)>,
+    /// Its member row.
+    pub row: Option<Row>,
     /// Time at which this host learned of it.
     pub discovered_at: Instant,
 }
@@ -103,6 +128,10 @@
     pub is_stopping: bool,
     /// Choice of the hosts that run the statements of services.
     pub holders: Holders,
+    /// Last rows of removed hosts, and when they were removed.
+    removed: BTreeMap<Name, (Row, Instant)>,
+    /// Rows of removed hosts that a restoration brought back, with their revisions.
+    brought_back: Vec<(Name, Revision)>,
     /// Revisions of claim rows by key, and when this host first read them.
     pub claims: BTreeMap<String, (Revision, Instant)>,
 }
@@ -150,6 +179,8 @@
             promotions: BTreeMap::new(),
             is_stopping: false,
             holders: Holders::new(),
+            removed: BTreeMap::new(),
+            brought_back: Vec::new(),
             claims: BTreeMap::new(),
         };
         members.hosts_changed();
@@ -359,43 +390,71 @@
     /// changed.
     pub fn apply_rows(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) -> bool {
         let mut changed = false;
+        self.brought_back.clear();
         for (name, (record, revision)) in rows {
+            if self.is_removed(name, record, *revision) {
+                self.brought_back.push((name.clone(), *revision));
+                continue;
+            }
             changed |= self.add_peer(name, record.endpoint, now);
             if let Some(peer) = self.peers.get_mut(name)
-                && peer.row.is_none_or(|(known, _)| known != *revision)
+                && peer.row.is_none_or(|known| known.revision != *revision)
             {
-                peer.row = Some((*revision, now));
+                peer.row = Some(Row {
+                    incarnation: record.incarnation,
+                    revision: *revision,
+                    read_at: now,
+                });
             }
         }
-        let own = &self.own;
+        changed | self.remove_unlisted(rows, now)
+    }
+
+    /// Reports whether a row was copied before its host was removed, and came back when the store
+    /// was restored.
+    fn is_removed(&self, name: &Name, record: &Record, revision: Revision) -> bool {
+        let removed = self.removed.get(name);
+        removed.is_some_and(|(last, _)| last.is_copied_by(record, revision))
+    }
+
+    /// Removes the peers that are not listed in `rows` and have not been seen lately. Returns
+    /// whether there are any.
+    fn remove_unlisted(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) -> bool {
         let Timeouts { removal, .. } = self.timeouts();
         let peer_timeout = self.timing().peer_timeout;
-        let before = self.peers.len();
-        self.peers.retain(|name, peer| {
+        let removed = self.peers.extract_if(.., |name, peer| {
             let is_new = now.saturating_duration_since(peer.discovered_at) < removal;
-            name == own || rows.contains_key(name) || peer.is_seen(peer_timeout, now) || is_new
+            !rows.contains_key(name) && !peer.is_seen(peer_timeout, now) && !is_new
         });
-        if self.peers.len() != before {
-            self.hosts_changed();
-            changed = true;
+        let removed: Vec<(Name, Peer)> = removed.collect();
+        if removed.is_empty() {
+            return false;
         }
-        changed
+        let last_rows = removed.into_iter().filter_map(|(name, peer)| {
+            let row = peer.row?;
+            Some((name, (row, now)))
+        });
+        self.removed.extend(last_rows);
+        self.removed
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < REMOVED_RETENTION);
+        self.hosts_changed();
+        true
     }
 
     /// Returns the names of peers that have neither renewed their member rows nor reported to any
-    /// host, with the revisions of these rows.
+    /// host, and of removed hosts whose rows a restoration brought back, with the revisions of these
+    /// rows.
     #[must_use]
     pub fn expired_rows(&self, now: Instant) -> Vec<(Name, Revision)> {
         let elapsed = |at: Instant| now.saturating_duration_since(at);
         let Timeouts { removal, .. } = self.timeouts();
         let peers = self.peers.iter();
         let unresponsive = peers.filter(|(_, peer)| !peer.is_seen(removal, now));
-        unresponsive
-            .filter_map(|(name, peer)| {
-                let (revision, seen) = peer.row?;
-                (elapsed(seen) >= removal).then(|| (name.clone(), revision))
-            })
-            .collect()
+        let expired = unresponsive.filter_map(|(name, peer)| {
+            let row = peer.row?;
+            (elapsed(row.read_at) >= removal).then(|| (name.clone(), row.revision))
+        });
+        expired.chain(self.brought_back.iter().cloned()).collect()
     }
 
     /// Reports whether this host may use its share.
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -147,6 +147,8 @@
     let restored = in_era(2, rows(&[("b", 5), ("c", 6)]));
     members.apply_rows(&restored, later);
     assert_eq!(members.names(), ["a".into(), "b".into()]);
+    let copied = Revision { era: 2, number: 6 };
+    assert_eq!(members.expired_rows(later), [("c".into(), copied)]);
 
     let renewed = in_era(2, rows(&[("b", 7), ("c", 8)]));
     members.apply_rows(&renewed, later);
