--- a/fulmargw_pool/tests/entries.rs
+++ b/fulmargw_pool/tests/entries.rs
@@ -97,8 +97,9 @@
 async fn a_server_that_the_copy_lacks_is_kept_for_the_grace_period() {
     let now = Instant::now();
     for server in [entry(1), draining(2)] {
-        let known = registry(&[server.clone()]);
-        let mut entries = entries(&[&[server]], now);
+        let listed = [server];
+        let known = registry(&listed);
+        let mut entries = entries(&[&listed], now);
 
         entries.update_restored(Registry::new(), now);
         assert_eq!(entries.all(), known);
