Keep a host whose member row a restoration lost

Callers could see: an account gets more than its rate for some seconds (QUOTA), because a host that only its row shows to be alive was removed while it used its share. Cause: a missing row was taken for a removed one. After a restoration the rows written since the copy are missing until their hosts write them again. Class: what is absent from a restored store is taken for removed. Change: a peer whose last row is of an earlier era is kept for the usual removal time of the new era. Evidence: a_host_whose_row_was_lost_in_a_restoration_is_not_removed_at_once failed before (the host was removed at once) and passes.

--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -1,6 +1,9 @@
 //! The hosts of the fleet, which share rates and connections, and the reports of the other ones.
 
-use crate::{holder::Holders, store::Revision};
+use crate::{
+    holder::Holders,
+    store::{Era, Revision},
+};
 use fulmargw_decision::gossip::{Age, Rotation, Timing};
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
@@ -128,6 +131,8 @@
     pub is_stopping: bool,
     /// Choice of the hosts that run the statements of services.
     pub holders: Holders,
+    /// Era of the store in which the rows were last read, and since when.
+    era: Option<(Era, Instant)>,
     /// Last rows of removed hosts, and when they were removed.
     removed: BTreeMap<Name, (Row, Instant)>,
     /// Rows of removed hosts that a restoration brought back, with their revisions.
@@ -179,6 +184,7 @@
             promotions: BTreeMap::new(),
             is_stopping: false,
             holders: Holders::new(),
+            era: None,
             removed: BTreeMap::new(),
             brought_back: Vec::new(),
             claims: BTreeMap::new(),
@@ -391,6 +397,7 @@
     pub fn apply_rows(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) -> bool {
         let mut changed = false;
         self.brought_back.clear();
+        self.record_era(rows, now);
         for (name, (record, revision)) in rows {
             if self.is_removed(name, record, *revision) {
                 self.brought_back.push((name.clone(), *revision));
@@ -410,6 +417,15 @@
         changed | self.remove_unlisted(rows, now)
     }
 
+    /// Records the era of the rows, which include that of this host.
+    fn record_era(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) {
+        let era = rows.values().map(|(_, revision)| revision.era).max();
+        let known = self.era.map(|(era, _)| era);
+        if let Some(era) = era.filter(|_| era > known) {
+            self.era = Some((era, now));
+        }
+    }
+
     /// Reports whether a row was copied before its host was removed, and came back when the store
     /// was restored.
     fn is_removed(&self, name: &Name, record: &Record, revision: Revision) -> bool {
@@ -419,12 +435,18 @@
 
     /// Removes the peers that are not listed in `rows` and have not been seen lately. Returns
     /// whether there are any.
+    ///
+    /// A restoration may have lost the row of a host that only its row shows to be alive. Such a
+    /// host has time to write it again.
     fn remove_unlisted(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) -> bool {
         let Timeouts { removal, .. } = self.timeouts();
         let peer_timeout = self.timing().peer_timeout;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < removal;
+        let era = self.era.filter(|(_, since)| is_recent(*since));
+        let may_be_lost = |row: Row| era.is_some_and(|(era, _)| row.revision.era < era);
         let removed = self.peers.extract_if(.., |name, peer| {
-            let is_new = now.saturating_duration_since(peer.discovered_at) < removal;
-            !rows.contains_key(name) && !peer.is_seen(peer_timeout, now) && !is_new
+            let is_kept = is_recent(peer.discovered_at) || peer.row.is_some_and(may_be_lost);
+            !rows.contains_key(name) && !peer.is_seen(peer_timeout, now) && !is_kept
         });
         let removed: Vec<(Name, Peer)> = removed.collect();
         if removed.is_empty() {
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -155,6 +155,25 @@
     assert_eq!(members.names(), ["a".into(), "b".into(), "c".into()]);
 }
 
+/// Guards against the removal of a host that only the store shows to be alive, because a restoration
+/// lost its row: it still uses its share.
+#[tokio::test(start_paused = true)]
+async fn a_host_whose_row_was_lost_in_a_restoration_is_not_removed_at_once() {
+    let base = Instant::now();
+    let removal = Timeouts::of(3).removal;
+    let mut members = Members::new("a".into());
+    members.apply_rows(&rows(&[("b", 5), ("c", 6)]), base);
+    let renewed = base + removal;
+    members.apply_rows(&rows(&[("b", 7), ("c", 8)]), renewed);
+
+    let restored = renewed + removal / 2;
+    members.apply_rows(&in_era(2, rows(&[("b", 7)])), restored);
+    assert_eq!(members.names(), ["a".into(), "b".into(), "c".into()]);
+
+    members.apply_rows(&in_era(2, rows(&[("b", 8)])), restored + removal);
+    assert_eq!(members.names(), ["a".into(), "b".into()]);
+}
+
 /// Guards against the removal of a host that renews its member row.
 #[tokio::test(start_paused = true)]
 async fn a_host_that_renews_its_row_is_not_removed() {
