Spread the registrations after a restoration

Cause: all hosts would write their member rows in the same moment; at the target size 640 writes to one part of a table, which takes 300 a second. Change: a random delay of up to 4 ms a host: 16 ms with 4 hosts, 0.3 s with 78, 2.6 s with 640.

--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -27,6 +27,10 @@
 /// then.
 const ISOLATED_RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Share of each host in the longest delay before it writes a lost row again, so that all hosts
+/// together stay below the 300 transactions a second that one part of a table takes.
+const REGISTRATION_DELAY_PER_HOST: Duration = Duration::from_millis(4);
+
 /// Registers this host, renews its member row and removes the rows of expired hosts until the
 /// process stops.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
@@ -37,7 +41,7 @@
                 dependency.record_response();
                 tokio::select! {
                     () = wait_for_renewal(&core) => {}
-                    () = restored_since(&core, written) => {}
+                    () = restored_since(&core, written) => sleep(registration_delay(&core)).await,
                 }
             }
             Err(error) => {
@@ -48,6 +52,13 @@
     }
 }
 
+/// Returns the delay before this host writes its member row again after a restoration of the store.
+fn registration_delay<D: Dialect, P: Platform>(core: &Core<D, P>) -> Duration {
+    let hosts = core.members.lock().count();
+    let maximum = REGISTRATION_DELAY_PER_HOST.saturating_mul(hosts);
+    maximum.mul_f64(rand::random())
+}
+
 /// Waits until this host's member row has to be renewed.
 async fn wait_for_renewal<D: Dialect, P: Platform>(core: &Core<D, P>) {
     let renewed_at = Instant::now();
