Let the age of a claim go on after a restoration

Callers could see: a primary that fails soon after a restoration is replaced up to 5 s later. Cause: since revisions have an era, a claim row that the copy still has looked like a new claim, and other hosts wait for 5 s before they replace one. Change: a claim row with the same number and content is the same claim, in a later era too.

--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -90,7 +90,7 @@
             return Err(Failure::Claimed);
         }
         let now = Instant::now();
-        let age = core.members.lock().claim_age(key, row.revision, now);
+        let age = core.members.lock().claim_age(&row, now);
         let claim = match rmp_serde::from_slice::<Claim>(&row.value) {
             Ok(claim) => Some(claim),
             Err(cause) => {
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -119,7 +119,7 @@
     for row in &rows {
         if row.key.starts_with(failover::KEY_PREFIX) {
             let now = Instant::now();
-            core.members.lock().claim_age(&row.key, row.revision, now);
+            core.members.lock().claim_age(row, now);
             continue;
         }
         let Some(name) = row.key.strip_prefix(member::KEY_PREFIX) else {
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     holder::Holders,
-    store::{Era, Revision},
+    store::{self, Era, Revision},
 };
 use fulmargw_decision::gossip::{Age, Rotation, Timing};
 use fulmargw_model::name::Name;
@@ -137,8 +137,8 @@
     removed: BTreeMap<Name, (Row, Instant)>,
     /// Rows of removed hosts that a restoration brought back, with their revisions.
     brought_back: Vec<(Name, Revision)>,
-    /// Revisions of claim rows by key, and when this host first read them.
-    pub claims: BTreeMap<String, (Revision, Instant)>,
+    /// Claim rows by key, and when this host first read them.
+    claims: BTreeMap<String, (store::Row, Instant)>,
 }
 
 impl Peer {
@@ -494,13 +494,16 @@
         has_joined && (has_renewed || in_contact)
     }
 
-    /// Records the revision of a claim row, and returns for how long this host has known it.
-    pub fn claim_age(&mut self, key: &str, revision: Revision, now: Instant) -> Duration {
-        let known = self.claims.entry(key.to_owned()).or_insert((revision, now));
-        if known.0 != revision {
-            *known = (revision, now);
-        }
-        now.saturating_duration_since(known.1)
+    /// Records a claim row, and returns for how long this host has known it. A row that a restored
+    /// store still has is the same one.
+    pub fn claim_age(&mut self, row: &store::Row, now: Instant) -> Duration {
+        let known = self.claims.get(&row.key);
+        let known = known.filter(|(known, _)| {
+            known.revision.number == row.revision.number && known.value == row.value
+        });
+        let since = known.map_or(now, |(_, since)| *since);
+        self.claims.insert(row.key.clone(), (row.clone(), since));
+        now.saturating_duration_since(since)
     }
 
     /// Records a promotion. Returns whether it is newer than the latest known one of its service.
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -1,11 +1,12 @@
 //! The list of hosts in the fleet.
 
+use bytes::Bytes;
 use fulmargw_decision::gossip::{Age, MIN_PEER_TIMEOUT, Timing};
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
 use fulmargw_pool::{
     member::{JOIN_DELAY, Members, Record, Timeouts},
-    store::{Era, Revision},
+    store::{Era, Revision, Row},
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
@@ -44,6 +45,14 @@
     Revision { era: 1, number }
 }
 
+fn claim(revision: Revision) -> Row {
+    Row {
+        key: "s".to_owned(),
+        value: Bytes::from("claim"),
+        revision,
+    }
+}
+
 fn rows(hosts: &[(&str, u64)]) -> BTreeMap<Name, (Record, Revision)> {
     let record = |number| {
         let record = Record {
@@ -209,17 +218,32 @@
     let base = Instant::now();
     let mut members = Members::new("a".into());
 
-    assert_eq!(members.claim_age("s", revision(5), base), Duration::ZERO);
+    assert_eq!(members.claim_age(&claim(revision(5)), base), Duration::ZERO);
     assert_eq!(
-        members.claim_age("s", revision(5), base + MIN_PEER_TIMEOUT),
+        members.claim_age(&claim(revision(5)), base + MIN_PEER_TIMEOUT),
         MIN_PEER_TIMEOUT
     );
     assert_eq!(
-        members.claim_age("s", revision(6), base + MIN_PEER_TIMEOUT),
+        members.claim_age(&claim(revision(6)), base + MIN_PEER_TIMEOUT),
         Duration::ZERO
     );
 }
 
+/// Guards against a failover that waits for an old claim once more, because its row came back with the
+/// copy from which the store was restored.
+#[tokio::test(start_paused = true)]
+async fn the_age_of_a_claim_goes_on_after_a_restoration() {
+    let base = Instant::now();
+    let later = base + MIN_PEER_TIMEOUT;
+    let mut members = Members::new("a".into());
+    let copied = Revision { era: 2, number: 5 };
+    members.claim_age(&claim(revision(5)), base);
+
+    assert_eq!(members.claim_age(&claim(copied), later), MIN_PEER_TIMEOUT);
+    let reissued = Revision { era: 2, number: 6 };
+    assert_eq!(members.claim_age(&claim(reissued), later), Duration::ZERO);
+}
+
 /// Guards against statements forwarded to a host that does not respond or is stopping.
 #[tokio::test(start_paused = true)]
 async fn the_holder_is_the_first_host_that_is_alive() {
