Move the member rows into a module of their own

Moves only: Record and Row, and what is known across restorations as the type Rows. A rejected unconditional write has an error kind of its own.

--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -5,7 +5,10 @@
     core::Core,
     dialect::Dialect,
     failover,
-    member::{self, Members, Record},
+    member::{
+        self, Members,
+        rows::{self, Record},
+    },
     store::{Condition, Error, Kind, Platform, Revision},
 };
 use bytes::Bytes;
@@ -97,7 +100,7 @@
 async fn renew<D: Dialect, P: Platform>(core: &Arc<Core<D, P>>) -> Result<Revision, Error> {
     let host = &core.settings.host;
     let requested = Instant::now();
-    let key = format!("{}{}", member::KEY_PREFIX, host.name);
+    let key = format!("{}{}", rows::KEY_PREFIX, host.name);
     let record = Record {
         endpoint: host.endpoint(),
         incarnation: core.incarnation,
@@ -122,7 +125,7 @@
             core.members.lock().claim_age(row, now);
             continue;
         }
-        let Some(name) = row.key.strip_prefix(member::KEY_PREFIX) else {
+        let Some(name) = row.key.strip_prefix(rows::KEY_PREFIX) else {
             continue;
         };
         match rmp_serde::from_slice::<Record>(&row.value) {
@@ -154,7 +157,7 @@
     }
     core.hosts_known.send_replace(true);
     for (name, revision) in expired {
-        let key = format!("{}{name}", member::KEY_PREFIX);
+        let key = format!("{}{name}", rows::KEY_PREFIX);
         let removed = core.platform.remove(&key, revision).await?;
         log::info!(event = "host_removed", host = name.as_str(), removed; "host neither renewed its member row nor reported");
     }
@@ -170,7 +173,7 @@
     written.ok_or_else(|| Error {
         step: "write the member row",
         peer: String::new(),
-        kind: Kind::Undecodable("an unconditional write was rejected".to_owned()),
+        kind: Kind::Conflict,
     })
 }
 
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -18,6 +18,7 @@
 const CHANGE_PAUSE_PER_HOST: Duration = Duration::from_millis(10);
 /// Maximum of that pause.
 const MAX_CHANGE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Keeps the table of backend servers up to date until the process stops.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
     let mut dependency = Dependency::new("registry");
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -1,13 +1,15 @@
 //! The hosts of the fleet, which share rates and connections, and the reports of the other ones.
 
+pub mod rows;
+
+use self::rows::{Record, Row, Rows};
 use crate::{
     holder::Holders,
-    store::{self, Era, Revision},
+    store::{self, Revision},
 };
 use fulmargw_decision::gossip::{Age, Rotation, Timing};
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
-use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -57,44 +59,6 @@
 /// Minimum time for which a host that was not seen yet may be chosen as a holder.
 const MIN_FIRST_SEEN_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Prefix of the keys of member rows.
-pub const KEY_PREFIX: &str = "member/";
-
-/// Content of a member row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Record {
-    /// Addresses at which its peers reach it.
-    pub endpoint: Endpoint,
-    /// Identifier of this run of its process.
-    pub incarnation: u64,
-}
-
-/// Time for which a removed host is remembered. It is longer than the age of the copies from which
-/// the store is restored.
-const REMOVED_RETENTION: Duration = Duration::from_mins(10);
-
-/// Member row of a peer as this host last read it.
-#[derive(Debug, Clone, Copy)]
-pub struct Row {
-    /// Identifier of the run of the peer's process that wrote it.
-    pub incarnation: u64,
-    /// Revision at which it was written.
-    pub revision: Revision,
-    /// Time at which this host first read this revision.
-    pub read_at: Instant,
-}
-
-impl Row {
-    /// Reports whether a row of the same host is not newer than this one, but comes from a copy from
-    /// which the store was restored.
-    fn is_copied_by(&self, record: &Record, revision: Revision) -> bool {
-        record.incarnation == self.incarnation
-            && revision.era > self.revision.era
-            && revision.number <= self.revision.number
-    }
-}
-
 /// Another host of the fleet.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -131,12 +95,8 @@
     pub is_stopping: bool,
     /// Choice of the hosts that run the statements of services.
     pub holders: Holders,
-    /// Era of the store in which the rows were last read, and since when.
-    era: Option<(Era, Instant)>,
-    /// Last rows of removed hosts, and when they were removed.
-    removed: BTreeMap<Name, (Row, Instant)>,
-    /// Rows of removed hosts that a restoration brought back, with their revisions.
-    brought_back: Vec<(Name, Revision)>,
+    /// What the member rows have shown across restorations of the store.
+    rows: Rows,
     /// Claim rows by key, and when this host first read them.
     claims: BTreeMap<String, (store::Row, Instant)>,
 }
@@ -184,9 +144,7 @@
             promotions: BTreeMap::new(),
             is_stopping: false,
             holders: Holders::new(),
-            era: None,
-            removed: BTreeMap::new(),
-            brought_back: Vec::new(),
+            rows: Rows::default(),
             claims: BTreeMap::new(),
         };
         members.hosts_changed();
@@ -396,11 +354,9 @@
     /// changed.
     pub fn apply_rows(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) -> bool {
         let mut changed = false;
-        self.brought_back.clear();
-        self.record_era(rows, now);
+        self.rows.start(rows, now);
         for (name, (record, revision)) in rows {
-            if self.is_removed(name, record, *revision) {
-                self.brought_back.push((name.clone(), *revision));
+            if self.rows.is_brought_back(name, record, *revision) {
                 continue;
             }
             changed |= self.add_peer(name, record.endpoint, now);
@@ -417,22 +373,6 @@
         changed | self.remove_unlisted(rows, now)
     }
 
-    /// Records the era of the rows, which include that of this host.
-    fn record_era(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) {
-        let era = rows.values().map(|(_, revision)| revision.era).max();
-        let known = self.era.map(|(era, _)| era);
-        if let Some(era) = era.filter(|_| era > known) {
-            self.era = Some((era, now));
-        }
-    }
-
-    /// Reports whether a row was copied before its host was removed, and came back when the store
-    /// was restored.
-    fn is_removed(&self, name: &Name, record: &Record, revision: Revision) -> bool {
-        let removed = self.removed.get(name);
-        removed.is_some_and(|(last, _)| last.is_copied_by(record, revision))
-    }
-
     /// Removes the peers that are not listed in `rows` and have not been seen lately. Returns
     /// whether there are any.
     ///
@@ -441,24 +381,19 @@
     fn remove_unlisted(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) -> bool {
         let Timeouts { removal, .. } = self.timeouts();
         let peer_timeout = self.timing().peer_timeout;
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < removal;
-        let era = self.era.filter(|(_, since)| is_recent(*since));
-        let may_be_lost = |row: Row| era.is_some_and(|(era, _)| row.revision.era < era);
         let removed = self.peers.extract_if(.., |name, peer| {
-            let is_kept = is_recent(peer.discovered_at) || peer.row.is_some_and(may_be_lost);
+            let is_new = now.saturating_duration_since(peer.discovered_at) < removal;
+            let may_be_lost = |row: Row| self.rows.may_be_lost(row, removal, now);
+            let is_kept = is_new || peer.row.is_some_and(may_be_lost);
             !rows.contains_key(name) && !peer.is_seen(peer_timeout, now) && !is_kept
         });
         let removed: Vec<(Name, Peer)> = removed.collect();
         if removed.is_empty() {
             return false;
         }
-        let last_rows = removed.into_iter().filter_map(|(name, peer)| {
-            let row = peer.row?;
-            Some((name, (row, now)))
-        });
-        self.removed.extend(last_rows);
-        self.removed
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < REMOVED_RETENTION);
+        let last_rows = removed.into_iter();
+        let last_rows = last_rows.filter_map(|(name, peer)| Some((name, peer.row?)));
+        self.rows.record_removed(last_rows, now);
         self.hosts_changed();
         true
     }
@@ -476,7 +411,7 @@
             let row = peer.row?;
             (elapsed(row.read_at) >= removal).then(|| (name.clone(), row.revision))
         });
-        expired.chain(self.brought_back.iter().cloned()).collect()
+        expired.chain(self.rows.brought_back()).collect()
     }
 
     /// Reports whether this host may use its share.
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -168,6 +168,8 @@
     Compacted,
     /// the store was restored from a copy
     Restored,
+    /// the condition of the write does not hold
+    Conflict,
     /// the content cannot be decoded: {0}
     Undecodable(String),
     /// the content cannot be encoded: {0}
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -5,7 +5,7 @@
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::{Endpoint, Promotion, Report};
 use fulmargw_pool::{
-    member::{JOIN_DELAY, Members, Record, Timeouts},
+    member::{JOIN_DELAY, Members, Timeouts, rows::Record},
     store::{Era, Revision, Row},
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
