--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -429,8 +429,10 @@
         has_joined && (has_renewed || in_contact)
     }
 
-    /// Records a claim row, and returns for how long this host has known it. A row that a restored
-    /// store still has is the same one.
+    /// Records a claim row, and returns for how long this host has known it.
+    ///
+    /// A row with the same number and content in a later era is the same claim: the copy from which
+    /// the store was restored has it.
     pub fn claim_age(&mut self, row: &store::Row, now: Instant) -> Duration {
         let known = self.claims.get(&row.key);
         let known = known.filter(|(known, _)| {
