--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -3,8 +3,8 @@
 pub mod forgotten;
 pub mod lost;
 pub mod names;
-pub mod revoked;
-pub mod silent;
+pub mod quota;
+pub mod watch;
 pub mod writers;
 
 use crate::record;
--- a/review/standin/cases/silent.rs
+++ b/review/standin/cases/watch.rs
@@ -1,5 +1,5 @@
-//! CONFIG: open connections to the store go silent, and a key that was taken away is still used by
-//! machines in touch, later than the bound.
+//! CONFIG: after an outage of the store, a key that was taken away is still used by machines in touch,
+//! later than the bound.
 
 use super::sleep_until;
 use crate::{
@@ -12,11 +12,15 @@
 
 /// Key that is taken away.
 const REVOKED: &str = "w81k";
-/// `stabilityWindowMs`: machines are in touch this long after their connections went silent.
+/// Time from a change of the configuration to the outage.
+const BEFORE_OUTAGE: Duration = Duration::from_millis(500);
+/// Duration of the outage.
+const OUTAGE: Duration = Duration::from_millis(4_500);
+/// `stabilityWindowMs`: machines are in touch this long after the outage.
 const STABILITY_WINDOW: Duration = Duration::from_millis(4_000);
 /// `configurationApplyMs`.
 const APPLY_BOUND: Duration = Duration::from_millis(3_000);
-/// Added to each bound, so that none is missed by a late clock.
+/// Added to the bounds, so that none is missed by a late clock.
 const MARGIN: Duration = Duration::from_millis(20);
 /// Time for which the key is tried.
 const TRIAL: Duration = Duration::from_secs(9);
@@ -37,17 +41,21 @@
             ));
         }
     }
-    // One more key; a new version follows soon.
     fleet.reconfigure(|configuration| configuration.keys.push("n33d".to_owned()));
-    thread::sleep(Duration::from_millis(60));
+    thread::sleep(BEFORE_OUTAGE);
     if has_trouble {
-        fleet.relay.silence();
+        fleet.store.set_away(true);
     }
-    let silent_at = record::elapsed();
-    thread::sleep(Duration::from_millis(20));
+    thread::sleep(OUTAGE);
+    if has_trouble {
+        fleet.store.set_away(false);
+    }
+    let back_at = record::elapsed();
+    // The operator's call was under way, and is acknowledged now.
+    thread::sleep(Duration::from_millis(30));
     fleet.reconfigure(|configuration| configuration.keys.retain(|key| key != REVOKED));
     let acknowledged_at = record::elapsed();
-    let bound = (silent_at + STABILITY_WINDOW).max(acknowledged_at + APPLY_BOUND) + MARGIN;
+    let bound = (back_at + STABILITY_WINDOW).max(acknowledged_at + APPLY_BOUND) + MARGIN;
     let trials: Vec<_> = sessions
         .into_iter()
         .map(|session| thread::spawn(move || try_key(session, bound)))
@@ -57,12 +65,11 @@
         .map(|trial| trial.join().unwrap_or(0))
         .sum();
     let other = Client::open("other", fleet.hosts[0].front, PRIMARY, KEY);
-    let is_served = other.is_ok_and(|mut other| other.run("READ 1a4").is_signed());
-    if !is_served {
+    if !other.is_ok_and(|mut other| other.run("READ 1a4").is_signed()) {
         return Err("the other key does not work".to_owned());
     }
     record::show(&format!(
-        "{late} requests ran with the key later than {:.3}",
+        "{late} requests sent after {:.3} ran with the key",
         bound.as_secs_f64()
     ));
     Ok(if late > 0 {
@@ -83,7 +90,7 @@
         if reply.is_signed() && sent > bound {
             late += 1;
         }
-        if !reply.is_signed() && reply.code() != "BUSY" {
+        if reply.is_denied() {
             record::show(&format!("the key is refused: {:?}", reply.end));
             return late;
         }
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -51,12 +51,9 @@
         matches!(self.end, End::Complete(_))
     }
 
-    /// Returns the error code; empty if there is none.
-    pub fn code(&self) -> &str {
-        match &self.end {
-            End::Error(code, _) => code,
-            _ => "",
-        }
+    /// Reports whether the key was refused.
+    pub fn is_denied(&self) -> bool {
+        matches!(&self.end, End::Error(code, _) if code == "DENIED")
     }
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -78,8 +78,8 @@
         "lost" => cases::lost::play(files, has_trouble),
         "forgotten" => cases::forgotten::play(files, has_trouble),
         "names" => cases::names::play(files, has_trouble),
-        "silent" => cases::silent::play(files, has_trouble),
-        "revoked" => cases::revoked::play(files, has_trouble),
+        "watch" => cases::watch::play(files, has_trouble),
+        "quota" => cases::quota::play(files, has_trouble),
         _ => Err("unknown case".to_owned()),
     }
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -8,7 +8,11 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -27,6 +31,9 @@
 pub struct Store {
     rows: Mutex<Rows>,
     changed: Condvar,
+    /// Number of outages that have begun.
+    outages: AtomicU64,
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -58,7 +65,32 @@
         self.changed.notify_all();
     }
 
+    /// Starts or ends an outage. Calls that it meets never get a response, and do nothing.
+    pub fn set_away(&self, is_away: bool) {
+        if is_away {
+            self.outages.fetch_add(1, Ordering::SeqCst);
+        }
+        self.is_away.store(is_away, Ordering::SeqCst);
+        record::show(if is_away {
+            "the store is silent"
+        } else {
+            "the store is back"
+        });
+    }
+
     fn handle(&self, request: &Request) -> Response {
+        let outages = self.outages.load(Ordering::SeqCst);
+        if self.is_away.load(Ordering::SeqCst) {
+            never_respond();
+        }
+        let response = self.respond(request);
+        if self.outages.load(Ordering::SeqCst) != outages {
+            never_respond();
+        }
+        response
+    }
+
+    fn respond(&self, request: &Request) -> Response {
         let query = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match request.path.as_str() {
             "/api/rows-get" => (200, self.list(&query("table"), &query("from"), None)),
@@ -69,7 +101,7 @@
                 (200, self.list(&query("table"), "", Some(after)))
             }
             "/api/rows-tx" => {
-                std::thread::sleep(TRANSACTION_TIME);
+                thread::sleep(TRANSACTION_TIME);
                 self.transact(&request.body)
             }
             _ => (404, "{}".to_owned()),
@@ -162,6 +194,12 @@
     }
 }
 
+fn never_respond() -> ! {
+    loop {
+        thread::sleep(Duration::from_secs(60));
+    }
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
