--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,4 +9,4 @@
     echo "build the deploy file and review/build.sh first" >&2
     exit 2
 fi
-exec target/review/review_case quota "$folder"
+exec target/review/review_case revoked "$folder"
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -3,7 +3,7 @@
 pub mod forgotten;
 pub mod lost;
 pub mod names;
-pub mod quota;
+pub mod revoked;
 pub mod watch;
 pub mod writers;
 
