Record the replica set of each service in the store

Cause: which commits were acknowledged, and thereby that a replica may lack some, was known only from the memory of the hosts. A host that had just started took "no acknowledged position known" for "nothing acknowledged", and a peer that did not respond for one that knew nothing. Nothing else showed that a server was missing among the replicas that a promotion asked.

Change: the host that runs the statements of a service keeps a row with its replica set in a table of its own: the servers, each with the start of its process, and the primary. A server that leaves stays in the row until a registered replica has everything that the primary has. A promotion reads the row. If a member other than the primary is missing, a candidate is complete only if every host has reported an acknowledged position and the candidate has the greatest one; otherwise the promotion waits for the primary as it does for known commits. A new event, promotion_evidence, shows these inputs. The queries to servers moved to failover/survey.rs without change.

Ruled out: a periodic copy of the acknowledged position in the store is out of date when it matters; to wait whenever no position is known would delay each failover after a restart of all hosts, also with all replicas there.

--- a/fulmargw_pool/src/backend.rs
+++ b/fulmargw_pool/src/backend.rs
@@ -1,5 +1,6 @@
 //! Backend servers as the registry and their own status responses describe them.
 
+use crate::replica_set::Member;
 use fulmargw_model::{
     name::Name,
     position::{Position, Term},
@@ -31,6 +32,15 @@
 }
 
 impl Server {
+    /// Returns this run of the server as a member of its replica set.
+    #[must_use]
+    pub fn member(&self) -> Member {
+        Member {
+            server: self.id.clone(),
+            born_unix_ms: self.born_unix_ms,
+        }
+    }
+
     /// Reports whether the server wrote this entry before `other`.
     #[must_use]
     pub fn is_older_than(&self, other: &Self) -> bool {
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -2,15 +2,19 @@
 
 mod claim;
 mod reach;
+mod recording;
 mod replacement;
+mod survey;
 
 pub(crate) use claim::KEY_PREFIX;
 pub(crate) use reach::reaches;
 
-use self::replacement::{Completeness, Failure, attempt};
+use self::{
+    recording::Recorder,
+    replacement::{Completeness, Failure, attempt},
+};
 use crate::{
-    clock::millis, core::Core, dialect::Dialect, health::Trouble, promotion::Obstacle, sampling,
-    store::Platform,
+    clock::millis, core::Core, dialect::Dialect, health::Trouble, sampling, store::Platform,
 };
 use fulmargw_model::name::Name;
 use std::{
@@ -57,6 +61,7 @@
 /// Checks the primaries and replaces them until the process stops.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
     let mut monitor = Monitor::default();
+    let recorder = Recorder::default();
     let tasks = TaskTracker::new();
     loop {
         tokio::select! {
@@ -66,6 +71,7 @@
         core.work_ready.notify_one();
         sampling::run(&core);
         release_services(&core);
+        recorder.start_due(&core);
         for (service, reason) in monitor.start_due(&core) {
             let core = Arc::clone(&core);
             let attempts = Arc::clone(&monitor.attempts);
@@ -77,7 +83,7 @@
                 lock(&attempts).record_result(&service, &result, started);
                 let delay = match &result {
                     Ok(_) => AFTER_PROMOTION_DELAY,
-                    Err(Failure::Obstacle(Obstacle::MissingCommits(..))) => {
+                    Err(Failure::Obstacle(obstacle)) if obstacle.awaits_primary() => {
                         MISSING_COMMITS_RETRY_DELAY
                     }
                     Err(_) => CHECK_INTERVAL * 2,
@@ -153,7 +159,7 @@
 
     fn record_result(&mut self, service: &Name, result: &Result<Name, Failure>, started: Instant) {
         match result {
-            Err(Failure::Obstacle(Obstacle::MissingCommits(..))) => {
+            Err(Failure::Obstacle(obstacle)) if obstacle.awaits_primary() => {
                 self.missing_commits
                     .entry(service.clone())
                     .or_insert(started);
--- a/fulmargw_pool/src/failover/reach.rs
+++ b/fulmargw_pool/src/failover/reach.rs
@@ -1,6 +1,6 @@
 //! Asks peers whether they reach a primary that this host cannot reach, and what it acknowledged.
 
-use super::replacement::connect;
+use super::survey::connect;
 use crate::{core::Core, dialect::Dialect, store::Platform};
 use fulmargw_model::{name::Name, position::Position};
 use std::{net::SocketAddr, time::Duration};
@@ -52,12 +52,21 @@
     Some(witness)
 }
 
+/// What the hosts of the fleet know of the acknowledged commits of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Acknowledged {
+    /// Greatest log position that a host knows to be acknowledged.
+    pub(super) position: Option<Position>,
+    /// Whether every host has reported a position.
+    pub(super) is_exact: bool,
+}
+
 /// Returns the greatest log position that the primary of a service has acknowledged, as far as this
 /// host and the peers that respond know.
-pub(super) async fn acknowledged_position<D: Dialect, P: Platform>(
+pub(super) async fn acknowledged<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
-) -> Option<Position> {
+) -> Acknowledged {
     let requests = live_peers(core).into_iter().map(|(host, address)| {
         let service = service.clone();
         async move {
@@ -75,11 +84,12 @@
     });
     let reported = futures::future::join_all(requests).await;
     let own = core.acknowledged(service);
-    reported
-        .into_iter()
-        .chain([own])
-        .flatten()
-        .reduce(Position::join)
+    let known: Vec<Position> = reported.into_iter().chain([own]).flatten().collect();
+    let peers = core.members.lock().peers.len();
+    Acknowledged {
+        is_exact: known.len() > peers,
+        position: known.into_iter().reduce(Position::join),
+    }
 }
 
 /// Returns the peers that are alive, with the addresses at which they accept statements.
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -3,37 +3,32 @@
 use super::{
     Reason, assess,
     claim::{KEY_PREFIX, claim, may_be_promoted, previous_claim},
-    reach::{acknowledged_position, find_witness},
-    set_primary,
+    reach::{acknowledged, find_witness},
+    recording, set_primary,
+    survey::{Probe, query, query_replicas, resume_replicas},
 };
 use crate::{
-    backend::{Server, Status},
-    connection::Connection,
     core::Core,
     dialect::Dialect,
     health::Trouble,
     message::Command,
-    promotion::{self, Candidate, Obstacle, Replica},
+    promotion::{self, Candidate, Evidence, Obstacle, Replica},
     store::{self, Condition, Outcome, Platform, Revision},
 };
 use fulmargw_decision::rendezvous;
 use fulmargw_model::{
-    execution::{Code, ServerId},
     name::Name,
     position::{Position, Term},
 };
 use fulmargw_peer::report;
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Delay per rank: a host waits this long for each host that is ranked before it.
 const RANK_DELAY: Duration = Duration::from_millis(500);
-/// Timeout of one query to a replica, and of opening a connection to it.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay between two queries to a replica.
+/// Delay between two queries of the candidate's log position, and unit of the delay after a throttled
+/// promotion call.
 const QUERY_DELAY: Duration = Duration::from_millis(25);
-/// Maximum number of tries of a query to a replica that has no free slot.
-const MAX_QUERY_TRIES: u32 = 4;
 /// Timeout for the candidate to receive what the other replicas have received.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum number of calls for one promotion; each has its own token.
@@ -71,13 +66,6 @@
     LongestLog,
 }
 
-/// A replica with the connection over which it is queried, and its last status.
-struct Probe<D: Dialect> {
-    server: Server,
-    connection: Option<Connection<D>>,
-    status: Option<Status>,
-}
-
 /// Replaces the primary of a service and returns the new one.
 ///
 /// # Errors
@@ -110,11 +98,19 @@
         .filter(|candidate| may_be_promoted(core, service, candidate));
     let claimed = claim(core, service, earlier_candidate.as_ref(), previous.row).await?;
     log::info!(event = "promotion_claimed", service = service.as_str(), revision:% = claimed, reason:? = reason, ordered:? = earlier_candidate.as_ref().map(Name::as_str); "replacing a primary");
-    let (mut probes, acknowledged) = tokio::join!(
+    let (mut probes, acknowledged, record) = tokio::join!(
         query_replicas(core, service),
-        acknowledged_position(core, service)
+        acknowledged(core, service),
+        recording::read(core, service)
     );
-    let required = acknowledged.filter(|_| completeness == Completeness::AllAcknowledged);
+    let record = record.map_err(Failure::Store)?.map(|(record, _)| record);
+    let evidence = Evidence {
+        acknowledged: acknowledged.position,
+        is_exact: acknowledged.is_exact,
+        gap: recording::gap(record.as_ref(), &probes),
+    };
+    log::info!(event = "promotion_evidence", service = service.as_str(), acknowledged:? = evidence.acknowledged.map(|it| (it.term.0, it.index)), is_exact = evidence.is_exact, gap = evidence.gap.as_ref().map(ToString::to_string).as_deref(); "what the promoted replica must have");
+    let required = (completeness == Completeness::AllAcknowledged).then_some(&evidence);
     let result = promote_candidate(
         core,
         service,
@@ -150,99 +146,13 @@
     sleep(RANK_DELAY.saturating_mul(rank)).await;
 }
 
-/// Queries the status of all servers of a service except the assumed primary.
-async fn query_replicas<D: Dialect, P: Platform>(
-    core: &Core<D, P>,
-    service: &Name,
-) -> Vec<Probe<D>> {
-    let replicas: Vec<Server> = {
-        let servers = core.servers.lock();
-        let group = servers.groups.get(service);
-        group.map_or_else(Vec::new, |group| {
-            let others = group.backends.values();
-            let others =
-                others.filter(|backend| group.primary_id.as_ref() != Some(&backend.server.id));
-            others.map(|backend| backend.server.clone()).collect()
-        })
-    };
-    let queries = replicas.into_iter().map(|server| async {
-        let mut probe = Probe {
-            connection: connect(core, &server).await,
-            server,
-            status: None,
-        };
-        probe.status = query(&mut probe, &Command::Status).await;
-        probe
-    });
-    futures::future::join_all(queries).await
-}
-
-/// Returns a connection to a server: an idle one, or a new one in the name of any client account.
-pub(super) async fn connect<D: Dialect, P: Platform>(
-    core: &Core<D, P>,
-    server: &Server,
-) -> Option<Connection<D>> {
-    let server_id = ServerId {
-        service: server.service.clone(),
-        server: server.id.clone(),
-    };
-    let idle = core.with_backend(&server_id, |backend| {
-        let idle = backend.take_idle();
-        if idle.is_some() {
-            backend.connection_closed();
-        }
-        idle
-    });
-    if let Some(Some(connection)) = idle {
-        return Some(connection);
-    }
-    let account = core
-        .configuration()
-        .and_then(|configuration| configuration.catalog.accounts.keys().next().cloned())?;
-    let opened = timeout(QUERY_TIMEOUT, Connection::open(server, account)).await;
-    match opened {
-        Ok(Ok(connection)) => Some(connection),
-        Ok(Err(error)) => {
-            log::info!(event = "replica_unreachable", server = server.id.as_str(), cause:? = error; "cannot connect to a replica");
-            None
-        }
-        Err(_) => {
-            log::info!(event = "replica_unreachable", server = server.id.as_str(), cause = "timeout"; "cannot connect to a replica");
-            None
-        }
-    }
-}
-
-/// Sends a command and returns the status in its response.
-async fn query<D: Dialect>(probe: &mut Probe<D>, command: &Command) -> Option<Status> {
-    for _ in 0..MAX_QUERY_TRIES {
-        let connection = probe.connection.as_mut()?;
-        let run = timeout(QUERY_TIMEOUT, connection.run(vec![command.clone()])).await;
-        let Ok(Ok(replies)) = run else {
-            log::info!(event = "replica_silent", server = probe.server.id.as_str(), command:? = command; "replica did not respond");
-            probe.connection = None;
-            return None;
-        };
-        let reply = replies.into_iter().next()?;
-        match reply.result {
-            Ok(_) => return reply.rows.first().and_then(D::decode_status),
-            Err((Code::Busy, _)) => sleep(QUERY_DELAY).await,
-            Err((code, _)) => {
-                log::info!(event = "replica_refused", server = probe.server.id.as_str(), command:? = command, code = code.label(); "replica rejected a query");
-                return None;
-            }
-        }
-    }
-    None
-}
-
 /// Chooses a candidate among the replicas, waits until it has every acknowledged commit, and
 /// promotes it.
 async fn promote_candidate<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
     claimed: Revision,
-    required: Option<Position>,
+    required: Option<&Evidence>,
     earlier_candidate: Option<&Name>,
     probes: &mut [Probe<D>],
 ) -> Result<Name, Failure> {
@@ -263,7 +173,9 @@
         Err(obstacle) => return Err(Failure::Obstacle(obstacle)),
     };
     let candidate = catch_up(probes, candidate).await?;
-    promotion::check_complete(&candidate, required).map_err(Failure::Obstacle)?;
+    if let Some(evidence) = required {
+        promotion::check_complete(&candidate, evidence).map_err(Failure::Obstacle)?;
+    }
     log::info!(
         event = "promotion_candidate", service = service.as_str(),
         server = candidate.server.as_str(), revision:% = claimed,
@@ -386,15 +298,3 @@
         Failure::Rejected
     })
 }
-
-/// Resumes replication to the paused replicas.
-async fn resume_replicas<D: Dialect>(probes: &mut [Probe<D>]) {
-    for replica in probes
-        .iter_mut()
-        .filter(|replica| replica.connection.is_some())
-    {
-        if query(replica, &Command::Resume).await.is_none() {
-            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(); "cannot resume replication to a replica");
-        }
-    }
-}
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod message;
 pub mod probe;
 pub mod promotion;
+pub mod replica_set;
 pub mod routing;
 pub mod sampling;
 pub mod session;
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -28,6 +28,39 @@
     AlreadyPrimary(Name, Term),
     /// replica {0} received only {1:?}, but {2:?} was acknowledged
     MissingCommits(Name, Position, Position),
+    /// replica {0} may lack an acknowledged commit: {1}
+    UnknownCommits(Name, Gap),
+}
+
+impl Obstacle {
+    /// Reports whether the old primary may come back with commits that the replicas lack.
+    #[must_use]
+    pub fn awaits_primary(&self) -> bool {
+        matches!(self, Self::MissingCommits(..) | Self::UnknownCommits(..))
+    }
+}
+
+/// Why the logs of the replicas may lack an acknowledged commit.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum Gap {
+    /// server {0} is not registered and may be the only one with it
+    Absent(Name),
+    /// the servers that may have it are not recorded
+    Unrecorded,
+}
+
+/// What is known of the acknowledged commits that a promoted replica must have.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Evidence {
+    /// Greatest log position that is known to be acknowledged.
+    pub acknowledged: Option<Position>,
+    /// Whether no greater position was acknowledged: every host of the fleet has reported one. A host
+    /// that does not respond may know a greater one, and a host that has just started has forgotten
+    /// those that it knew.
+    pub is_exact: bool,
+    /// Why the logs of the replicas may lack an acknowledged commit; `None` if together they have
+    /// all of them.
+    pub gap: Option<Gap>,
 }
 
 /// A replica to promote.
@@ -95,7 +128,7 @@
     others.iter().all(|other| candidate.satisfies(*other))
 }
 
-/// Checks that a candidate has received every commit that is known to be acknowledged.
+/// Checks that a candidate has received every acknowledged commit.
 ///
 /// A replica that was removed may have been the only one with a commit. The old primary then has to
 /// come back with its log.
@@ -103,17 +136,18 @@
 /// # Errors
 ///
 /// Returns [`Obstacle::MissingCommits`] if the candidate has not received the acknowledged
-/// position.
-pub fn check_complete(
-    candidate: &Candidate,
-    acknowledged: Option<Position>,
-) -> Result<(), Obstacle> {
-    match acknowledged {
-        Some(position) if !candidate.received.satisfies(position) => Err(Obstacle::MissingCommits(
-            candidate.server.clone(),
-            candidate.received,
-            position,
-        )),
+/// position, and [`Obstacle::UnknownCommits`] if it is not known what was acknowledged and whether
+/// the replicas have it.
+pub fn check_complete(candidate: &Candidate, evidence: &Evidence) -> Result<(), Obstacle> {
+    let server = || candidate.server.clone();
+    let received = candidate.received;
+    match (evidence.acknowledged, &evidence.gap) {
+        (Some(position), _) if !received.satisfies(position) => {
+            Err(Obstacle::MissingCommits(server(), received, position))
+        }
+        (_, Some(gap)) if !evidence.is_exact => {
+            Err(Obstacle::UnknownCommits(server(), gap.clone()))
+        }
         _ => Ok(()),
     }
 }
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -94,6 +94,22 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Revision, Error>> + Send;
 
+    /// Reads the row with the replica set of a service; `None` if there is none yet. Its key is the
+    /// name of the service.
+    fn replica_set(
+        &self,
+        service: &Name,
+    ) -> impl Future<Output = Result<Option<Row>, Error>> + Send;
+
+    /// Writes the row with the replica set of a service if `expected` holds. Returns the new revision,
+    /// or `None` if the condition does not hold. See [`Self::put`] for restorations of the store.
+    fn put_replica_set(
+        &self,
+        service: &Name,
+        value: Bytes,
+        expected: Condition,
+    ) -> impl Future<Output = Result<Option<Revision>, Error>> + Send;
+
     /// Reads the rows of this program's table.
     fn rows(&self) -> impl Future<Output = Result<Vec<Row>, Error>> + Send;
 
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -177,6 +177,12 @@
         }
     }
 
+    /// Reports whether this host runs statements of the service.
+    #[must_use]
+    pub fn is_in_use(&self) -> bool {
+        self.last_used.is_some()
+    }
+
     /// Reports whether this host ran statements of the service, but none for
     /// [`HOLDER_IDLE_TIMEOUT`].
     #[must_use]
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -3,7 +3,7 @@
 use fulmargw_model::position::{Position, Term};
 use fulmargw_pool::{
     backend::{Role, Status},
-    promotion::{self, Obstacle, Replica},
+    promotion::{self, Evidence, Gap, Obstacle, Replica},
 };
 use quickcheck::QuickCheck;
 
@@ -26,6 +26,14 @@
     }
 }
 
+/// Returns what is known if the replicas together have every acknowledged commit.
+fn evidence(acknowledged: Option<Position>) -> Evidence {
+    Evidence {
+        acknowledged,
+        ..Evidence::default()
+    }
+}
+
 /// Guards against the loss of a commit that only an unresponsive replica has received.
 #[test]
 fn all_replicas_have_to_respond() {
@@ -104,9 +112,9 @@
     let candidate =
         promotion::choose_candidate(&[replica("a", 10)], Term(0), None).expect("a candidate");
 
-    let unknown = promotion::check_complete(&candidate, None);
-    let complete = promotion::check_complete(&candidate, Some(position(3, 10)));
-    let lacking = promotion::check_complete(&candidate, Some(position(3, 11)));
+    let unknown = promotion::check_complete(&candidate, &evidence(None));
+    let complete = promotion::check_complete(&candidate, &evidence(Some(position(3, 10))));
+    let lacking = promotion::check_complete(&candidate, &evidence(Some(position(3, 11))));
 
     assert_eq!(unknown, Ok(()));
     assert_eq!(complete, Ok(()));
@@ -114,6 +122,30 @@
     assert_eq!(lacking, Err(behind));
 }
 
+/// Guards against the loss of a commit that only a removed replica had received, if no host remembers
+/// the position that was acknowledged, or if one that may know a greater one does not respond.
+#[test]
+fn a_removed_replica_is_made_up_for_only_by_the_knowledge_of_all_hosts() {
+    let candidate =
+        promotion::choose_candidate(&[replica("a", 10)], Term(0), None).expect("a candidate");
+    let gap = Gap::Absent("b".into());
+    let known = |acknowledged, is_exact| Evidence {
+        acknowledged,
+        is_exact,
+        gap: Some(gap.clone()),
+    };
+
+    let forgotten = promotion::check_complete(&candidate, &known(None, false));
+    let partly_known = promotion::check_complete(&candidate, &known(Some(position(3, 10)), false));
+    let known = promotion::check_complete(&candidate, &known(Some(position(3, 10)), true));
+
+    let obstacle = Obstacle::UnknownCommits("a".into(), gap);
+    assert!(obstacle.awaits_primary());
+    assert_eq!(forgotten, Err(obstacle.clone()));
+    assert_eq!(partly_known, Err(obstacle));
+    assert_eq!(known, Ok(()));
+}
+
 /// Guards against a second candidate while a promotion call for the first one may still take
 /// effect: commits that only the second one receives would then be lost.
 #[test]
