End the wait for a primary when the service has one again

At an equal failure 25 s later a host promoted the incomplete replica 0.4 s after the crash.

Cause: Attempts::missing_commits records since when a promotion waits, and was cleared only by a promotion or by an attempt that found the primary recovered. Attempts are 700 ms apart, so the primary usually recovers between two of them, and then no further attempt is made: the record stayed for good. The second failure counted as a wait of more than 20 s, after which the longest log is promoted.

Change: the check of the primaries, which runs every 100 ms, ends the wait of a service whose primary needs no replacement. The wait belongs to one failure. The event promotion_wait_ended says so.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -144,7 +144,8 @@
     running: BTreeSet<Name>,
     /// Services with a promotion call whose result is unknown.
     unresolved: BTreeSet<Name>,
-    /// Services of which no replica has every acknowledged commit, and since when.
+    /// Services whose present failure of the primary leaves no replica with every acknowledged
+    /// commit, and since when.
     missing_commits: BTreeMap<Name, Instant>,
 }
 
@@ -157,6 +158,15 @@
         }
     }
 
+    /// Forgets for how long a promotion has waited for the old primary. A later failure is another
+    /// one, whose primary may come back just as well.
+    fn end_wait(&mut self, service: &Name, now: Instant) {
+        if let Some(since) = self.missing_commits.remove(service) {
+            let waited_ms = millis(now.saturating_duration_since(since));
+            log::info!(event = "promotion_wait_ended", service = service.as_str(), waited_ms; "the service has a primary again");
+        }
+    }
+
     fn record_result(&mut self, service: &Name, result: &Result<Name, Failure>, started: Instant) {
         match result {
             Err(Failure::Obstacle(obstacle)) if obstacle.awaits_primary() => {
@@ -164,9 +174,7 @@
                     .entry(service.clone())
                     .or_insert(started);
             }
-            Ok(_) | Err(Failure::Recovered) => {
-                self.missing_commits.remove(service);
-            }
+            Ok(_) => self.end_wait(service, started),
             Err(_) => {}
         }
         match result {
@@ -204,6 +212,10 @@
         for service in names {
             let reason = assess(core, &service, now);
             let mut attempts = lock(&self.attempts);
+            // The primary may recover between two attempts, of which the second one then never runs.
+            if reason.is_none() {
+                attempts.end_wait(&service, now);
+            }
             let is_unresolved = attempts.unresolved.contains(&service);
             let reason = reason.or(is_unresolved.then_some(Reason::Unsettled));
             if reason == Some(Reason::Leaderless) {
