Read at once, without a wait, as long as the store does not respond

Cause: the first call after a failed watch was a watch again, with its full wait of 4 s (0.5 s a host, up to 15 s, in larger fleets) and 0.7 s more. Sent while the store was silent, it got no response, and it was also the only sign of the store's return: the host noticed it 4.7 s (15.7 s) after it had sent the call. Hosts begin their watches together after each change of the configuration, so all of them missed it together and none had a newer configuration to report.

Change: after a failed call the watch of the configuration and of the registry has no wait, and so a timeout of 0.7 s, until a call succeeds. With the longest retry delay a host notices the store's return within 1.9 s. No call is added while the store works.

--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -64,6 +64,18 @@
         }
     }
 
+    /// Returns the wait of the next watch call, which is `longest` as long as calls succeed.
+    ///
+    /// After a failed call it is zero. The store may be back soon after the next call was sent, and
+    /// a waiting call that got lost would hide this until its timeout.
+    fn watch_wait(&self, longest: Duration) -> Duration {
+        if self.failing_since.is_some() {
+            Duration::ZERO
+        } else {
+            longest
+        }
+    }
+
     /// Returns the delay before the next call after a failed one.
     fn retry_delay(&self) -> Duration {
         let doublings = self.failures.saturating_sub(1).min(8);
@@ -108,7 +120,7 @@
         let response = match revision {
             None => core.platform.catalog().await,
             Some(after) => {
-                let wait = watch_timeout(&core, MAX_CATALOG_TIMEOUT);
+                let wait = dependency.watch_wait(watch_timeout(&core, MAX_CATALOG_TIMEOUT));
                 tokio::select! {
                     response = core.platform.watch_catalog(after, wait) => response,
                     () = restored_since(&core, after) => {
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -32,12 +32,13 @@
                 seen
             }),
             Some(after) => {
-                let wait = if entries.has_expired() {
+                let longest = if entries.has_expired() {
                     EXPIRED_ENTRY_GRACE / 2
                 } else {
                     let maximum = core.limits().drain_window();
                     watch_timeout(&core, maximum.mul_f64(WAIT_PER_DRAIN_WINDOW))
                 };
+                let wait = dependency.watch_wait(longest);
                 tokio::select! {
                     response = core.platform.watch_registry(&mut registered, after, wait) => response,
                     () = restored_since(&core, after) => {
