Watch for configurations no longer than 2.5 s in small fleets

A watch of 4 s and its margin of 0.7 s ended later than the 4 s after which hosts have to be back in step, and no host had another sign.

Change: the shortest wait for a configuration is 2.5 s, so a lost watch is noticed after 3.2 s. The wait for the registry stays at 4 s: a draining server may get statements for longer. Fleets of more than 8 hosts keep their waits of 0.5 s a host, up to 15 s.

--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -12,12 +12,15 @@
     dialect::Dialect,
     store::{Era, Error, Kind, Platform, Revision},
 };
-use std::{future, sync::Arc, time::Duration};
+use std::{future, ops::RangeInclusive, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
-/// Minimum of the longest wait of one watch call. A connection that no longer responds is noticed
-/// shortly after this time; until then, reports of peers deliver newer configurations.
-const MIN_WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+/// Minimum of the longest wait for a change of the registry.
+const MIN_REGISTRY_TIMEOUT: Duration = Duration::from_secs(4);
+/// Minimum of the longest wait for a newer configuration. A connection that no longer responds is
+/// noticed shortly after this time. All hosts may have lost theirs, and then no report of a peer
+/// delivers a configuration that has to be in force within 4 s.
+const MIN_CATALOG_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Share of each host in the longest wait of one watch call, so that the hosts together make the
 /// same number of calls a second in a fleet of any size.
 const WATCH_TIMEOUT_PER_HOST: Duration = Duration::from_millis(500);
@@ -120,7 +123,8 @@
         let response = match revision {
             None => core.platform.catalog().await,
             Some(after) => {
-                let wait = dependency.watch_wait(watch_timeout(&core, MAX_CATALOG_TIMEOUT));
+                let longest = watch_timeout(&core, MIN_CATALOG_TIMEOUT..=MAX_CATALOG_TIMEOUT);
+                let wait = dependency.watch_wait(longest);
                 tokio::select! {
                     response = core.platform.watch_catalog(after, wait) => response,
                     () = restored_since(&core, after) => {
@@ -162,11 +166,14 @@
     }
 }
 
-/// Returns the longest wait of one watch call, which grows with the fleet up to `maximum`.
-fn watch_timeout<D: Dialect, P: Platform>(core: &Core<D, P>, maximum: Duration) -> Duration {
+/// Returns the longest wait of one watch call, which grows with the fleet within `range`.
+fn watch_timeout<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    range: RangeInclusive<Duration>,
+) -> Duration {
     let hosts = core.members.lock().count();
     let wait = WATCH_TIMEOUT_PER_HOST.saturating_mul(hosts);
-    wait.min(maximum).max(MIN_WATCH_TIMEOUT)
+    wait.min(*range.end()).max(*range.start())
 }
 
 /// Returns the revision from which to watch after a failed call. If it has been compacted, or lost
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -1,7 +1,7 @@
 //! Keeps the table of backend servers in step with the registry.
 
 use super::{
-    Dependency,
+    Dependency, MIN_REGISTRY_TIMEOUT,
     entries::{EXPIRED_ENTRY_GRACE, Entries},
     restored_since, revision_after_failure, watch_timeout,
 };
@@ -36,7 +36,8 @@
                     EXPIRED_ENTRY_GRACE / 2
                 } else {
                     let maximum = core.limits().drain_window();
-                    watch_timeout(&core, maximum.mul_f64(WAIT_PER_DRAIN_WINDOW))
+                    let maximum = maximum.mul_f64(WAIT_PER_DRAIN_WINDOW);
+                    watch_timeout(&core, MIN_REGISTRY_TIMEOUT..=maximum)
                 };
                 let wait = dependency.watch_wait(longest);
                 tokio::select! {
