Do not wait for commits that an earlier promotion has lost

A promotion that has waited 20 s for the old primary takes the longest log and loses what only that primary had. The hosts went on joining the lost position with those of the new term, part by part: after (2, 12) was lost and (3, 9) acknowledged they required (3, 12). The next failover then waited up to 20 s for a log that exists nowhere.

Change: of two acknowledged positions the one of the later term counts, which includes all that is left of the earlier terms. Sessions still join the positions of their own commits.

Before, with Position::join in its place: commits_that_an_earlier_promotion_lost_are_not_awaited requires (3, 12) of a complete log at (3, 10). After: the test passes.

--- a/fulmargw_model/src/position.rs
+++ b/fulmargw_model/src/position.rs
@@ -43,6 +43,20 @@
             index: self.index.max(other.index),
         }
     }
+
+    /// Returns the one that was acknowledged later, of two positions that were acknowledged in the
+    /// same group.
+    ///
+    /// A promotion that lost commits may start a later term at a smaller index. What was
+    /// acknowledged in that term includes all that is left of the earlier ones.
+    #[must_use]
+    pub fn later(self, other: Self) -> Self {
+        if (other.term, other.index) > (self.term, self.index) {
+            other
+        } else {
+            self
+        }
+    }
 }
 
 /// The log positions that a session's reads must include, by service.
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -286,7 +286,7 @@
         }
     }
 
-    /// Returns the greatest log position that the primary of a service is known to have
+    /// Returns the latest log position that the primary of a service is known to have
     /// acknowledged.
     pub fn acknowledged(&self, service: &Name) -> Option<Position> {
         self.servers.lock().groups.get(service)?.acknowledged
--- a/fulmargw_pool/src/failover/reach.rs
+++ b/fulmargw_pool/src/failover/reach.rs
@@ -55,13 +55,13 @@
 /// What the hosts of the fleet know of the acknowledged commits of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Acknowledged {
-    /// Greatest log position that a host knows to be acknowledged.
+    /// Latest log position that a host knows to be acknowledged.
     pub(super) position: Option<Position>,
     /// Whether every host has reported a position.
     pub(super) is_exact: bool,
 }
 
-/// Returns the greatest log position that the primary of a service has acknowledged, as far as this
+/// Returns the latest log position that the primary of a service has acknowledged, as far as this
 /// host and the peers that respond know.
 pub(super) async fn acknowledged<D: Dialect, P: Platform>(
     core: &Core<D, P>,
@@ -88,7 +88,7 @@
     let peers = core.members.lock().peers.len();
     Acknowledged {
         is_exact: known.len() > peers,
-        position: known.into_iter().reduce(Position::join),
+        position: known.into_iter().reduce(Position::later),
     }
 }
 
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -52,10 +52,10 @@
 /// What is known of the acknowledged commits that a promoted replica must have.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Evidence {
-    /// Greatest log position that is known to be acknowledged.
+    /// Latest log position that is known to be acknowledged.
     pub acknowledged: Option<Position>,
-    /// Whether no greater position was acknowledged: every host of the fleet has reported one. A host
-    /// that does not respond may know a greater one, and a host that has just started has forgotten
+    /// Whether no later position was acknowledged: every host of the fleet has reported one. A host
+    /// that does not respond may know a later one, and a host that has just started has forgotten
     /// those that it knew.
     pub is_exact: bool,
     /// Why the logs of the replicas may lack an acknowledged commit; `None` if together they have
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -44,7 +44,7 @@
     without_primary_since: Option<Instant>,
     /// Samples of the primary's log position.
     pub freshness: Freshness,
-    /// Greatest log position that the primary is known to have acknowledged, to this host or to one
+    /// Latest log position that the primary is known to have acknowledged, to this host or to one
     /// that reported it.
     pub acknowledged: Option<Position>,
     /// Time of the last read; samples are taken for some time after it.
@@ -165,7 +165,7 @@
     /// Records the log position of the primary after it acknowledged a commit.
     pub fn acknowledge(&mut self, position: Position) {
         let known = self.acknowledged.unwrap_or_default();
-        self.acknowledged = Some(known.join(position));
+        self.acknowledged = Some(known.later(position));
     }
 
     /// Records that this host runs a statement of the service, which makes it the holder.
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -146,6 +146,22 @@
     assert_eq!(known, Ok(()));
 }
 
+/// Guards against a promotion that waits for commits which an earlier promotion has lost: the log of
+/// the later term is shorter, but has everything that is still acknowledged.
+#[test]
+fn commits_that_an_earlier_promotion_lost_are_not_awaited() {
+    let candidate =
+        promotion::choose_candidate(&[replica("a", 10)], Term(0), None).expect("a candidate");
+    let lost = position(2, 12);
+    let acknowledged = position(3, 9);
+
+    let known = [lost.later(acknowledged), acknowledged.later(lost)];
+
+    assert_eq!(known, [acknowledged; 2]);
+    let checked = promotion::check_complete(&candidate, &evidence(Some(known[0])));
+    assert_eq!(checked, Ok(()));
+}
+
 /// Guards against a second candidate while a promotion call for the first one may still take
 /// effect: commits that only the second one receives would then be lost.
 #[test]
