Settle a promotion call once one with a greater token was accepted

Change: the record keeps the greatest token that the calls used. An accepted promotion with a greater token, which every report carries, settles it: the platform rejects smaller ones from then on. The event order_settled says so.

Evidence: an_accepted_call_of_another_host_settles_calls_with_smaller_tokens. It tests the new type, so it does not compile before; that the record was cleared only by Ok(_) of the same host is from reading.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -14,7 +14,8 @@
     replacement::{Completeness, Failure, attempt},
 };
 use crate::{
-    clock::millis, core::Core, dialect::Dialect, health::Trouble, sampling, store::Platform,
+    clock::millis, core::Core, dialect::Dialect, health::Trouble, promotion::Unresolved, sampling,
+    store::Platform,
 };
 use fulmargw_model::name::Name;
 use std::{
@@ -142,8 +143,8 @@
 struct Attempts {
     /// Services with a running attempt.
     running: BTreeSet<Name>,
-    /// Services with a promotion call whose result is unknown.
-    unresolved: BTreeSet<Name>,
+    /// Promotion calls whose results are unknown.
+    unresolved: Unresolved,
     /// Services whose present failure of the primary leaves no replica with every acknowledged
     /// commit, and since when.
     missing_commits: BTreeMap<Name, Instant>,
@@ -177,11 +178,9 @@
             Ok(_) => self.end_wait(service, started),
             Err(_) => {}
         }
-        match result {
-            Ok(_) => self.unresolved.remove(service),
-            Err(Failure::Unresolved) => self.unresolved.insert(service.clone()),
-            Err(_) => false,
-        };
+        if let Err(Failure::Unresolved(token)) = result {
+            self.unresolved.record(service, *token);
+        }
     }
 }
 
@@ -211,7 +210,11 @@
         let mut due = Vec::new();
         for service in names {
             let reason = assess(core, &service, now);
+            let accepted = accepted_token(core, &service);
             let mut attempts = lock(&self.attempts);
+            if accepted.is_some_and(|token| attempts.unresolved.settle(&service, token)) {
+                log::info!(event = "order_settled", service = service.as_str(), token = accepted; "a promotion call with a greater token was accepted");
+            }
             // The primary may recover between two attempts, of which the second one then never runs.
             if reason.is_none() {
                 attempts.end_wait(&service, now);
@@ -236,6 +239,12 @@
     }
 }
 
+/// Returns the token of the latest promotion of a service that this host knows to be accepted.
+fn accepted_token<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<u64> {
+    let members = core.members.lock();
+    Some(members.promotions.get(service)?.token)
+}
+
 /// Returns why the primary of a service should be replaced; `None` if it should not.
 fn assess<D: Dialect, P: Platform>(
     core: &Core<D, P>,
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -51,8 +51,9 @@
     NotPaused(Name),
     /// the platform rejected the promotion
     Rejected,
-    /// the result of a promotion call is unknown; it may take effect later
-    Unresolved,
+    /// the result of a promotion call with token {0} or a smaller one is unknown; it may take effect
+    /// later
+    Unresolved(u64),
     /// the claim cannot be encoded: {0}
     Encode(String),
 }
@@ -123,13 +124,13 @@
     match result {
         // The replicas stay paused. Then the candidate of the unresolved call, or of the host that
         // has claimed the service meanwhile, still receives every commit that is acknowledged.
-        Err(Failure::Unresolved | Failure::Claimed) => return result,
+        Err(Failure::Unresolved(_) | Failure::Claimed) => return result,
         Err(ref failure)
             if earlier_candidate.is_some()
                 && !matches!(failure, Failure::Obstacle(Obstacle::AlreadyPrimary(..))) =>
         {
             log::info!(event = "order_open", service = service.as_str(), revision:% = claimed, cause:% = failure; "an earlier promotion call may still take effect");
-            return Err(Failure::Unresolved);
+            return Err(Failure::Unresolved(claimed.fencing_token()));
         }
         Err(_) => resume_replicas(&mut probes).await,
         Ok(_) => {}
@@ -266,7 +267,7 @@
     claimed: Revision,
 ) -> Result<u64, Failure> {
     let mut claimed = claimed;
-    let mut is_unresolved = false;
+    let mut unresolved = None;
     for _ in 0..MAX_PROMOTION_CALLS {
         let token = claimed.fencing_token();
         let promotion = store::Promotion {
@@ -277,24 +278,19 @@
         };
         match core.platform.promote(&promotion).await {
             Ok(Outcome::Accepted) => return Ok(token),
-            Ok(Outcome::Refused) if is_unresolved => return Err(Failure::Unresolved),
-            Ok(Outcome::Refused) => return Err(Failure::Rejected),
+            Ok(Outcome::Refused) => break,
             Ok(Outcome::Throttled) => sleep(QUERY_DELAY * 4).await,
             Err(error) => {
                 log::warn!(event = "order_unanswered", service = service.as_str(), token, cause:% = error; "repeating the promotion call with a greater token");
-                is_unresolved = true;
+                unresolved = Some(token);
                 let expected = Condition::Unchanged(claimed);
                 let repeated = claim(core, service, Some(&candidate.server), expected).await;
                 claimed = repeated.map_err(|failure| {
                     log::warn!(event = "order_open", service = service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
-                    Failure::Unresolved
+                    Failure::Unresolved(token)
                 })?;
             }
         }
     }
-    Err(if is_unresolved {
-        Failure::Unresolved
-    } else {
-        Failure::Rejected
-    })
+    Err(unresolved.map_or(Failure::Rejected, Failure::Unresolved))
 }
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -5,6 +5,7 @@
     name::Name,
     position::{Position, Term},
 };
+use std::collections::BTreeMap;
 
 /// A replica and the status that it reported.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -152,6 +153,38 @@
     }
 }
 
+/// Promotion calls whose results are unknown, by service. Such a call may take effect at any time,
+/// until one with a greater token is accepted.
+#[derive(Debug, Default)]
+pub struct Unresolved {
+    /// Greatest token that the calls of a service have used.
+    tokens: BTreeMap<Name, u64>,
+}
+
+impl Unresolved {
+    /// Records a call with `token`, or one with a smaller token.
+    pub fn record(&mut self, service: &Name, token: u64) {
+        let known = self.tokens.entry(service.clone()).or_default();
+        *known = token.max(*known);
+    }
+
+    /// Records that a call with `token` was accepted, of this host or of another one. Returns whether
+    /// this settles calls whose results were unknown.
+    pub fn settle(&mut self, service: &Name, token: u64) -> bool {
+        let is_settled = self.tokens.get(service).is_some_and(|used| *used < token);
+        if is_settled {
+            self.tokens.remove(service);
+        }
+        is_settled
+    }
+
+    /// Reports whether a call of a service may still take effect.
+    #[must_use]
+    pub fn contains(&self, service: &Name) -> bool {
+        self.tokens.contains_key(service)
+    }
+}
+
 fn log_order(position: Position) -> (Term, u64) {
     (position.term, position.index)
 }
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -3,7 +3,7 @@
 use fulmargw_model::position::{Position, Term};
 use fulmargw_pool::{
     backend::{Role, Status},
-    promotion::{self, Evidence, Gap, Obstacle, Replica},
+    promotion::{self, Evidence, Gap, Obstacle, Replica, Unresolved},
 };
 use quickcheck::QuickCheck;
 
@@ -185,3 +185,22 @@
 
     assert_eq!(candidate.expect("a candidate").server, "b".into());
 }
+
+/// Guards against the replacement of a working primary: a promotion call of this host without a response
+/// stayed unresolved after another host had promoted a server with a greater token.
+#[test]
+fn an_accepted_call_of_another_host_settles_calls_with_smaller_tokens() {
+    let (service, other) = ("s".into(), "other".into());
+    let mut unresolved = Unresolved::default();
+    unresolved.record(&service, 7);
+    unresolved.record(&service, 5);
+
+    let by_older = unresolved.settle(&service, 6);
+    let by_same = unresolved.settle(&service, 7);
+    let of_other_service = unresolved.settle(&other, 8);
+    assert!(!by_older && !by_same && !of_other_service);
+    assert!(unresolved.contains(&service));
+
+    assert!(unresolved.settle(&service, 8));
+    assert!(!unresolved.contains(&service));
+}
