Query departed servers' successors less often, and keep open promotion calls known

While a departed server stays in the record, its replica set was queried five times a second, each time over a connection of every server, also if no replica was left to catch up. And a failed read of the record ended an attempt before the check that reports an earlier promotion call as still open.

--- a/fulmargw_pool/src/failover/recording.rs
+++ b/fulmargw_pool/src/failover/recording.rs
@@ -19,7 +19,7 @@
 
 /// Delay after an update before the next one of the same record. A departed server stays in the
 /// record until a replica has received everything that the primary had.
-const UPDATE_DELAY: Duration = Duration::from_millis(200);
+const UPDATE_DELAY: Duration = Duration::from_millis(500);
 /// Delay after an update that failed because of the store.
 const RETRY_DELAY: Duration = Duration::from_millis(600);
 
@@ -169,7 +169,7 @@
 
 /// Reports whether a registered replica has received everything that the primary has now.
 async fn has_caught_up<D: Dialect, P: Platform>(core: &Core<D, P>, group: &Group) -> bool {
-    let Some(primary) = &group.primary else {
+    let Some(primary) = group.primary.as_ref().filter(|_| group.servers.len() > 1) else {
         return false;
     };
     let probe = query_status(core, primary.clone()).await;
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -104,23 +104,26 @@
         acknowledged(core, service),
         recording::read(core, service)
     );
-    let record = record.map_err(Failure::Store)?.map(|(record, _)| record);
-    let evidence = Evidence {
-        acknowledged: acknowledged.position,
-        is_exact: acknowledged.is_exact,
-        gap: recording::gap(record.as_ref(), &probes),
+    let result = match record {
+        Ok(record) => {
+            let evidence = Evidence {
+                acknowledged: acknowledged.position,
+                is_exact: acknowledged.is_exact,
+                gap: recording::gap(record.as_ref().map(|(record, _)| record), &probes),
+            };
+            log_evidence(service, &evidence);
+            promote_candidate(
+                core,
+                service,
+                claimed,
+                (completeness == Completeness::AllAcknowledged).then_some(&evidence),
+                earlier_candidate.as_ref(),
+                &mut probes,
+            )
+            .await
+        }
+        Err(error) => Err(Failure::Store(error)),
     };
-    log::info!(event = "promotion_evidence", service = service.as_str(), acknowledged:? = evidence.acknowledged.map(|it| (it.term.0, it.index)), is_exact = evidence.is_exact, gap = evidence.gap.as_ref().map(ToString::to_string).as_deref(); "what the promoted replica must have");
-    let required = (completeness == Completeness::AllAcknowledged).then_some(&evidence);
-    let result = promote_candidate(
-        core,
-        service,
-        claimed,
-        required,
-        earlier_candidate.as_ref(),
-        &mut probes,
-    )
-    .await;
     match result {
         // The replicas stay paused. Then the candidate of the unresolved call, or of the host that
         // has claimed the service meanwhile, still receives every commit that is acknowledged.
@@ -138,6 +141,12 @@
     result
 }
 
+fn log_evidence(service: &Name, evidence: &Evidence) {
+    let acknowledged = evidence.acknowledged.map(|it| (it.term.0, it.index));
+    let gap = evidence.gap.as_ref().map(ToString::to_string);
+    log::info!(event = "promotion_evidence", service = service.as_str(), acknowledged:? = acknowledged, is_exact = evidence.is_exact, gap = gap.as_deref(); "what the promoted replica must have");
+}
+
 /// Waits for the hosts that are ranked before this one, so that normally one host acts.
 async fn wait_for_turn<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) {
     let alive = core.members.lock().alive(Instant::now());
