--- a/fulmargw_pool/src/failover/recording.rs
+++ b/fulmargw_pool/src/failover/recording.rs
@@ -23,8 +23,13 @@
 /// Delay after an update that failed because of the store.
 const RETRY_DELAY: Duration = Duration::from_millis(600);
 
-/// A record as the store has it. The condition is the one under which it may be replaced.
-type Stored = (Record, Condition);
+/// A record as the store has it.
+#[derive(Debug)]
+struct Stored {
+    record: Record,
+    /// Condition under which it may be replaced.
+    condition: Condition,
+}
 
 /// Records of the services whose statements this host runs.
 #[derive(Debug, Default)]
@@ -66,18 +71,18 @@
         let mut state = lock(&self.state);
         // Another host may write the records of services that this host no longer runs. A restored
         // store may have an older record.
-        state.stored.retain(|service, (_, condition)| {
-            let is_current = match condition {
+        state.stored.retain(|service, stored| {
+            let is_current = match stored.condition {
                 Condition::Absent => true,
                 Condition::Unchanged(revision) => revision.era == era,
             };
             is_current && groups.contains_key(service)
         });
         for (service, group) in groups {
-            let is_due = state.stored.get(&service).is_none_or(|(record, _)| {
+            let is_due = state.stored.get(&service).is_none_or(|stored| {
                 let registered = group.members();
-                record.has_absent(&registered)
-                    || record.updated(group.primary_id(), &registered) != *record
+                stored.record.has_absent(&registered)
+                    || stored.record.updated(group.primary_id(), &registered) != stored.record
             });
             if is_due && state.running.insert(service.clone()) {
                 let update = update(Arc::clone(core), Arc::clone(&self.state), service, group);
@@ -136,20 +141,17 @@
     group: &Group,
     stored: Option<Stored>,
 ) -> Result<Option<Stored>, Error> {
-    let stored = match stored {
-        Some(stored) => Some(stored),
-        None => read(core, service)
-            .await?
-            .map(|(record, revision)| (record, Condition::Unchanged(revision))),
+    let Stored { record, condition } = match stored {
+        Some(stored) => stored,
+        None => read_stored(core, service).await?,
     };
-    let (record, condition) = stored.unwrap_or_else(|| (Record::default(), Condition::Absent));
     let registered = group.members();
     let mut updated = record.updated(group.primary_id(), &registered);
     if updated.has_absent(&registered) && has_caught_up(core, group).await {
         updated = updated.without_absent(&registered);
     }
     if updated == record {
-        return Ok(Some((record, condition)));
+        return Ok(Some(Stored { record, condition }));
     }
     let value = encode(&updated)?;
     let put = core
@@ -164,7 +166,28 @@
         .map(|it| it.server.as_str())
         .collect();
     log::info!(event = "replica_set_recorded", service = service.as_str(), revision:% = revision, primary = updated.primary.as_ref().map(Name::as_str), members:? = members, registered = registered.len(); "recorded the servers that may have acknowledged commits");
-    Ok(Some((updated, Condition::Unchanged(revision))))
+    Ok(Some(Stored {
+        record: updated,
+        condition: Condition::Unchanged(revision),
+    }))
+}
+
+/// Reads the record of a service, to update it.
+async fn read_stored<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+) -> Result<Stored, Error> {
+    let read = read(core, service).await?;
+    Ok(read.map_or_else(
+        || Stored {
+            record: Record::default(),
+            condition: Condition::Absent,
+        },
+        |(record, revision)| Stored {
+            record,
+            condition: Condition::Unchanged(revision),
+        },
+    ))
 }
 
 /// Reports whether a registered replica has received everything that the primary has now.
