Say plainly what a gap is, and keep the reason of the registry's wait

Found reading the diff once more. A gap was said to be a server that is not registered; it is one that did not report its log, such as an assumed primary that the record does not name. The wait for the registry had lost its reason and stood in another module than its only use. One message text changes; nothing else does.

--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -15,8 +15,6 @@
 use std::{future, ops::RangeInclusive, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
-/// Minimum of the longest wait for a change of the registry.
-const MIN_REGISTRY_TIMEOUT: Duration = Duration::from_secs(4);
 /// Minimum of the longest wait for a newer configuration. A connection that no longer responds is
 /// noticed shortly after this time. All hosts may have lost theirs, and then no report of a peer
 /// delivers a configuration that has to be in force within 4 s.
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -1,7 +1,7 @@
 //! Keeps the table of backend servers in step with the registry.
 
 use super::{
-    Dependency, MIN_REGISTRY_TIMEOUT,
+    Dependency,
     entries::{EXPIRED_ENTRY_GRACE, Entries},
     restored_since, revision_after_failure, watch_timeout,
 };
@@ -9,6 +9,9 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
+/// Minimum of the longest wait for a change of the registry. A connection that no longer responds is
+/// noticed shortly after this time.
+const MIN_REGISTRY_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest wait of one watch call as a fraction of the time for which a draining server may get new
 /// statements. Reports do not include the registry, so a connection to the store that no longer
 /// responds has to be noticed well within that time.
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -44,7 +44,7 @@
 /// Why the logs of the replicas may lack an acknowledged commit.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
 pub enum Gap {
-    /// server {0} is not registered and may be the only one with it
+    /// server {0} did not report its log and may be the only one with it
     Absent(Name),
     /// the servers that may have it are not recorded
     Unrecorded,
