Name the commit in the version, at start, in the metrics and in the state dump

Cause: 'fulmargw version' and the line 'start' gave the package's version alone, which has been the same for many commits.

--- a/extra/fulmargw.bash
+++ b/extra/fulmargw.bash
@@ -7,7 +7,7 @@
     COMPREPLY=()
     if [ "$COMP_CWORD" -eq 1 ]; then
         mapfile -t COMPREPLY < <(
-            compgen -W "serve pool explain check patch config state key version --help" -- "$current")
+            compgen -W "serve pool explain check patch config state key version --help --version" -- "$current")
         return
     fi
     case $previous in
--- a/extra/fulmargw.fish
+++ b/extra/fulmargw.fish
@@ -4,6 +4,7 @@
 
 complete -c fulmargw -f
 complete -c fulmargw -l help -d 'Print help'
+complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -l version -d 'Print the version and the commit'
 complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a serve -d 'Serve callers until SIGTERM or SIGINT'
 complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a check -d 'Check a settings file'
 complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a pool -d 'Proxy callers to the database groups of a platform'
@@ -15,7 +16,7 @@
 complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a config -d 'Print the configuration in force on a host'
 complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a state -d 'Print the state dump of a host'
 complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a key -d 'Print a new random key and its digest'
-complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a version -d 'Print the version'
+complete -c fulmargw -n "not __fish_seen_subcommand_from $commands" -a version -d 'Print the version and the commit'
 complete -c fulmargw -n "__fish_seen_subcommand_from serve pool check" -l settings -r -F -d 'Settings file'
 complete -c fulmargw -n "__fish_seen_subcommand_from $operator" -l operator -x -d 'URL of the operator interface'
 complete -c fulmargw -n "__fish_seen_subcommand_from $operator" -l credential-file -r -F -d 'File with the operator credential'
--- a/fulmargw/src/cli.rs
+++ b/fulmargw/src/cli.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, PartialEq, FromArgs)]
 #[argh(
     example = "fulmargw serve --settings /etc/fulmargw/fulmargw.toml",
-    note = "Exit codes: 0 done, 1 failed, 2 usage, 3 stale patch refused, 4 invalid settings or \
+    note = "--version prints the version, as the command does. Exit codes: 0 done, 1 failed, 2 usage, 3 stale patch refused, 4 invalid settings or \
             patch, 5 unreachable, 6 stop not ended in time."
 )]
 struct Arguments {
@@ -39,7 +39,7 @@
     State(State),
     /// Generates a key.
     Key(Key),
-    /// Prints the version.
+    /// Prints the version and the commit.
     Version(Version),
 }
 
@@ -195,7 +195,7 @@
     pub json: bool,
 }
 
-/// print the version
+/// print the version and the commit from which the program was built
 #[derive(Debug, PartialEq, FromArgs)]
 #[argh(subcommand, name = "version", example = "fulmargw version --json")]
 pub struct Version {
@@ -216,7 +216,11 @@
         eprintln!("fulmargw: argument {} is not UTF-8", argument.display());
         Exit::Usage
     })?;
-    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let mut arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    // People expect the option that most programs have.
+    if let [option @ ("--version" | "-V"), ..] = arguments.as_mut_slice() {
+        *option = "version";
+    }
     Arguments::from_args(&[PROGRAM], &arguments)
         .map(|arguments| arguments.command)
         .map_err(exit_early)
--- a/fulmargw/src/command/version.rs
+++ b/fulmargw/src/command/version.rs
@@ -1,22 +1,12 @@
 //! `fulmargw version`.
 
-use crate::{cli::Version, command::print_json, exit::Exit};
-use serde::Serialize;
+use crate::{cli::Version, command::print_json, exit::Exit, version::BUILD};
 
-/// Version of the program.
-pub const VERSION: &str = env!("CARGO_PKG_VERSION");
-
-/// Output of `fulmargw version --json`.
-#[derive(Debug, Serialize)]
-struct Output {
-    version: &'static str,
-}
-
-/// Prints the version.
+/// Prints the version and the commit.
 pub(super) fn run(arguments: &Version) -> Exit {
     if arguments.json {
-        return print_json(&Output { version: VERSION });
+        return print_json(&BUILD);
     }
-    println!("fulmargw {VERSION}");
+    println!("fulmargw {BUILD}");
     Exit::Done
 }
--- a/fulmargw/src/lib.rs
+++ b/fulmargw/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod recorder;
 pub mod serve;
 pub mod settings;
+pub mod version;
--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -13,7 +13,11 @@
 mod watchdog;
 
 use self::{error::Error, process::Process};
-use crate::{recorder, serve::signal::Signals};
+use crate::{
+    recorder,
+    serve::signal::Signals,
+    version::{self, BUILD, Build},
+};
 use fulmargw_budget::http::Listener;
 use fulmargw_peer::{codec as peer, forward as statement, report};
 use fulmargw_pool::{
@@ -21,6 +25,7 @@
     worker,
 };
 use platform::{client::Client, codec};
+use serde::Serialize;
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tokio::net::TcpListener;
 
@@ -42,6 +47,7 @@
 pub async fn run(settings: Settings, file: &Path, process: &Process) -> Result<(), Error> {
     let Process { sink, progress } = process;
     let metrics = recorder::install().map_err(Error::Metrics)?;
+    version::record();
     let mut signals = Signals::install().map_err(Error::Signals)?;
     process.watch()?;
     let host = settings.host.clone();
@@ -57,7 +63,7 @@
     let metrics_listener = bind("metrics", host.metrics_address).await?;
     let caller_listener = bind("callers", host.front_address).await?;
     let core = Arc::new(Pool::new(settings, client, peer_reports));
-    log::info!(event = "start", incarnation = core.incarnation, file:% = file.display(), version = env!("CARGO_PKG_VERSION"); "process starting");
+    log_start(&core, file);
     let tasks = &core.tasks;
     tasks.spawn("log", sink.clone().flush_periodically());
     for _ in 0..WORKER_COUNT {
@@ -113,6 +119,28 @@
     Ok(())
 }
 
+/// Logs what runs, and what of its settings comes from the environment.
+fn log_start(core: &Pool, file: &Path) {
+    let settings = &core.settings;
+    log::info!(
+        event = "start", incarnation = core.incarnation, file:% = file.display(),
+        version = BUILD.version, commit = BUILD.commit,
+        millicores = settings.limits.millicores(), zones = settings.zones.len(),
+        configuration_apply_ms = settings.limits.configuration_apply_ms,
+        evacuation_apply_ms = settings.evacuation.map(|bounds| bounds.apply_ms);
+        "process starting"
+    );
+}
+
+/// State dump of the process.
+#[derive(Debug, Serialize)]
+struct State {
+    /// What the program was built from.
+    build: Build,
+    #[serde(flatten)]
+    dump: dump::Dump,
+}
+
 /// Spawns a task that runs as long as the process, also after it has failed.
 fn supervise<F>(core: &Arc<Pool>, task: &'static str, run: fn(Arc<Pool>) -> F)
 where
@@ -125,7 +153,11 @@
 
 /// Renders the state dump as JSON; empty if it cannot be encoded.
 fn render_state(core: &Pool) -> String {
-    serde_json::to_string_pretty(&dump::dump(core)).unwrap_or_else(|cause| {
+    let state = State {
+        build: BUILD,
+        dump: dump::dump(core),
+    };
+    serde_json::to_string_pretty(&state).unwrap_or_else(|cause| {
         log::error!(event = "dump_failed", cause:% = cause; "cannot encode the state dump");
         String::new()
     })
--- a/fulmargw/src/serve/mod.rs
+++ b/fulmargw/src/serve/mod.rs
@@ -16,6 +16,7 @@
     log, recorder,
     serve::{error::Error, process::Process, signal::Signals},
     settings::Settings,
+    version,
 };
 
 /// Serves callers until a signal arrives or a listener fails, and then stops gracefully.
@@ -27,6 +28,7 @@
 pub async fn run(settings: &Settings) -> Result<(), Error> {
     log::install(&settings.log, &settings.host).map_err(Error::Log)?;
     let metrics = recorder::install().map_err(Error::Metrics)?;
+    version::record();
     let mut signals = Signals::install().map_err(Error::Signals)?;
     let mut process = Process::start(settings, metrics).await?;
     let served = tokio::select! {
--- a/fulmargw/src/serve/process.rs
+++ b/fulmargw/src/serve/process.rs
@@ -13,6 +13,7 @@
         task::Tasks,
     },
     settings::Settings,
+    version::BUILD,
 };
 use ::log::info;
 use fulmargw_backend::postgres::Connector;
@@ -59,7 +60,7 @@
         process.serve_peers(&bounds, listeners.peer, listeners.document);
         process.serve_operators(&bounds, settings, listeners.operator);
         process.serve_callers(&bounds, settings, listeners.caller);
-        info!("host {} started", settings.host.name);
+        info!(version = BUILD.version, commit = BUILD.commit; "host {} started", settings.host.name);
         Ok(process)
     }
 
--- a/fulmargw/src/serve/state.rs
+++ b/fulmargw/src/serve/state.rs
@@ -1,6 +1,9 @@
 //! State dump of a process, as the operator interface serves it.
 
-use crate::{command::version::VERSION, operator::message::Health};
+use crate::{
+    operator::message::Health,
+    version::{BUILD, Build},
+};
 use fulmargw_control::dump;
 use fulmargw_engine::state;
 use fulmargw_model::name::Name;
@@ -20,8 +23,9 @@
 /// Identity, uptime and health of a process.
 #[derive(Debug, Serialize)]
 pub struct Process {
-    /// Version of the program.
-    pub version: &'static str,
+    /// What the program was built from.
+    #[serde(flatten)]
+    pub build: Build,
     /// Name of the host.
     pub host: Name,
     /// Availability zone of the host.
@@ -39,7 +43,7 @@
     #[must_use]
     pub fn new(host: Name, zone: Name, uptime_ms: u64, health: Health) -> Self {
         Self {
-            version: VERSION,
+            build: BUILD,
             host,
             zone,
             id: std::process::id(),
--- a/fulmargw/tests/cli.rs
+++ b/fulmargw/tests/cli.rs
@@ -70,6 +70,25 @@
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
 }
 
+/// Guards against a run of which nobody can tell which code it was, and against an option that people
+/// expect and that is refused.
+#[test]
+fn the_version_names_the_commit() {
+    let command = run(&["version"]);
+    let option = run(&["--version"]);
+    let json = run(&["version", "--json"]);
+
+    assert_eq!(command.status.code(), Some(0), "{}", stderr(&command));
+    assert_eq!(option, command);
+    let build: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    let [version, commit] = ["version", "commit"].map(|key| build[key].as_str().expect("a text"));
+    assert_eq!(stdout(&command), format!("fulmargw {version} ({commit})\n"));
+    assert!(
+        commit == "unknown" || commit.len() >= 12,
+        "{commit} is not a commit"
+    );
+}
+
 /// Guards against reported problems without file, line and key.
 #[test]
 fn check_reports_file_line_and_key() {
