Record where a version came from, how old it is and what the end of a key ends

Change: the clock of the store, followed through its responses, gives the greatest age of a version on arrival; the line 'configuration' and three metrics show it, and versions beyond limits.configuration_apply_ms are counted. 'transaction_aborted' names account, statements, version and its time in force. The rule on whose behalf a caller may run statements stood twice and is in session::access.

Decisions are tested for each kind of statement without a network; with processes, transactions that have only begun, read, use a prepared statement or were sent ahead, on two hosts: nothing ran, the counter is 0.

--- a/fulmargw_decision/src/lib.rs
+++ b/fulmargw_decision/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod routing;
 pub mod staleness;
 pub mod stop;
+pub mod store_clock;
 pub mod wait;
 pub mod work;
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -5,7 +5,7 @@
     admission::Admission,
     backend::Server,
     budget::Budget,
-    catalog::{Catalog, Keyring},
+    configuration::Configuration,
     dialect::Dialect,
     freshness::Moment,
     job::{Job, Outcome, Pin, PooledConnection},
@@ -22,6 +22,7 @@
     breaker,
     evacuation::{Exclusion, Orders},
     queue::{Capacity, Entry, Priority, Ticket},
+    store_clock::StoreClock,
 };
 use fulmargw_model::{
     execution::{Request, ServerId},
@@ -49,17 +50,6 @@
     total: 1024,
 };
 
-/// The configuration in force, with an index of its API keys.
-#[derive(Debug)]
-pub struct Configuration {
-    /// The configuration.
-    pub catalog: Catalog,
-    /// Client accounts by API key.
-    pub keys: Keyring,
-    /// How its statements are scheduled.
-    pub plan: Plan,
-}
-
 /// Shared state of the proxy's tasks. Its tables must be locked in the order of their ranks.
 #[derive(Debug)]
 pub struct Core<D: Dialect, P: Platform> {
@@ -79,6 +69,9 @@
     pub configuration: watch::Sender<Option<Arc<Configuration>>>,
     /// Orders to evacuate zones.
     pub orders: Mutex<Orders>,
+    /// The store's clock, as its responses about the configuration show it. It has the rank of
+    /// `orders`, and the two are never locked together.
+    pub store_clock: Mutex<StoreClock>,
     /// Hosts of the fleet and their reports.
     pub members: Mutex<Members>,
     /// Token buckets of the client accounts.
@@ -145,6 +138,7 @@
             forward_client: forward::Client::new(),
             configuration: watch::Sender::new(None),
             orders: Mutex::new(Rank::Configuration, Orders::default()),
+            store_clock: Mutex::new(Rank::Configuration, StoreClock::default()),
             members: Mutex::new(Rank::Fleet, members),
             admission: Mutex::new(Rank::Account, admission),
             queues: Mutex::new(Rank::Queue, Queues::new(QUEUE_BOUND)),
@@ -218,49 +212,6 @@
         is_initialized && !self.draining.is_cancelled()
     }
 
-    /// Applies a configuration if it is newer than the one in force. Returns whether it was
-    /// applied.
-    pub fn apply_configuration(&self, catalog: Catalog, source: &str) -> bool {
-        let version = catalog.version;
-        let previous = self
-            .configuration()
-            .map_or(0, |configuration| configuration.catalog.version);
-        if version < previous {
-            log::info!(event = "configuration_kept", version = previous, offered = version, source; "an older configuration was offered");
-        }
-        if version <= previous {
-            return false;
-        }
-        {
-            let mut admission = self.admission.lock();
-            admission.configure(&catalog, Instant::now());
-        }
-        let keys = Keyring::of(&catalog);
-        let plan = Plan::of(&self.settings.scheduling, &catalog);
-        if plan != self.plan() {
-            log::info!(event = "scheduling", version, early_refusal = plan.early_refusal, reserve = plan.reserves, account_connections = plan.account_connections; "scheduling of the configuration");
-        }
-        let configuration = Arc::new(Configuration {
-            catalog,
-            keys,
-            plan,
-        });
-        let is_applied = self.configuration.send_if_modified(|current| {
-            let is_newer = current
-                .as_ref()
-                .is_none_or(|current| current.catalog.version < version);
-            if is_newer {
-                *current = Some(configuration);
-            }
-            is_newer
-        });
-        if is_applied {
-            metrics::gauge!("fulmargw_pool_configuration_version").set(to_f64(version));
-            log::info!(event = "configuration", version, previous, source; "configuration in force");
-        }
-        is_applied
-    }
-
     /// Returns a function that computes this host's shares of a server from its connection limit
     /// and slots.
     pub fn shares(&self) -> impl Fn(&Server) -> Shares + use<D, P> {
--- a/fulmargw_pool/src/dump.rs
+++ b/fulmargw_pool/src/dump.rs
@@ -4,6 +4,7 @@
     activity::Activity,
     backend::Server,
     clock::millis,
+    configuration::Source,
     core::Core,
     dialect::Dialect,
     member::{Executor, Members},
@@ -31,6 +32,8 @@
     pub is_stopping: bool,
     /// Version of the configuration in force.
     pub version: Option<u64>,
+    /// How the host got it; absent if it has none.
+    pub configuration: Option<Applied>,
     /// Number of sessions and open transactions for which a graceful stop waits.
     pub sessions: usize,
     /// What a graceful stop waits for, by kind.
@@ -51,6 +54,15 @@
     pub account_sessions: Vec<(Name, usize)>,
 }
 
+/// How a host got the configuration in force.
+#[derive(Debug, Serialize)]
+pub struct Applied {
+    /// Where it came from.
+    pub source: Source,
+    /// Time since it is in force on this host, in milliseconds.
+    pub in_force_ms: u64,
+}
+
 /// Orders to evacuate zones.
 #[derive(Debug, Serialize)]
 pub struct Evacuation {
@@ -214,14 +226,19 @@
         });
         described.collect()
     };
+    let configuration = core.configuration();
     Dump {
         host: core.settings.host.name.clone(),
         incarnation: core.incarnation,
         is_ready: core.is_ready(),
         is_stopping: core.draining.is_cancelled(),
-        version: core
-            .configuration()
+        version: configuration
+            .as_ref()
             .map(|configuration| configuration.catalog.version),
+        configuration: configuration.map(|configuration| Applied {
+            source: configuration.source.clone(),
+            in_force_ms: millis(configuration.in_force_since.elapsed()),
+        }),
         sessions: core.sessions.len(),
         activity: Activity::of(core),
         tasks: core.tasks.counts(),
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -8,11 +8,12 @@
 pub mod restoration;
 
 use crate::{
-    clock::millis,
+    clock::{self, millis},
     core::{self, Core},
     dialect::Dialect,
     store::{Era, Error, Kind, Platform, Revision},
 };
+use fulmargw_decision::store_clock::Call;
 use std::{future, ops::RangeInclusive, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -119,11 +120,15 @@
     let mut dependency = Dependency::new("configuration");
     let mut revision = None;
     loop {
+        let longest = watch_timeout(&core, MIN_CATALOG_TIMEOUT..=MAX_CATALOG_TIMEOUT);
+        let wait = dependency.watch_wait(longest);
+        let call = Call {
+            sent: clock::since_boot(),
+            waits: revision.is_some() && !wait.is_zero(),
+        };
         let response = match revision {
             None => core.platform.operator_rows().await,
             Some(after) => {
-                let longest = watch_timeout(&core, MIN_CATALOG_TIMEOUT..=MAX_CATALOG_TIMEOUT);
-                let wait = dependency.watch_wait(longest);
                 tokio::select! {
                     response = core.platform.watch_operator_rows(after, wait) => response,
                     () = restored_since(&core, after) => {
@@ -136,11 +141,12 @@
         match response {
             Ok((rows, seen)) => {
                 dependency.record_success(revision, seen, rows.catalog.is_some());
+                let source = core.record_store_response(call, &rows, seen);
                 // Orders precede the configuration, without which the host serves nobody.
                 evacuation::apply_rows(&core, revision, &rows, seen);
                 revision = Some(seen);
                 if let Some(catalog) = rows.catalog
-                    && core.apply_configuration(catalog, "store")
+                    && core.apply_configuration(catalog, source)
                 {
                     apply_membership(&core);
                 }
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -1,7 +1,10 @@
 //! Exchanges reports with the peers, and lends them rate tokens.
 
 use super::{apply_membership, evacuation};
-use crate::{catalog::Catalog, core::Core, dialect::Dialect, failover, store::Platform, traffic};
+use crate::{
+    catalog::Catalog, configuration::Source, core::Core, dialect::Dialect, failover,
+    store::Platform, traffic,
+};
 use fulmargw_peer::{
     message::{LoanRequest, LoanResponse},
     report::{self, Report, Response},
@@ -66,7 +69,8 @@
     if let Some(bytes) = response.catalog {
         match rmp_serde::from_slice::<Catalog>(&bytes) {
             Ok(catalog) => {
-                if core.apply_configuration(catalog, response.report.host.as_str()) {
+                let source = Source::Peer(response.report.host.clone());
+                if core.apply_configuration(catalog, source) {
                     apply_membership(core);
                 }
             }
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod clock;
+pub mod configuration;
 pub mod connection;
 pub mod core;
 pub mod dialect;
--- a/fulmargw_pool/src/listener.rs
+++ b/fulmargw_pool/src/listener.rs
@@ -9,6 +9,7 @@
 
 /// Accepts connections of callers until the pool closes idle sessions.
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>, listener: TcpListener) {
+    session::withdrawal::register();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -1,38 +1,42 @@
 //! Sessions of callers: reads statements, keeps the session state and sends the responses.
 
+pub mod access;
 mod channel;
 mod execute;
-mod failure;
+pub mod failure;
 mod kept;
 mod response;
 pub mod state;
+pub mod step;
 mod trace;
+mod transaction;
+pub(crate) mod withdrawal;
 
 use self::{
+    access::Denial,
     channel::{Cause, Channel, End},
     failure::Failure,
     kept::Kept,
     response::send,
-    state::{Caller, OpenTransaction, Session},
+    state::{AbortCause, Session},
+    step::Step,
     trace::count_error,
 };
 use crate::{
-    borrow,
-    core::{Configuration, Core},
+    configuration::Configuration,
+    core::Core,
     dialect::Dialect,
-    job::{Outcome, Pin},
     message::{Request, Response},
-    statement::{Query, Statement},
+    statement::Query,
     store::Platform,
 };
 use fulmargw_budget::{session, slot::Slot};
 use fulmargw_model::{
     client_account::Digest,
-    execution::{self, Code, Kind, Text, TransactionState, Visibility},
+    execution::{Code, Text, TransactionState},
     name::Name,
-    position::Position,
 };
-use std::{future, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep_until, timeout},
@@ -48,9 +52,6 @@
 /// Why a session whose API key is no longer valid for its account is refused.
 const KEY_WITHDRAWN: &str = "the API key was withdrawn";
 
-/// Why a transaction on a server of an evacuated zone is rolled back.
-const ZONE_EVACUATED: &str = "the zone of the backend server is evacuated";
-
 /// Responses to one statement.
 struct Output {
     responses: Vec<Response>,
@@ -133,18 +134,10 @@
             RETRY_AFTER,
         ));
     };
-    let Some(route) = configuration.catalog.routes.get(database) else {
-        return Err(Failure::new(
-            Code::UnknownDatabase,
-            "no route has the name of the database",
-        ));
-    };
     let digest = Digest::of(key);
-    let account = match configuration.keys.account(&digest) {
-        Some(account) => account.clone(),
-        None if route.is_open => Caller::keyless().account,
-        None => return Err(Failure::new(Code::Denied, "the API key is not valid")),
-    };
+    let (_, caller) =
+        access::authorize(&configuration, database, &digest).map_err(Denial::of_session)?;
+    let account = caller.account;
     let callers = &core.settings.callers;
     let counted = core
         .budget
@@ -210,82 +203,23 @@
                 request = channel.next(&core.budget, callers) => return request,
                 () = core.closing_idle.cancelled(), if self.session.transaction.is_none() => return Ok(None),
                 () = core.aborting.cancelled(), if self.session.has_live_transaction() => {
-                    self.abort("the host is stopping");
+                    self.abort(AbortCause::Stopping);
                 }
                 () = self.connection_closed(), if self.session.has_live_transaction() => {
-                    self.abort(ZONE_EVACUATED);
+                    self.abort(AbortCause::ZoneEvacuated);
                 }
                 () = self.key_withdrawn(), if self.session.has_live_transaction() => {
-                    self.abort(KEY_WITHDRAWN);
+                    self.abort(AbortCause::KeyWithdrawn);
                 }
                 () = sleep_until(idle_deadline), if self.session.has_live_transaction() => {
-                    self.abort("the transaction was idle for too long");
+                    self.abort(AbortCause::Idle);
                 }
             }
         }
     }
 
-    fn idle_deadline(&self) -> Instant {
-        let idle = self
-            .core
-            .configuration()
-            .map(|configuration| configuration.catalog.transaction_idle);
-        Instant::now() + idle.unwrap_or(START_TIMEOUT)
-    }
-
-    /// Waits until the configuration in force no longer allows the open transaction to go on.
-    ///
-    /// A change of the route applies from the next transaction on, a withdrawn key at once.
-    async fn key_withdrawn(&self) {
-        let mut configuration = self.core.configuration.subscribe();
-        let is_withdrawn = |current: &Option<Arc<Configuration>>| {
-            current
-                .as_ref()
-                .is_some_and(|current| !self.session.may_continue(&current.keys))
-        };
-        if configuration.wait_for(is_withdrawn).await.is_err() {
-            // The process is ending, so there is no later configuration.
-            future::pending::<()>().await;
-        }
-    }
-
-    /// Waits until nothing may be sent on the connection of the open transaction any more. A peer
-    /// rolls its transactions back itself.
-    async fn connection_closed(&self) {
-        let transaction = self.session.transaction.as_ref();
-        match transaction.and_then(|transaction| transaction.pin.as_ref()) {
-            Some(Pin::Local(pooled)) => pooled.connection.closed().await,
-            Some(Pin::Remote(_)) | None => future::pending().await,
-        }
-    }
-
-    /// Rolls back the open transaction. The response to its next statement notifies the caller.
-    fn abort(&mut self, cause: &'static str) {
-        if let Some(transaction) = &mut self.session.transaction {
-            log::info!(event = "transaction_aborted", session = self.session.number, cause; "transaction rolled back");
-            if let Some(pin) = transaction.pin.take() {
-                self.core.roll_back(pin);
-            }
-            transaction.abort_cause = Some(cause);
-        }
-    }
-
-    fn close(&mut self) {
-        if let Some(pin) = self
-            .session
-            .transaction
-            .take()
-            .and_then(|transaction| transaction.pin)
-        {
-            self.core.roll_back(pin);
-        }
-    }
-
     fn refuse_malformed(&self) -> Output {
-        self.refuse(&Failure::new(
-            Code::Malformed,
-            "the message is malformed or not allowed in the current state",
-        ))
+        self.refuse(&step::malformed())
     }
 
     fn transaction_state(&self) -> TransactionState {
@@ -327,104 +261,29 @@
                 RETRY_AFTER,
             ));
         };
-        if !self.session.may_continue(&configuration.keys) {
-            self.abort(KEY_WITHDRAWN);
-        }
-        if let Some(cause) = self
-            .session
-            .transaction
-            .as_ref()
-            .and_then(|transaction| transaction.abort_cause)
-        {
-            self.session.transaction = None;
-            if query.statement == Statement::Rollback {
-                return self.complete();
-            }
-            self.log_refusal(&query, &Failure::new(Code::Aborted, cause), &configuration);
-            return self.refuse(&Failure::new(Code::Aborted, cause));
-        }
-        if self
-            .session
-            .transaction
-            .as_ref()
-            .is_some_and(|transaction| transaction.has_failed)
-        {
-            let ends_transaction =
-                matches!(query.statement, Statement::Commit | Statement::Rollback);
-            if !ends_transaction {
-                return self.refuse_malformed();
-            }
-        }
-        match query.statement.clone() {
-            Statement::Unknown => self.refuse_malformed(),
-            Statement::Set { name, value } => self.set_variable(&name, &value),
-            Statement::Prepare { name, template } => self.keep_template(&name, &template),
-            Statement::Deallocate { name } => self.deallocate(&name),
-            Statement::Begin { read_only } => self.begin(&query, read_only, &configuration).await,
-            Statement::Commit | Statement::Rollback if self.session.transaction.is_none() => {
-                if query.statement == Statement::Rollback {
-                    self.complete()
-                } else {
-                    self.refuse_malformed()
-                }
-            }
-            Statement::Commit => {
-                self.end_transaction(query, Kind::Commit, received, &configuration)
-                    .await
-            }
-            Statement::Rollback => {
-                self.end_transaction(query, Kind::Rollback, received, &configuration)
-                    .await
-            }
-            Statement::Read => {
-                let text_and_template = (query.text.clone(), None);
-                self.execute(query, false, text_and_template, received, &configuration)
-                    .await
-            }
-            Statement::Write => {
-                let text_and_template = (query.text.clone(), None);
-                self.execute(query, true, text_and_template, received, &configuration)
+        match step::decide(&self.session, &configuration, &query.statement) {
+            Step::ReportAbort(cause) => self.report_abort(&query, cause, &configuration),
+            Step::Refuse(failure) => self.refuse(&failure),
+            Step::Complete => self.complete(),
+            Step::Set { name, value } => self.set_variable(&name, &value),
+            Step::Prepare { name, template } => self.keep_template(&name, &template),
+            Step::Deallocate { name } => self.deallocate(&name),
+            Step::Begin { read_only } => self.begin(&query, read_only, &configuration).await,
+            Step::End(kind) => {
+                self.end_transaction(query, kind, received, &configuration)
                     .await
             }
-            Statement::Execute { name, arguments } => {
-                let Some(template) = self.session.prepared.get(&name).cloned() else {
-                    return self.refuse(&Failure::new(
-                        Code::UnknownName,
-                        "no prepared statement has this name",
-                    ));
+            Step::Execute { writes, prepared } => {
+                let text_and_template = match prepared {
+                    None => (query.text.clone(), None),
+                    Some((template, arguments)) => {
+                        let text = D::encode_execute(&template.shared_name, &arguments);
+                        (text, Some(template))
+                    }
                 };
-                let text = D::encode_execute(&template.shared_name, &arguments);
-                let writes = template.writes;
-                self.execute(
-                    query,
-                    writes,
-                    (text, Some(template)),
-                    received,
-                    &configuration,
-                )
-                .await
-            }
-        }
-    }
-
-    /// Admits a transaction. It begins on a backend server with its first statement.
-    async fn begin(
-        &mut self,
-        query: &Query,
-        read_only: bool,
-        configuration: &Configuration,
-    ) -> Output {
-        if self.session.transaction.is_some() {
-            return self.refuse_malformed();
-        }
-        match self.admit(configuration).await {
-            Ok(caller) => {
-                let mut transaction = OpenTransaction::new(read_only, caller);
-                transaction.token = Some(self.core.activity.transaction());
-                self.session.transaction = Some(transaction);
-                self.complete()
+                self.execute(query, writes, text_and_template, received, &configuration)
+                    .await
             }
-            Err(failure) => self.refuse_operation(query, &failure, configuration),
         }
     }
 
@@ -443,109 +302,6 @@
         }
     }
 
-    /// Checks the API key and takes a token of the account's rate. Returns the caller's account.
-    async fn admit(&self, configuration: &Configuration) -> Result<Caller, Failure> {
-        let Some(route) = configuration.catalog.routes.get(&self.session.database) else {
-            return Err(Failure::new(Code::UnknownDatabase, "the route was removed"));
-        };
-        let account = match configuration.keys.account(&self.session.key_digest) {
-            Some(account) => account.clone(),
-            None if route.is_open => return Ok(Caller::keyless()),
-            None => return Err(Failure::new(Code::Denied, KEY_WITHDRAWN)),
-        };
-        let admitted = borrow::admit(&self.core, &account, route.objective).await;
-        admitted
-            .map(|()| Caller::with_key(&account))
-            .map_err(|refusal| {
-                log::info!(
-                    event = "rate_exceeded", session = self.session.number,
-                    account = account.as_str(), rate = refusal.rate, has_share = refusal.has_share,
-                    available = refusal.available, version = configuration.catalog.version;
-                    "the rate of the account is exceeded"
-                );
-                Failure::later(
-                    Code::Busy,
-                    "the rate of the account is exceeded",
-                    refusal.retry_after,
-                )
-            })
-    }
-
-    /// Commits or rolls back the open transaction.
-    async fn end_transaction(
-        &mut self,
-        query: Query,
-        kind: Kind,
-        received: Instant,
-        configuration: &Configuration,
-    ) -> Output {
-        let Some(mut transaction) = self.session.transaction.take() else {
-            return self.complete();
-        };
-        let Some(pin) = transaction.pin.take() else {
-            if kind == Kind::Rollback || !transaction.has_failed {
-                return self.complete();
-            }
-            return self.refuse(&Failure::new(
-                Code::Aborted,
-                "a statement of the transaction had failed",
-            ));
-        };
-        let timeout = self.timeout(configuration);
-        let statement = execution::Statement {
-            id: query.id.clone(),
-            text: query.text.clone(),
-            template: None,
-            kind,
-        };
-        let visibility = Visibility {
-            consistency: transaction.consistency,
-            last_commit: None,
-        };
-        let account = transaction.caller.account.clone();
-        let outcome = self
-            .submit(
-                statement,
-                visibility,
-                account,
-                Some(pin),
-                received + timeout,
-                None,
-            )
-            .await;
-        match outcome {
-            Outcome::Answered { reply, trace, .. } => {
-                if kind == Kind::Commit && transaction.has_written && reply.result.is_ok() {
-                    self.record_commit(&trace.server_id.service, reply.position);
-                }
-                self.log_reply(&query, &trace, &reply, received, configuration);
-                self.relay(reply)
-            }
-            Outcome::NotRun(_) => {
-                self.refuse(&Failure::new(Code::Aborted, "the connection was lost"))
-            }
-            Outcome::Lost { server, .. } => {
-                let failure = if kind == Kind::Commit && transaction.has_written {
-                    Failure::new(Code::InDoubt, "the commit was sent but got no response")
-                } else if kind == Kind::Commit {
-                    Failure::new(Code::Aborted, "the connection was lost")
-                } else {
-                    return self.complete();
-                };
-                self.log_no_response(&query, server.as_ref(), &failure, received);
-                self.refuse(&failure)
-            }
-        }
-    }
-
-    /// Records a commit before it is acknowledged to the caller.
-    fn record_commit(&mut self, service: &Name, position: Option<Position>) {
-        self.session.record_commit(position);
-        if let Some(position) = position {
-            self.core.acknowledge(service, position);
-        }
-    }
-
     fn timeout(&self, configuration: &Configuration) -> Duration {
         let route = configuration.catalog.routes.get(&self.session.database);
         route.map_or(START_TIMEOUT, |route| route.timeout)
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -8,7 +8,7 @@
 use crate::{
     borrow,
     clock::millis,
-    core::Configuration,
+    configuration::Configuration,
     dialect::Dialect,
     dispatch::{self, RETRY_FRACTION},
     evacuation, forward,
--- a/fulmargw_pool/src/session/failure.rs
+++ b/fulmargw_pool/src/session/failure.rs
@@ -14,9 +14,11 @@
 
 /// A refusal or error that this host generates itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Failure {
-    pub(super) code: Code,
-    pub(super) cause: &'static str,
+pub struct Failure {
+    /// Error code.
+    pub code: Code,
+    /// Cause that the caller is told.
+    pub cause: &'static str,
     retry_after: Option<Duration>,
 }
 
--- a/fulmargw_pool/src/session/kept.rs
+++ b/fulmargw_pool/src/session/kept.rs
@@ -1,6 +1,6 @@
 //! Prepared statements and variables that a session keeps, within its limits and the budget.
 
-use super::{Driver, Output, RETRY_AFTER, channel::SMALL_BYTES, failure::Failure};
+use super::{Driver, Output, RETRY_AFTER, channel::SMALL_BYTES, failure::Failure, step};
 use crate::{budget::Budget, dialect::Dialect, settings::Callers, store::Platform};
 use bytes::Bytes;
 use fulmargw_budget::memory::Hold;
@@ -141,10 +141,7 @@
     /// Removes a prepared statement.
     pub(super) fn deallocate(&mut self, name: &Text) -> Output {
         let Some(template) = self.session.prepared.remove(name) else {
-            return self.refuse(&Failure::new(
-                Code::UnknownName,
-                "no prepared statement has this name",
-            ));
+            return self.refuse(&step::unknown_name());
         };
         self.kept.prepared_bytes -= template_bytes(name, &template);
         let bytes = self.kept.prepared_bytes + self.kept.variable_bytes;
--- a/fulmargw_pool/src/session/state.rs
+++ b/fulmargw_pool/src/session/state.rs
@@ -1,5 +1,6 @@
 //! State that a session keeps between statements.
 
+use super::KEY_WITHDRAWN;
 use crate::{catalog::Keyring, dialect::Dialect, job::Pin};
 use fulmargw_model::{
     client_account::Digest,
@@ -14,7 +15,7 @@
 const KEYLESS_ACCOUNT: &str = "-";
 
 /// On whose behalf an operation was admitted.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Caller {
     /// Client account that backend servers are told.
     pub account: Name,
@@ -42,6 +43,50 @@
     }
 }
 
+impl Caller {
+    /// Reports whether a key still belongs to the account, if the caller was admitted with one.
+    fn is_allowed(&self, key: &Digest, keys: &Keyring) -> bool {
+        self.is_keyless || keys.account(key) == Some(&self.account)
+    }
+}
+
+/// Why this host rolls back an open transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AbortCause {
+    /// The host is stopping.
+    Stopping,
+    /// The zone of the backend server is evacuated.
+    ZoneEvacuated,
+    /// The API key no longer belongs to the account for which the transaction was admitted.
+    KeyWithdrawn,
+    /// The caller sent nothing for the idle timeout.
+    Idle,
+}
+
+impl AbortCause {
+    /// Returns the name for metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Stopping => "stopping",
+            Self::ZoneEvacuated => "zone_evacuated",
+            Self::KeyWithdrawn => "key_withdrawn",
+            Self::Idle => "idle",
+        }
+    }
+
+    /// Returns the text that the caller is told.
+    #[must_use]
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Stopping => "the host is stopping",
+            Self::ZoneEvacuated => "the zone of the backend server is evacuated",
+            Self::KeyWithdrawn => KEY_WITHDRAWN,
+            Self::Idle => "the transaction was idle for too long",
+        }
+    }
+}
+
 /// State of one session.
 #[derive(Debug)]
 pub struct Session<D: Dialect> {
@@ -51,6 +96,8 @@
     pub database: Name,
     /// Digest of the caller's API key.
     pub key_digest: Digest,
+    /// On whose behalf the last operation was admitted, or refused for its rate.
+    pub caller: Option<Caller>,
     /// Service that ran the last operation.
     pub service: Option<Name>,
     /// Session variables.
@@ -72,12 +119,14 @@
     pub caller: Caller,
     /// Consistency rule of the route when the first statement ran.
     pub consistency: Consistency,
+    /// Number of statements that backend servers have answered.
+    pub statements: u32,
     /// Whether a write was sent.
     pub has_written: bool,
     /// Whether a statement failed.
     pub has_failed: bool,
     /// Why the transaction was rolled back, until the caller is notified.
-    pub abort_cause: Option<&'static str>,
+    pub abort_cause: Option<AbortCause>,
     /// Connection to which the transaction is pinned, once it has begun on a backend server.
     pub pin: Option<Pin<D>>,
     /// Counts the transaction while it is open.
@@ -92,6 +141,7 @@
             number,
             database,
             key_digest,
+            caller: None,
             service: None,
             variables: Arc::default(),
             prepared: HashMap::new(),
@@ -112,10 +162,15 @@
     /// which it was admitted, or it was admitted without one.
     #[must_use]
     pub fn may_continue(&self, keys: &Keyring) -> bool {
-        self.transaction.as_ref().is_none_or(|transaction| {
-            transaction.caller.is_keyless
-                || keys.account(&self.key_digest) == Some(&transaction.caller.account)
-        })
+        let transaction = self.transaction.as_ref();
+        transaction.is_none_or(|transaction| transaction.caller.is_allowed(&self.key_digest, keys))
+    }
+
+    /// Reports whether the last operation could still be admitted for the same account.
+    #[must_use]
+    pub fn is_admitted_by(&self, keys: &Keyring) -> bool {
+        let caller = self.caller.as_ref();
+        caller.is_none_or(|caller| caller.is_allowed(&self.key_digest, keys))
     }
 
     /// Records the position of a commit of the session.
@@ -135,6 +190,7 @@
             read_only,
             caller,
             consistency: Consistency::Current,
+            statements: 0,
             has_written: false,
             has_failed: false,
             abort_cause: None,
--- a/fulmargw_pool/src/session/trace.rs
+++ b/fulmargw_pool/src/session/trace.rs
@@ -6,7 +6,8 @@
     failure::Failure,
 };
 use crate::{
-    clock::millis, core::Configuration, dialect::Dialect, statement::Query, store::Platform,
+    clock::millis, configuration::Configuration, dialect::Dialect, statement::Query,
+    store::Platform,
 };
 use fulmargw_model::{
     execution::{Code, Reply, Text, Trace},
@@ -16,13 +17,17 @@
 
 impl<D: Dialect, P: Platform> Driver<D, P> {
     pub(super) fn log_reply(
-        &self,
+        &mut self,
         query: &Query,
         trace: &Trace,
         reply: &Reply,
         received: Instant,
         configuration: &Configuration,
     ) {
+        self.check_key(query, received);
+        if let Some(transaction) = &mut self.session.transaction {
+            transaction.statements += 1;
+        }
         let outcome = match &reply.result {
             Ok(_) => "done",
             Err((code, _)) => code.label(),
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -73,6 +73,8 @@
     pub catalog: Option<Catalog>,
     /// Orders to evacuate zones, in the order of their revisions.
     pub orders: Vec<Order>,
+    /// Time of the store's steady clock when it sent the rows, if it says so.
+    pub sent: Option<Duration>,
 }
 
 /// A client of the platform. Each call fails with an [`Error`] if the platform does not respond, or
