Refuse statements that need no server in a session whose key was withdrawn

Nothing ran on a backend server.

Cause: only what is admitted looks the key up; what this host answers itself is not admitted.

Change: outside of a transaction these statements need a valid key or an open route as well; otherwise they get DENIED and the session ends. A removed route ends the session with its next operation, as before.

Measured: nothing_runs_for_a_withdrawn_key fails on ('SET name value' gets a success) and passes; statements_without_a_server_need_a_valid_key covers each kind of statement without a network.

--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -264,6 +264,7 @@
         match step::decide(&self.session, &configuration, &query.statement) {
             Step::ReportAbort(cause) => self.report_abort(&query, cause, &configuration),
             Step::Refuse(failure) => self.refuse(&failure),
+            Step::RefuseSession(failure) => self.refuse_operation(&query, &failure, &configuration),
             Step::Complete => self.complete(),
             Step::Set { name, value } => self.set_variable(&name, &value),
             Step::Prepare { name, template } => self.keep_template(&name, &template),
--- a/fulmargw_pool/src/session/step.rs
+++ b/fulmargw_pool/src/session/step.rs
@@ -1,6 +1,7 @@
 //! Decides what a session does with a statement, by its state and the configuration in force.
 
 use super::{
+    access::{self, Denial},
     failure::Failure,
     state::{AbortCause, Session},
 };
@@ -14,6 +15,8 @@
     ReportAbort(AbortCause),
     /// Refuses the statement.
     Refuse(Failure),
+    /// Refuses the statement and ends the session.
+    RefuseSession(Failure),
     /// Responds with success without a backend server.
     Complete,
     /// Admits a transaction.
@@ -65,6 +68,9 @@
     if has_failed && !matches!(statement, Statement::Commit | Statement::Rollback) {
         return Step::Refuse(malformed());
     }
+    if is_local(session, statement) && is_key_withdrawn(session, configuration) {
+        return Step::RefuseSession(Denial::InvalidKey.of_statement());
+    }
     match statement {
         Statement::Unknown => Step::Refuse(malformed()),
         Statement::Set { name, value } => Step::Set {
@@ -114,6 +120,26 @@
         .or(is_withdrawn.then_some(AbortCause::KeyWithdrawn))
 }
 
+/// Reports whether this host responds to a statement itself, outside of a transaction. Others are
+/// admitted, or belong to a transaction that was.
+fn is_local<D: Dialect>(session: &Session<D>, statement: &Statement) -> bool {
+    let needs_no_server = matches!(
+        statement,
+        Statement::Set { .. }
+            | Statement::Prepare { .. }
+            | Statement::Deallocate { .. }
+            | Statement::Rollback
+    );
+    needs_no_server && session.transaction.is_none()
+}
+
+/// Reports whether the configuration no longer allows the key of a session. A route that is removed
+/// ends the session with its next operation.
+fn is_key_withdrawn<D: Dialect>(session: &Session<D>, configuration: &Configuration) -> bool {
+    let authorized = access::authorize(configuration, &session.database, &session.key_digest);
+    matches!(authorized, Err(Denial::InvalidKey))
+}
+
 /// Returns the refusal of a statement that is not valid now.
 pub(super) fn malformed() -> Failure {
     Failure::new(
