Share the bounded connection and the budget of large messages between listeners

Cause: frame.rs and http.rs each had a stream that fails when its place is given away, and the same units and limits for reservations.

Change: connection::Connection and the module transfer serve both. A stream of frames whose place was given away now also fails on a write, as a connection over HTTP did.

Measured: the tests of fulmargw_budget, fulmargw_peer and platform/tests/pool.rs and stop.rs pass.

--- a/fulmargw_budget/src/frame.rs
+++ b/fulmargw_budget/src/frame.rs
@@ -1,6 +1,6 @@
 //! A stream whose frames, each with a length before it, are read only when there is memory for them.
 
-use crate::slot::{Slot, Slots};
+use crate::{connection::Connection, slot::Slots, transfer};
 use std::{
     io,
     pin::Pin,
@@ -10,18 +10,14 @@
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::{OwnedSemaphorePermit, Semaphore},
     time::{Instant, Sleep, sleep_until},
 };
-use tokio_util::sync::{PollSemaphore, WaitForCancellationFutureOwned};
+use tokio_util::sync::PollSemaphore;
 
 /// Length of the header of a frame, in bytes.
 const HEADER_BYTES: usize = 4;
-/// Longest frame that is read without a reservation, in bytes.
-const SMALL_FRAME_BYTES: usize = 64 * 1024;
-/// Unit of reservations, in bytes.
-const UNIT_BYTES: usize = 1024;
 /// Time within which a large frame must be complete, once its memory is reserved.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which nothing is due.
@@ -35,8 +31,7 @@
     /// Creates a budget of this many bytes, and at least of one frame of `longest` bytes.
     #[must_use]
     pub fn new(bytes: usize, longest: usize) -> Self {
-        let units = bytes.max(longest).div_ceil(UNIT_BYTES);
-        Self(Arc::new(Semaphore::new(units)))
+        Self(transfer::budget(bytes, longest))
     }
 }
 
@@ -69,8 +64,8 @@
     pub async fn accept(&self) -> io::Result<Stream> {
         let (stream, _) = self.inner.accept().await?;
         stream.set_nodelay(true)?;
-        let slot = self.slots.take();
-        Ok(Stream::new(stream, &self.frames, self.longest, slot))
+        let connection = Connection::new(stream, self.slots.take());
+        Ok(Stream::new(connection, &self.frames, self.longest))
     }
 }
 
@@ -101,7 +96,7 @@
                     break;
                 }
                 self.missing = u32::from_be_bytes(self.header) as usize;
-                self.unreserved = (self.missing > SMALL_FRAME_BYTES).then_some(self.missing);
+                self.unreserved = (self.missing > transfer::SMALL_BYTES).then_some(self.missing);
             } else {
                 let taken = bytes.len().min(self.missing);
                 self.missing -= taken;
@@ -117,38 +112,31 @@
     }
 }
 
-/// One connection, which fails when its place is given to another one.
+/// One connection with frames.
 #[derive(Debug)]
 pub struct Stream {
-    inner: TcpStream,
+    inner: Connection,
     frames: PollSemaphore,
     position: Position,
     permit: Option<OwnedSemaphorePermit>,
     deadline: Pin<Box<Sleep>>,
-    revoked: Pin<Box<WaitForCancellationFutureOwned>>,
     longest: usize,
-    _slot: Slot,
 }
 
 impl Stream {
-    fn new(inner: TcpStream, frames: &Frames, longest: usize, slot: Slot) -> Self {
+    fn new(inner: Connection, frames: &Frames, longest: usize) -> Self {
         Self {
             inner,
             frames: PollSemaphore::new(Arc::clone(&frames.0)),
             position: Position::default(),
             permit: None,
             deadline: Box::pin(sleep_until(Instant::now() + FAR_FUTURE)),
-            revoked: Box::pin(slot.revoked().clone().cancelled_owned()),
             longest,
-            _slot: slot,
         }
     }
 
-    /// Fails if the connection has to be closed.
-    fn check(&mut self, context: &mut Context<'_>) -> io::Result<()> {
-        if self.revoked.as_mut().poll(context).is_ready() {
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
+    /// Fails if a large frame is not complete in time.
+    fn check_deadline(&mut self, context: &mut Context<'_>) -> io::Result<()> {
         if self.deadline.as_mut().poll(context).is_ready() {
             metrics::counter!("fulmargw_incomplete_frames_total").increment(1);
             return Err(io::ErrorKind::TimedOut.into());
@@ -164,7 +152,7 @@
         if length > self.longest {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
-        let units = u32::try_from(length.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX);
+        let units = transfer::units(length);
         self.permit = ready!(self.frames.poll_acquire_many(context, units));
         self.position.unreserved = None;
         self.deadline.as_mut().reset(Instant::now() + FRAME_TIMEOUT);
@@ -185,7 +173,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.check(context)?;
+        self.check_deadline(context)?;
         ready!(self.poll_reserve(context))?;
         // A frame whose header was just read has not reserved its memory: it counts from the next
         // read on, and until then the buffer bounds it.
--- a/fulmargw_budget/src/http.rs
+++ b/fulmargw_budget/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP listeners with a bounded number of connections and bounded request bodies.
 
-use crate::slot::{Slot, Slots};
+use crate::{connection::Connection, slot::Slots, transfer};
 use axum::{
     extract::{Request, State},
     http::{StatusCode, header::CONTENT_LENGTH},
@@ -8,30 +8,17 @@
     response::{IntoResponse as _, Response},
     serve,
 };
-use std::{
-    io,
-    net::SocketAddr,
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll, ready},
-    time::Duration,
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::Semaphore,
     time::{sleep, timeout},
 };
-use tokio_util::sync::WaitForCancellationFutureOwned;
 
 /// Delay after a failed accept, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Connections to a listener whose process sets no limit.
 const DEFAULT_CONNECTIONS: usize = 1_024;
-/// Longest body that is read without a reservation, in bytes.
-const SMALL_BODY_BYTES: usize = 64 * 1024;
-/// Unit of reservations for bodies, in bytes.
-const UNIT_BYTES: usize = 1024;
 /// Time within which a large body must be complete, once its memory is reserved.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -58,13 +45,15 @@
 }
 
 impl serve::Listener for Listener {
-    type Io = Stream;
+    type Io = Connection;
     type Addr = SocketAddr;
 
-    async fn accept(&mut self) -> (Stream, SocketAddr) {
+    async fn accept(&mut self) -> (Connection, SocketAddr) {
         loop {
             match self.inner.accept().await {
-                Ok((stream, address)) => return (Stream::new(stream, self.slots.take()), address),
+                Ok((stream, address)) => {
+                    return (Connection::new(stream, self.slots.take()), address);
+                }
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
@@ -75,62 +64,6 @@
     }
 }
 
-/// A connection that fails when its place is given to another one.
-#[derive(Debug)]
-pub struct Stream {
-    inner: TcpStream,
-    revoked: Pin<Box<WaitForCancellationFutureOwned>>,
-    _slot: Slot,
-}
-
-impl Stream {
-    fn new(inner: TcpStream, slot: Slot) -> Self {
-        Self {
-            inner,
-            revoked: Box::pin(slot.revoked().clone().cancelled_owned()),
-            _slot: slot,
-        }
-    }
-
-    fn check_revoked(&mut self, context: &mut Context<'_>) -> io::Result<()> {
-        match self.revoked.as_mut().poll(context) {
-            Poll::Ready(()) => Err(io::ErrorKind::ConnectionAborted.into()),
-            Poll::Pending => Ok(()),
-        }
-    }
-}
-
-impl AsyncRead for Stream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        self.check_revoked(context)?;
-        Pin::new(&mut self.inner).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for Stream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.check_revoked(context)?;
-        Pin::new(&mut self.inner).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.inner).poll_flush(context))?;
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-}
-
 /// Memory for the bodies of large requests. Clones share it.
 #[derive(Debug, Clone)]
 pub struct Bodies {
@@ -143,9 +76,8 @@
     /// Creates a budget that holds at least one longest body.
     #[must_use]
     pub fn new(bytes: usize, longest: usize) -> Self {
-        let units = bytes.max(longest).div_ceil(UNIT_BYTES);
         Self {
-            units: Arc::new(Semaphore::new(units)),
+            units: transfer::budget(bytes, longest),
             longest,
         }
     }
@@ -170,9 +102,9 @@
     if length == 0 && !has_body {
         return next.run(request).await;
     }
-    let units = u32::try_from(length.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX);
+    let units = transfer::units(length);
     let reserved = match length {
-        ..=SMALL_BODY_BYTES => None,
+        ..=transfer::SMALL_BYTES => None,
         _ => match bodies.units.acquire_many(units).await {
             Ok(reserved) => Some(reserved),
             Err(_) => return StatusCode::SERVICE_UNAVAILABLE.into_response(),
