Grant changes of what a session keeps in one place

Cause: prepare and set in kept.rs were near copies.

Change: the kind of an entry gives its limits and the cause of a refusal; one function grants the change.

Measured: platform/tests/pool.rs passes; the tests of misbehaving callers run with the whole suite.

--- a/fulmargw_pool/src/session/kept.rs
+++ b/fulmargw_pool/src/session/kept.rs
@@ -22,9 +22,40 @@
     hold: Option<Hold>,
 }
 
-/// Number and size of entries of one kind after a change.
+/// Kind of entries that a session keeps.
 #[derive(Debug, Clone, Copy)]
-struct Change {
+enum Kind {
+    Prepared,
+    Variable,
+}
+
+impl Kind {
+    /// Returns the largest number and size of these entries.
+    fn limit(self, callers: &Callers) -> Size {
+        match self {
+            Self::Prepared => Size {
+                count: callers.prepared_statements,
+                bytes: callers.prepared_bytes,
+            },
+            Self::Variable => Size {
+                count: callers.variables,
+                bytes: callers.variable_bytes,
+            },
+        }
+    }
+
+    /// Returns why more entries are refused.
+    fn excess(self) -> &'static str {
+        match self {
+            Self::Prepared => "the session has too many prepared statements",
+            Self::Variable => "the session has too many variables",
+        }
+    }
+}
+
+/// Number and size of entries of one kind after a change, or their limits.
+#[derive(Debug, Clone, Copy)]
+struct Size {
     count: usize,
     bytes: u64,
 }
@@ -57,37 +88,28 @@
         ))
     }
 
-    fn prepare(
+    /// Grants a change of what the session keeps, if it stays within its limits and the budget.
+    fn change(
         &mut self,
-        change: Change,
+        kind: Kind,
+        change: Size,
         owner: &Name,
         budget: &Budget,
         callers: &Callers,
     ) -> Result<(), Failure> {
-        let is_allowed =
-            change.count <= callers.prepared_statements && change.bytes <= callers.prepared_bytes;
-        if !is_allowed {
-            return Err(too_many("the session has too many prepared statements"));
+        let limit = kind.limit(callers);
+        if change.count > limit.count || change.bytes > limit.bytes {
+            return Err(Failure::new(Code::TooMany, kind.excess()));
         }
-        self.reserve(owner, change.bytes + self.variable_bytes, budget)?;
-        self.prepared_bytes = change.bytes;
-        Ok(())
-    }
-
-    fn set(
-        &mut self,
-        change: Change,
-        owner: &Name,
-        budget: &Budget,
-        callers: &Callers,
-    ) -> Result<(), Failure> {
-        let is_allowed =
-            change.count <= callers.variables && change.bytes <= callers.variable_bytes;
-        if !is_allowed {
-            return Err(too_many("the session has too many variables"));
+        let other = match kind {
+            Kind::Prepared => self.variable_bytes,
+            Kind::Variable => self.prepared_bytes,
+        };
+        self.reserve(owner, change.bytes + other, budget)?;
+        match kind {
+            Kind::Prepared => self.prepared_bytes = change.bytes,
+            Kind::Variable => self.variable_bytes = change.bytes,
         }
-        self.reserve(owner, change.bytes + self.prepared_bytes, budget)?;
-        self.variable_bytes = change.bytes;
         Ok(())
     }
 }
@@ -97,15 +119,19 @@
     pub(super) fn set_variable(&mut self, name: &Text, value: &Text) -> Output {
         let variables = &self.session.variables;
         let previous = variables.get(name);
-        let change = Change {
+        let change = Size {
             count: variables.len() + usize::from(previous.is_none()),
             bytes: self.kept.variable_bytes + variable_bytes(name, value)
                 - previous.map_or(0, |value| variable_bytes(name, value)),
         };
         let callers = &self.core.settings.callers;
-        let kept = self
-            .kept
-            .set(change, &self.owner, &self.core.budget, callers);
+        let kept = self.kept.change(
+            Kind::Variable,
+            change,
+            &self.owner,
+            &self.core.budget,
+            callers,
+        );
         if let Err(failure) = kept {
             return self.refuse(&failure);
         }
@@ -117,15 +143,19 @@
     pub(super) fn keep_template(&mut self, name: &Text, template: &Template) -> Output {
         let prepared = &self.session.prepared;
         let previous = prepared.get(name);
-        let change = Change {
+        let change = Size {
             count: prepared.len() + usize::from(previous.is_none()),
             bytes: self.kept.prepared_bytes + template_bytes(name, template)
                 - previous.map_or(0, |template| template_bytes(name, template)),
         };
         let callers = &self.core.settings.callers;
-        let kept = self
-            .kept
-            .prepare(change, &self.owner, &self.core.budget, callers);
+        let kept = self.kept.change(
+            Kind::Prepared,
+            change,
+            &self.owner,
+            &self.core.budget,
+            callers,
+        );
         if let Err(failure) = kept {
             return self.refuse(&failure);
         }
@@ -151,10 +181,6 @@
     }
 }
 
-fn too_many(cause: &'static str) -> Failure {
-    Failure::new(Code::TooMany, cause)
-}
-
 fn variable_bytes(name: &Text, value: &Text) -> u64 {
     (name.len() + value.len()) as u64 + ENTRY_BYTES
 }
