Forward statements of routes with long timeouts

What callers saw: with a timeoutMs of a minute or more, writes through a host that does not run them itself ended as INDOUBT without having run, and all that ran between the two hosts was lost.

Cause: a request between hosts carries its deadline, and the receiver rejects one of more than a minute and closes the connection.

Change: the bound is an hour, and the sender brings a later deadline forward to it, in one function for both clients.

--- a/fulmargw_peer/src/client.rs
+++ b/fulmargw_peer/src/client.rs
@@ -1,6 +1,7 @@
 //! RPC calls to peers.
 
 use crate::{
+    codec,
     connection::{Connection, Stub, Target},
     document,
     message::{
@@ -270,7 +271,7 @@
             .await
             .map_err(|_| call.error(&"timeout while connecting"))?
             .map_err(|cause| call.error(&cause))?;
-        let response = send(stub.client.clone(), context(deadline));
+        let response = send(stub.client.clone(), codec::context(deadline));
         match timeout_at(deadline, response).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(cause)) => Err(replace_connection(call, &connection, &stub, &cause)),
@@ -289,9 +290,3 @@
     connection.report_unresponsive(stub);
     call.error(cause)
 }
-
-fn context(deadline: Instant) -> context::Context {
-    let mut context = context::current();
-    context.deadline = deadline.into_std();
-    context
-}
--- a/fulmargw_peer/src/codec.rs
+++ b/fulmargw_peer/src/codec.rs
@@ -12,8 +12,8 @@
 use metrics::counter;
 use serde::{Deserialize, Serialize, de::DeserializeOwned, de::IgnoredAny};
 use std::{io, pin::Pin, time::Duration};
-use tarpc::{ClientMessage, Response};
-use tokio::net::TcpListener;
+use tarpc::{ClientMessage, Response, context};
+use tokio::{net::TcpListener, time::Instant};
 use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -24,7 +24,7 @@
 ///
 /// `tarpc` adds this time to the current time without an overflow check and panics for values
 /// near the greatest duration.
-const MAX_DEADLINE: Duration = Duration::from_mins(1);
+const MAX_DEADLINE: Duration = Duration::from_hours(1);
 
 /// Connections of peers to a listener whose process sets no limit.
 const DEFAULT_CONNECTIONS: usize = 1_024;
@@ -44,6 +44,15 @@
     bounded(listener, slots, frames)
 }
 
+/// Returns the context of a request with a deadline. The receiver rejects one that is too far away, and
+/// closes the connection, so a later one is brought forward.
+pub(crate) fn context(deadline: Instant) -> context::Context {
+    let latest = Instant::now() + MAX_DEADLINE;
+    let mut context = context::current();
+    context.deadline = deadline.min(latest).into_std();
+    context
+}
+
 /// Encodes and decodes the messages of one connection.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Codec;
--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -1,7 +1,10 @@
 //! Calls to peers that run statements for this host.
 
 use super::{ForwardClient, Outcome, Sample, TransactionId};
-use crate::connection::{Connection, Stub, Target};
+use crate::{
+    codec,
+    connection::{Connection, Stub, Target},
+};
 use fulmargw_model::{
     execution::{Kind, Request},
     name::Name,
@@ -213,7 +216,7 @@
         let peer = self.peer(address);
         let called = timeout_at(deadline, async {
             let stub = peer.stub().await?;
-            let response = send(stub.client, context_of(deadline)).await;
+            let response = send(stub.client, codec::context(deadline)).await;
             response.map_err(|cause| peer.lost_error(&cause))
         });
         called.await.map_err(|_| peer.lost_error(&"timeout"))?
@@ -269,7 +272,7 @@
 
     /// Rolls back the transaction.
     pub async fn roll_back(self) {
-        let context = context_of(Instant::now() + PING_TIMEOUT);
+        let context = codec::context(Instant::now() + PING_TIMEOUT);
         let released = self.stub.client.release(context, self.id).await;
         if let Err(cause) = released {
             // The peer rolls back all open transactions of a connection that closes.
@@ -321,7 +324,9 @@
     ) -> Result<Outcome, Error> {
         let deadline = Instant::now() + request.remaining + RESPONSE_MARGIN;
         let is_read = transaction.is_none() && request.statement.kind == Kind::Read;
-        let response = stub.client.run(context_of(deadline), request, transaction);
+        let response = stub
+            .client
+            .run(codec::context(deadline), request, transaction);
         let response = tokio::select! {
             response = timeout_at(deadline, response) => response,
             () = self.wait_until_unresponsive(), if is_read => {
@@ -405,13 +410,7 @@
 }
 
 async fn ping(stub: &Stub<ForwardClient>) -> bool {
-    let context = context_of(Instant::now() + PING_TIMEOUT);
+    let context = codec::context(Instant::now() + PING_TIMEOUT);
     let response = timeout(PING_TIMEOUT, stub.client.ping(context)).await;
     matches!(response, Ok(Ok(())))
 }
-
-fn context_of(deadline: Instant) -> context::Context {
-    let mut context = context::current();
-    context.deadline = deadline.into_std();
-    context
-}
