Remove the program before a build, and not only after a failed one

Cause: a build that is killed or runs out of time left the program of the earlier commit in place.

Change: the program is removed first. Cargo puts it back without a build if it is that of the sources.

Measured: on a package of a few lines, an unchanged build takes 0.05 s and the program is there again; after a failed build it is not. The tests in fulmargw/tests/build.rs stay as they are.

--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,8 +3,8 @@
 #
 # Cargo compares the times of files. Sources that come from an archive may be older than a build folder
 # that was carried over from another commit, and the program of that commit would stay in place. So
-# sources whose content has changed since the recorded build get a new time first, and a failed build
-# leaves no program behind.
+# sources whose content has changed since the recorded build get a new time first, and a build that does
+# not end leaves no program behind.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -34,9 +34,7 @@
 if [ -d target/release ]; then
     changed_sources | xargs -0 -r touch
 fi
-rm -f "$RECORD"
-if ! cargo build --release --locked -p fulmargw; then
-    rm -f "$PROGRAM"
-    exit 1
-fi
+# Cargo puts the program back if it is that of the sources.
+rm -f "$RECORD" "$PROGRAM"
+cargo build --release --locked -p fulmargw
 sources | xargs -0 sha256sum -b >"$RECORD"
