Count the drain window from the earliest time at which a drain may have begun

Cause: the window began when the host noticed the drain.

Change: it begins as long before as the change may be old, by the store's clock; after a start, of which nothing is known, half of the window counts as over. With a working watch the age is that of the delivery, and nothing changes. The responses of the store carry revision and time as one type.

--- a/fulmargw_pool/src/clock.rs
+++ b/fulmargw_pool/src/clock.rs
@@ -1,5 +1,8 @@
-//! A clock that includes the time for which the host was suspended, and conversion to milliseconds.
+//! A clock that includes the time for which the host was suspended, ages by the store's clock, and
+//! conversion to milliseconds.
 
+use crate::store::Seen;
+use fulmargw_decision::store_clock::{Call, Response, StoreClock};
 use nix::time::{ClockId, clock_gettime};
 use std::time::Duration;
 
@@ -12,6 +15,17 @@
     clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
 }
 
+/// Records a response of the store that has just arrived. Returns the greatest age of a change that it
+/// delivers; `None` if that is not known.
+pub fn age(store: &mut StoreClock, call: Call, seen: Seen) -> Option<Duration> {
+    let response = Response {
+        era: seen.revision.era,
+        sent: seen.sent?,
+        received: since_boot(),
+    };
+    store.record(call, response)
+}
+
 /// Returns a duration in milliseconds.
 #[must_use]
 pub fn millis(duration: Duration) -> u64 {
--- a/fulmargw_pool/src/configuration.rs
+++ b/fulmargw_pool/src/configuration.rs
@@ -6,9 +6,9 @@
     core::{self, Core},
     dialect::Dialect,
     scheduling::Plan,
-    store::{OperatorRows, Platform, Revision},
+    store::{Platform, Seen},
 };
-use fulmargw_decision::store_clock::{Call, Response};
+use fulmargw_decision::store_clock::Call;
 use fulmargw_model::name::Name;
 use serde::Serialize;
 use std::{sync::Arc, time::Duration};
@@ -68,16 +68,9 @@
 }
 
 impl<D: Dialect, P: Platform> Core<D, P> {
-    /// Records when the store sent rows of the operator's table. Returns where they came from.
-    pub fn record_store_response(&self, call: Call, rows: &OperatorRows, seen: Revision) -> Source {
-        let age = rows.sent.and_then(|sent| {
-            let response = Response {
-                era: seen.era,
-                sent,
-                received: clock::since_boot(),
-            };
-            self.store_clock.lock().record(call, response)
-        });
+    /// Records a response of the store about the operator's table. Returns where its rows came from.
+    pub fn record_store_response(&self, call: Call, seen: Seen) -> Source {
+        let age = clock::age(&mut self.store_clock.lock(), call, seen);
         Source::Store { age }
     }
 
--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -140,8 +140,9 @@
         };
         match response {
             Ok((rows, seen)) => {
+                let source = core.record_store_response(call, seen);
+                let seen = seen.revision;
                 dependency.record_success(revision, seen, rows.catalog.is_some());
-                let source = core.record_store_response(call, &rows, seen);
                 // Orders precede the configuration, without which the host serves nobody.
                 evacuation::apply_rows(&core, revision, &rows, seen);
                 revision = Some(seen);
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -5,7 +5,8 @@
     entries::{EXPIRED_ENTRY_GRACE, Entries},
     restored_since, revision_after_failure, watch_timeout,
 };
-use crate::{core::Core, dialect::Dialect, evacuation, store::Platform, table::Change};
+use crate::{clock, core::Core, dialect::Dialect, evacuation, store::Platform, table::Change};
+use fulmargw_decision::store_clock::{Call, StoreClock};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -16,6 +17,9 @@
 /// statements. Reports do not include the registry, so a connection to the store that no longer
 /// responds has to be noticed well within that time.
 const WAIT_PER_DRAIN_WINDOW: f64 = 0.9;
+/// Assumed age, as a part of the drain window, of changes of which nothing is known, such as those before
+/// this host started. A server may have drained since then for longer than it serves.
+const UNKNOWN_AGE: f64 = 0.5;
 /// Share of each host in the pause after a change before the next watch call. Changes that come
 /// together, as when all servers register, then cost each host few calls.
 const CHANGE_PAUSE_PER_HOST: Duration = Duration::from_millis(10);
@@ -26,23 +30,28 @@
 pub async fn run<D: Dialect, P: Platform>(core: Arc<Core<D, P>>) {
     let mut dependency = Dependency::new("registry");
     let mut entries = Entries::default();
+    let mut store_clock = StoreClock::default();
     let mut revision = None;
     loop {
         let mut registered = entries.registered().clone();
+        let longest = if entries.has_expired() {
+            EXPIRED_ENTRY_GRACE / 2
+        } else {
+            let maximum = core.limits().drain_window();
+            let maximum = maximum.mul_f64(WAIT_PER_DRAIN_WINDOW);
+            watch_timeout(&core, MIN_REGISTRY_TIMEOUT..=maximum)
+        };
+        let wait = dependency.watch_wait(longest);
+        let call = Call {
+            sent: clock::since_boot(),
+            waits: revision.is_some() && !wait.is_zero(),
+        };
         let response = match revision {
             None => core.platform.registry().await.map(|(registry, seen)| {
                 registered = registry;
                 seen
             }),
             Some(after) => {
-                let longest = if entries.has_expired() {
-                    EXPIRED_ENTRY_GRACE / 2
-                } else {
-                    let maximum = core.limits().drain_window();
-                    let maximum = maximum.mul_f64(WAIT_PER_DRAIN_WINDOW);
-                    watch_timeout(&core, MIN_REGISTRY_TIMEOUT..=maximum)
-                };
-                let wait = dependency.watch_wait(longest);
                 tokio::select! {
                     response = core.platform.watch_registry(&mut registered, after, wait) => response,
                     () = restored_since(&core, after) => {
@@ -56,6 +65,9 @@
         let now = Instant::now();
         match response {
             Ok(seen) => {
+                let age = clock::age(&mut store_clock, call, seen);
+                let age = age.unwrap_or(core.limits().drain_window().mul_f64(UNKNOWN_AGE));
+                let seen = seen.revision;
                 if dependency.failing_since.is_some() {
                     entries.restart_grace(now);
                 }
@@ -66,7 +78,7 @@
                 };
                 dependency.record_success(revision, seen, has_changed);
                 revision = Some(seen);
-                reconcile(&core, &entries);
+                reconcile(&core, &entries, age);
                 if has_changed {
                     let hosts = core.members.lock().count();
                     let pause = CHANGE_PAUSE_PER_HOST.saturating_mul(hosts);
@@ -83,12 +95,13 @@
     }
 }
 
-fn reconcile<D: Dialect, P: Platform>(core: &Core<D, P>, entries: &Entries) {
+/// Updates the table of servers. `age` is the greatest age of the changes.
+fn reconcile<D: Dialect, P: Platform>(core: &Core<D, P>, entries: &Entries, age: Duration) {
     let all = entries.all();
     let shares = core.shares();
     let (changes, zones) = {
         let mut servers = core.servers.lock();
-        let changes = servers.reconcile(&all, shares);
+        let changes = servers.reconcile_aged(&all, age, shares);
         // A cold server is limited before it can get a statement.
         evacuation::limit_cold(core, &mut servers);
         (changes, servers.zones())
--- a/fulmargw_pool/src/store.rs
+++ b/fulmargw_pool/src/store.rs
@@ -73,7 +73,14 @@
     pub catalog: Option<Catalog>,
     /// Orders to evacuate zones, in the order of their revisions.
     pub orders: Vec<Order>,
-    /// Time of the store's steady clock when it sent the rows, if it says so.
+}
+
+/// What a response of the store says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// Revision of the store.
+    pub revision: Revision,
+    /// Time of the store's steady clock when it sent the response, if it says so.
     pub sent: Option<Duration>,
 }
 
@@ -85,18 +92,17 @@
     fn era(&self) -> watch::Receiver<Option<Era>>;
 
     /// Reads the rows of the operator's table.
-    fn operator_rows(&self)
-    -> impl Future<Output = Result<(OperatorRows, Revision), Error>> + Send;
+    fn operator_rows(&self) -> impl Future<Output = Result<(OperatorRows, Seen), Error>> + Send;
 
     /// Reads the registered backend servers.
-    fn registry(&self) -> impl Future<Output = Result<(Registry, Revision), Error>> + Send;
+    fn registry(&self) -> impl Future<Output = Result<(Registry, Seen), Error>> + Send;
 
     /// Waits up to `wait` for changes of the operator's table after `revision`, and returns these.
     fn watch_operator_rows(
         &self,
         revision: Revision,
         wait: Duration,
-    ) -> impl Future<Output = Result<(OperatorRows, Revision), Error>> + Send;
+    ) -> impl Future<Output = Result<(OperatorRows, Seen), Error>> + Send;
 
     /// Waits up to `wait` for changes of the registry after `revision`, and applies them to
     /// `registry`.
@@ -105,7 +111,7 @@
         registry: &mut Registry,
         revision: Revision,
         wait: Duration,
-    ) -> impl Future<Output = Result<Revision, Error>> + Send;
+    ) -> impl Future<Output = Result<Seen, Error>> + Send;
 
     /// Reads the row with the replica set of a service; `None` if there is none yet. Its key is the
     /// name of the service.
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -101,16 +101,26 @@
         zones.collect()
     }
 
-    /// Updates the table from the registry and returns the changes.
+    /// Updates the table from a registry that has just changed, and returns the changes.
     pub fn reconcile(
         &mut self,
         registry: &Registry,
         shares: impl Fn(&Server) -> Shares,
+    ) -> Vec<Change> {
+        self.reconcile_aged(registry, Duration::ZERO, shares)
+    }
+
+    /// Updates the table from a registry whose changes are at most this old, and returns them.
+    pub fn reconcile_aged(
+        &mut self,
+        registry: &Registry,
+        age: Duration,
+        shares: impl Fn(&Server) -> Shares,
     ) -> Vec<Change> {
         let mut changes = Vec::new();
         for server in registry.values() {
             let group = self.groups.entry(server.service.clone()).or_default();
-            group.update(server, shares(server), &mut changes);
+            group.update(server, age, shares(server), &mut changes);
         }
         for group in self.groups.values_mut() {
             group.backends.retain(|id, backend| {
@@ -171,10 +181,16 @@
 }
 
 impl<D: Dialect> Group<D> {
-    fn update(&mut self, server: &Server, shares: Shares, changes: &mut Vec<Change>) {
+    fn update(
+        &mut self,
+        server: &Server,
+        age: Duration,
+        shares: Shares,
+        changes: &mut Vec<Change>,
+    ) {
         let is_new_primary = match self.backends.get_mut(&server.id) {
             None => {
-                let backend = Backend::new(server.clone(), shares);
+                let backend = Backend::new(server.clone(), age, shares);
                 self.backends.insert(server.id.clone(), backend);
                 changes.push(Change::Added(server.clone()));
                 server.role == Role::Primary && self.primary_id.is_none()
@@ -186,7 +202,7 @@
                 }
                 let has_become_primary =
                     server.role == Role::Primary && backend.server.role != Role::Primary;
-                backend.replace(server.clone());
+                backend.replace(server.clone(), age);
                 changes.push(Change::Changed(server.clone()));
                 has_become_primary
             }
--- a/fulmargw_pool/src/table/backend.rs
+++ b/fulmargw_pool/src/table/backend.rs
@@ -11,7 +11,7 @@
 };
 use fulmargw_decision::hold::Connections;
 use fulmargw_model::name::Name;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -86,9 +86,10 @@
 }
 
 impl<D: Dialect> Backend<D> {
-    pub(super) fn new(server: Server, shares: Shares) -> Self {
+    /// Creates the entry of a server whose registry entry is at most this old.
+    pub(super) fn new(server: Server, age: Duration, shares: Shares) -> Self {
         Self {
-            draining_since: server.is_draining.then(Instant::now),
+            draining_since: server.is_draining.then(|| time_ago(age)),
             server,
             health: Health::new(),
             running: 0,
@@ -104,9 +105,9 @@
         }
     }
 
-    /// Applies a newer registry entry. If the server has restarted or its address has changed,
-    /// closes the idle connections and resets the health.
-    pub(super) fn replace(&mut self, server: Server) {
+    /// Applies a newer registry entry, which is at most this old. If the server has restarted or its
+    /// address has changed, closes the idle connections and resets the health.
+    pub(super) fn replace(&mut self, server: Server, age: Duration) {
         let is_other_process = server.address != self.server.address
             || server.born_unix_ms != self.server.born_unix_ms;
         if is_other_process {
@@ -115,7 +116,7 @@
             self.adaptation = None;
         }
         if server.is_draining {
-            self.draining_since.get_or_insert_with(Instant::now);
+            self.draining_since.get_or_insert_with(|| time_ago(age));
         } else {
             self.draining_since = None;
         }
@@ -252,3 +253,9 @@
         self.open = self.open.saturating_sub(closed);
     }
 }
+
+/// Returns the time this long ago, or the present one if that is before the clock begins.
+fn time_ago(age: Duration) -> Instant {
+    let now = Instant::now();
+    now.checked_sub(age).unwrap_or(now)
+}
