Send the zone of a forwarded statement whenever its home regions follow

What callers saw: where a configuration has home regions and statements are not placed by zone, a read through another host broke the connection between the two hosts, with everything that ran on it. The healthy host was excluded as holder for a moment ('holder_lost', 'the connection broke'), again with each such read.

Cause: hosts exchange a request as a list of fields. The zone was left out when absent, so the regions after it took its place, and the receiver could not decode the request and closed the connection.

Change: the zone is always sent; only the last field of the list is left out when absent.

--- a/fulmargw_model/src/execution.rs
+++ b/fulmargw_model/src/execution.rs
@@ -281,9 +281,10 @@
     /// Server that rejected the previous attempt.
     pub avoid: Option<Name>,
     /// Zone whose servers may run the statement; any if it is not set.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub target: Option<Target>,
-    /// Regions whose servers may run it; `None` for all.
+    /// Regions whose servers may run it; `None` for all. Hosts exchange requests as lists of fields, so
+    /// that only the last one may be left out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub regions: Option<Arc<[Name]>>,
 }
--- a/fulmargw_peer/tests/codec.rs
+++ b/fulmargw_peer/tests/codec.rs
@@ -7,6 +7,7 @@
 use fixture::{
     announcement, configuration, lease_request, loan_request, removal_request, version_notice,
 };
+use fulmargw_model::execution::{self, Consistency, Kind, Target, Visibility};
 use fulmargw_peer::{
     codec::Codec,
     service::{ControlRequest, ControlResponse},
@@ -118,6 +119,50 @@
     }
 }
 
+/// Returns a statement that a host forwards, with or without a zone and home regions.
+fn forwarded(zone: Option<&str>, region: Option<&str>) -> execution::Request {
+    execution::Request {
+        service: "service".into(),
+        account: "account".into(),
+        statement: execution::Statement {
+            id: "id".into(),
+            text: "READ item".into(),
+            template: None,
+            kind: Kind::Read,
+        },
+        visibility: Visibility {
+            consistency: Consistency::Current,
+            last_commit: None,
+        },
+        variables: Arc::default(),
+        priority: 1,
+        objective: Duration::from_secs(1),
+        remaining: Duration::from_secs(1),
+        avoid: None,
+        target: zone.map(|zone| Target {
+            zone: zone.into(),
+            may_pass_on: false,
+        }),
+        regions: region.map(|region| [region.into()].into()),
+    }
+}
+
+/// Guards against a forwarded statement that the peer cannot decode because an optional field before another
+/// one was left out: the peer then closes the connection, with everything that runs on it.
+#[test]
+fn forwarded_statements_survive_each_set_of_optional_fields() {
+    for zone in [None, Some("zone")] {
+        for region in [None, Some("region")] {
+            let request = forwarded(zone, region);
+
+            let bytes = rmp_serde::to_vec(&request).expect("encodable");
+            let decoded: Result<execution::Request, _> = rmp_serde::from_slice(&bytes);
+
+            assert_eq!(decoded.ok(), Some(request), "{zone:?}, {region:?}");
+        }
+    }
+}
+
 /// Guards against a deadline so distant that `tarpc` panics when it adds it to the current time.
 #[test]
 fn a_too_distant_deadline_is_rejected() {
