Show in lines and metrics what a promotion knew and did

The lines of a promotion had the acknowledged position and the gap only, so three hypotheses could not be told apart: another process answered, a commit was acknowledged between the last look and the effect, or a server was not asked.

New lines: what each server answered, with the registry's start of its process, the term of a pause that it holds and the age of the connection (replica_status); which server is not asked and why (server_not_asked); each pause and resume with its claim and its result (replication_paused, replication_resumed); the call and its acceptance (promotion_called, promotion_accepted); the first proof of the new primary (promotion_effective). Each host compares that proof with the positions of earlier terms that it knows to be acknowledged: acknowledged_commit_missing, counted in fulmargw_pool_acknowledged_commits_missing_total, must stay 0.

No decision changes.

--- a/fulmargw_pool/src/backend.rs
+++ b/fulmargw_pool/src/backend.rs
@@ -74,4 +74,6 @@
     pub term: Term,
     /// Last log position that it received.
     pub received: Position,
+    /// Term of the pause that it holds; `None` if it is not paused.
+    pub held: Option<Term>,
 }
--- a/fulmargw_pool/src/connection.rs
+++ b/fulmargw_pool/src/connection.rs
@@ -45,6 +45,8 @@
     framed: Framed<TcpStream, D::BackendCodec>,
     /// Client account on whose behalf it was opened.
     pub account: Name,
+    /// Time at which it was about to be opened.
+    pub opened_at: Instant,
     /// Time of the last response.
     pub last_response_at: Instant,
     /// Log position that the server reported last.
@@ -125,6 +127,7 @@
         account: Name,
         gate: &CancellationToken,
     ) -> Result<Self, Error> {
+        let opened_at = Instant::now();
         let stream = TcpStream::connect(server.address).await;
         let stream = stream.map_err(Error::Unreachable)?;
         set_socket_options(&stream).map_err(Error::Unreachable)?;
@@ -136,6 +139,7 @@
         let mut connection = Self {
             framed: Framed::new(stream, D::BackendCodec::default()),
             account,
+            opened_at,
             last_response_at: Instant::now(),
             position: None,
             hold: None,
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -298,12 +298,14 @@
     scheduling::record(core, &job.request, &trace, &reply, elapsed);
     let is_proven = proves_primary(&job, &trace, &reply);
     let plan = core.plan();
+    let mut effect = None;
     {
         let mut servers = core.servers.lock();
         if let Some(group) = servers.groups.get_mut(&trace.server_id.service) {
             group.pace.record(elapsed);
             if is_proven && trace.as_primary {
-                group.confirm_primary();
+                let server = &trace.server_id.server;
+                effect = group.confirm_primary(server, reply.position, Instant::now());
             }
             if let (true, Some(position)) = (is_proven, reply.position) {
                 group.freshness.add(Sample {
@@ -344,6 +346,9 @@
             }
         }
     }
+    if let Some(effect) = effect {
+        effect.log(&trace.server_id.service, &trace.server_id.server);
+    }
     if let Err((cause_code, _)) = &reply.result {
         switch_primary(core, &trace, cause_code);
     }
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -5,9 +5,10 @@
     claim::{KEY_PREFIX, claim, is_excluded, may_be_promoted, previous_claim},
     reach::{acknowledged, find_witness},
     recording, set_primary,
-    survey::{Probe, query, query_replicas, resume_replicas},
+    survey::{Probe, pause, query, query_replicas, resume_replicas},
 };
 use crate::{
+    clock::millis,
     core::Core,
     dialect::Dialect,
     health::Trouble,
@@ -137,7 +138,7 @@
             log::info!(event = "order_open", service = service.as_str(), revision:% = claimed, cause:% = failure; "an earlier promotion call may still take effect");
             return Err(Failure::Unresolved(claimed.fencing_token()));
         }
-        Err(_) => resume_replicas(&mut probes).await,
+        Err(_) => resume_replicas(&mut probes, claimed).await,
         Ok(_) => {}
     }
     result
@@ -184,7 +185,7 @@
         }
         Err(obstacle) => return Err(Failure::Obstacle(obstacle)),
     };
-    let candidate = catch_up(probes, candidate).await?;
+    let candidate = catch_up(probes, candidate, claimed).await?;
     if let Some(evidence) = required {
         promotion::check_complete(&candidate, evidence).map_err(Failure::Obstacle)?;
     }
@@ -219,14 +220,14 @@
 async fn catch_up<D: Dialect>(
     probes: &mut [Probe<D>],
     candidate: Candidate,
+    claimed: Revision,
 ) -> Result<Candidate, Failure> {
-    let pause = Command::Pause(candidate.pause_term);
     let mut received_by: Vec<(Name, Position)> = Vec::new();
     for other in probes
         .iter_mut()
         .filter(|other| other.server.id != candidate.server)
     {
-        let status = query(other, &pause).await;
+        let status = pause(other, candidate.pause_term, claimed).await;
         let status = status.ok_or_else(|| Failure::NotPaused(other.server.id.clone()))?;
         received_by.push((other.server.id.clone(), status.received));
     }
@@ -252,7 +253,7 @@
     }
     // The candidate does not catch up. With all replicas paused, the longest log has every
     // acknowledged commit.
-    let status = query(chosen, &pause).await;
+    let status = pause(chosen, candidate.pause_term, claimed).await;
     let status = status.ok_or_else(|| Failure::NotPaused(candidate.server.clone()))?;
     received_by.push((candidate.server.clone(), status.received));
     let all: Vec<Position> = received_by.iter().map(|(_, position)| *position).collect();
@@ -287,8 +288,13 @@
             service: service.clone(),
             server: candidate.server.clone(),
         };
+        let sent = Instant::now();
+        log::info!(event = "promotion_called", service = service.as_str(), server = candidate.server.as_str(), token; "sending a promotion call");
         match core.platform.promote(&promotion).await {
-            Ok(Outcome::Accepted) => return Ok(token),
+            Ok(Outcome::Accepted) => {
+                log::info!(event = "promotion_accepted", service = service.as_str(), server = candidate.server.as_str(), token, elapsed_ms = millis(sent.elapsed()); "the promotion call was accepted");
+                return Ok(token);
+            }
             Ok(Outcome::Refused) => break,
             Ok(Outcome::Throttled) => sleep(QUERY_DELAY * 4).await,
             Err(error) => {
--- a/fulmargw_pool/src/failover/survey.rs
+++ b/fulmargw_pool/src/failover/survey.rs
@@ -2,18 +2,21 @@
 
 use crate::{
     backend::{Server, Status},
+    clock::millis,
     connection::Connection,
     core::Core,
     dialect::Dialect,
     message::Command,
-    store::Platform,
+    store::{Platform, Revision},
+    table::{Backend, Group},
 };
 use fulmargw_model::{
     execution::{Code, ServerId},
     name::Name,
+    position::Term,
 };
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Timeout of one query to a server, and of opening a connection to it.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -35,22 +38,53 @@
     core: &Core<D, P>,
     service: &Name,
 ) -> Vec<Probe<D>> {
-    let replicas: Vec<Server> = {
+    let (replicas, others) = {
         let servers = core.servers.lock();
         let group = servers.groups.get(service);
-        group.map_or_else(Vec::new, |group| {
-            let others = group.backends.values();
-            let others = others.filter(|backend| {
-                let is_primary = group.primary_id.as_ref() == Some(&backend.server.id);
-                !is_primary && !backend.is_excluded()
-            });
-            others.map(|backend| backend.server.clone()).collect()
-        })
+        let all = group.into_iter().flat_map(|group| {
+            let backends = group.backends.values();
+            backends.map(|it| (it.server.clone(), reason_not_asked(group, it)))
+        });
+        let (replicas, others): (Vec<_>, Vec<_>) = all.partition(|(_, reason)| reason.is_none());
+        (replicas, others)
     };
+    for (server, reason) in others {
+        log::info!(event = "server_not_asked", service = service.as_str(), server = server.id.as_str(), born_unix_ms = server.born_unix_ms, role:? = server.role, cause = reason; "a promotion does not ask a server for its log");
+    }
     let queries = replicas
         .into_iter()
-        .map(|server| query_status(core, server));
-    futures::future::join_all(queries).await
+        .map(|(server, _)| query_status(core, server));
+    let probes = futures::future::join_all(queries).await;
+    probes.iter().for_each(log_status);
+    probes
+}
+
+/// Returns why a promotion does not ask a server for its log; `None` if it does.
+fn reason_not_asked<D: Dialect>(group: &Group<D>, backend: &Backend<D>) -> Option<&'static str> {
+    if group.primary_id.as_ref() == Some(&backend.server.id) {
+        return Some("it is the assumed primary");
+    }
+    backend.is_excluded().then_some("its zone is evacuated")
+}
+
+fn log_status<D: Dialect>(probe: &Probe<D>) {
+    let server = &probe.server;
+    let connection_age_ms = probe
+        .connection
+        .as_ref()
+        .map(|it| millis(it.opened_at.elapsed()));
+    let Some(status) = probe.status else {
+        log::info!(event = "replica_status", service = server.service.as_str(), server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms; "a replica did not report its log");
+        return;
+    };
+    log::info!(
+        event = "replica_status", service = server.service.as_str(),
+        server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms,
+        role:? = status.role, term = status.term.0,
+        received:? = (status.received.term.0, status.received.index),
+        held_term = status.held.map(|term| term.0);
+        "a replica reported its log"
+    );
 }
 
 /// Connects to a server and queries its status.
@@ -128,14 +162,54 @@
     None
 }
 
-/// Resumes replication to the paused replicas.
-pub(super) async fn resume_replicas<D: Dialect>(probes: &mut [Probe<D>]) {
+/// Pauses replication to a replica on behalf of a claim, and returns its status.
+pub(super) async fn pause<D: Dialect>(
+    probe: &mut Probe<D>,
+    term: Term,
+    claimed: Revision,
+) -> Option<Status> {
+    let sent = Instant::now();
+    let status = query(probe, &Command::Pause(term)).await;
+    log_command("replication_paused", &probe.server, claimed, sent, status);
+    status
+}
+
+/// Resumes replication to the paused replicas on behalf of a claim.
+pub(super) async fn resume_replicas<D: Dialect>(probes: &mut [Probe<D>], claimed: Revision) {
     for replica in probes
         .iter_mut()
         .filter(|replica| replica.connection.is_some())
     {
-        if query(replica, &Command::Resume).await.is_none() {
+        let sent = Instant::now();
+        let status = query(replica, &Command::Resume).await;
+        log_command(
+            "replication_resumed",
+            &replica.server,
+            claimed,
+            sent,
+            status,
+        );
+        if status.is_none() {
             log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(); "cannot resume replication to a replica");
         }
     }
 }
+
+/// Writes the line of a command that pauses or resumes replication. One without a response may take
+/// effect later.
+fn log_command(
+    event: &'static str,
+    server: &Server,
+    claimed: Revision,
+    sent: Instant,
+    status: Option<Status>,
+) {
+    log::info!(
+        event, service = server.service.as_str(), server = server.id.as_str(),
+        revision:% = claimed, has_responded = status.is_some(),
+        received:? = status.map(|it| (it.received.term.0, it.received.index)),
+        held_term = status.and_then(|it| it.held).map(|term| term.0),
+        elapsed_ms = millis(sent.elapsed());
+        "sent a command to a replica"
+    );
+}
--- a/fulmargw_pool/src/sampling.rs
+++ b/fulmargw_pool/src/sampling.rs
@@ -2,14 +2,14 @@
 
 use crate::{
     backend::Server,
-    connection::Connection,
+    connection::{Connection, PrimaryCheck},
     core::Core,
     dialect::Dialect,
     failover,
     freshness::{Moment, Sample},
     member::Executor,
     store::Platform,
-    table::Backend,
+    table::{Backend, Effect},
     traffic,
 };
 use fulmargw_model::{execution::ServerId, name::Name};
@@ -194,12 +194,27 @@
         });
         return;
     };
+    let effect = apply_check(&core, &server_id, connection, moment, check);
+    if let Some(effect) = effect {
+        effect.log(&server_id.service, &server_id.server);
+    }
+}
+
+/// Applies what a server has proved, and checks in the connection. Returns the effect of a promotion
+/// that this is the first proof of.
+fn apply_check<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    server_id: &ServerId,
+    connection: Connection<D>,
+    moment: Moment,
+    check: PrimaryCheck,
+) -> Option<Effect> {
     let mut servers = core.servers.lock();
-    let Some(group) = servers.groups.get_mut(&server_id.service) else {
-        return;
-    };
-    if check.is_primary && group.primary_id.as_ref() == Some(&server_id.server) {
-        group.confirm_primary();
+    let group = servers.groups.get_mut(&server_id.service)?;
+    let server = &server_id.server;
+    let mut effect = None;
+    if check.is_primary && group.primary_id.as_ref() == Some(server) {
+        effect = group.confirm_primary(server, check.position, Instant::now());
     }
     if let (true, Some(position)) = (check.is_primary, check.position) {
         group.freshness.add(Sample {
@@ -208,7 +223,8 @@
             position,
         });
     }
-    if let Some(backend) = group.backends.get_mut(&server_id.server) {
+    if let Some(backend) = group.backends.get_mut(server) {
         backend.check_in(connection);
     }
+    effect
 }
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -4,10 +4,12 @@
 mod backend;
 mod exclusion;
 mod queues;
+mod succession;
 
 pub use self::{
     backend::{Backend, Checkout, Share, Shares},
     queues::Queues,
+    succession::{Effect, Succession},
 };
 use crate::{
     backend::{Registry, Role, Server},
@@ -51,6 +53,8 @@
     promoted_at: Option<Instant>,
     /// Time since which there has been no assumed primary, or it has denied to be the primary.
     without_primary_since: Option<Instant>,
+    /// Promotion of the assumed primary, until that server has proved to be the primary.
+    succession: Option<Succession>,
     /// Samples of the primary's log position.
     pub freshness: Freshness,
     /// Latest log position that the primary is known to have acknowledged, to this host or to one
@@ -167,6 +171,7 @@
             primary_id: None,
             promoted_at: None,
             without_primary_since: None,
+            succession: None,
             freshness: Freshness::default(),
             acknowledged: None,
             sample_requested: None,
@@ -216,6 +221,9 @@
 
     /// Records the log position of the primary after it acknowledged a commit.
     pub fn acknowledge(&mut self, position: Position) {
+        if let Some(succession) = &mut self.succession {
+            succession.acknowledge(position);
+        }
         let known = self.acknowledged.unwrap_or_default();
         self.acknowledged = Some(known.later(position));
     }
@@ -284,9 +292,18 @@
         self.without_primary_since = self.primary_id.is_none().then(Instant::now);
     }
 
-    /// Records that the assumed primary has proved to be the primary.
-    pub fn confirm_primary(&mut self) {
+    /// Records that the assumed primary, `server`, has proved to be the primary at this log position.
+    /// Returns the effect of its promotion, if this is the first proof of it.
+    pub fn confirm_primary(
+        &mut self,
+        server: &Name,
+        position: Option<Position>,
+        now: Instant,
+    ) -> Option<Effect> {
         self.without_primary_since = None;
+        let position = position?;
+        let succession = self.succession.take_if(|it| it.server == *server)?;
+        Some(succession.effect(position, now))
     }
 
     /// Returns for how long this host has known no server that works as the primary; zero if it
@@ -312,6 +329,7 @@
         if is_new {
             self.primary_id = Some(server.clone());
             self.promoted_at = Some(now);
+            self.succession = Some(Succession::new(server.clone(), self.acknowledged, now));
             self.without_primary_since = None;
         }
         is_new
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -22,6 +22,7 @@
             role: Role::Replica,
             term: Term(3),
             received: position(3, received),
+            held: None,
         }),
     }
 }
@@ -79,6 +80,7 @@
         role: Role::Primary,
         term: Term(4),
         received: position(4, 12),
+        held: None,
     });
 
     let result = promotion::choose_candidate(&[replica("a", 10), primary], Term(0), None);
