Estimate the clock of the store in one place

Cause: StoreClock::keep_fastest computed what StoreClock::estimate does. Change: both use Response::estimate. The behaviour is the same. Measured: the 155 tests of fulmargw_decision pass; Clippy of the workspace has no warning.

--- a/fulmargw_decision/src/store_clock.rs
+++ b/fulmargw_decision/src/store_clock.rs
@@ -26,6 +26,15 @@
     pub received: Duration,
 }
 
+impl Response {
+    /// Returns the time of the store's clock at a time of this host's, as if the response had been
+    /// delivered at once.
+    fn estimate(&self, at: Duration) -> Duration {
+        let sent = self.sent + at;
+        sent.saturating_sub(self.received)
+    }
+}
+
 /// Follows the clock of the store. Times of this host are those of a clock that includes suspension.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreClock {
@@ -60,19 +69,16 @@
         Some(now.saturating_sub(self.last?.received))
     }
 
-    /// Returns the time of the store's clock at a time of this host's.
+    /// Returns the time of the store's clock at a time of this host's, by the fastest response.
     fn estimate(&self, at: Duration) -> Option<Duration> {
-        let fastest = self.fastest?;
-        let sent = fastest.sent + at;
-        Some(sent.saturating_sub(fastest.received))
+        Some(self.fastest?.estimate(at))
     }
 
     fn keep_fastest(&mut self, response: Response) {
         let is_kept = self.fastest.is_some_and(|fastest| {
-            let estimated = (fastest.sent + response.received).saturating_sub(fastest.received);
             fastest.era == response.era
                 && response.received.saturating_sub(fastest.received) < ESTIMATE_RETENTION
-                && estimated >= response.sent
+                && fastest.estimate(response.received) >= response.sent
         });
         if !is_kept {
             self.fastest = Some(response);
