Describe calls to the store in one function

Cause: the watches of the configuration and of the registry built the same Call. Change: both use describe_call. The behaviour is the same.

--- a/fulmargw_pool/src/follow.rs
+++ b/fulmargw_pool/src/follow.rs
@@ -122,10 +122,7 @@
     loop {
         let longest = watch_timeout(&core, MIN_CATALOG_TIMEOUT..=MAX_CATALOG_TIMEOUT);
         let wait = dependency.watch_wait(longest);
-        let call = Call {
-            sent: clock::since_boot(),
-            waits: revision.is_some() && !wait.is_zero(),
-        };
+        let call = describe_call(revision, wait);
         let response = match revision {
             None => core.platform.operator_rows().await,
             Some(after) => {
@@ -164,6 +161,15 @@
     }
 }
 
+/// Describes a call to the store that is sent now. It waits for changes after `revision` for as long
+/// as `wait`; without a revision it reads everything at once.
+fn describe_call(revision: Option<Revision>, wait: Duration) -> Call {
+    Call {
+        sent: clock::since_boot(),
+        waits: revision.is_some() && !wait.is_zero(),
+    }
+}
+
 /// Waits until the store is known to have been restored since it sent `revision`.
 async fn restored_since<D: Dialect, P: Platform>(core: &Core<D, P>, revision: Revision) {
     let mut eras = core.platform.era();
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -1,12 +1,12 @@
 //! Keeps the table of backend servers in step with the registry.
 
 use super::{
-    Dependency,
+    Dependency, describe_call,
     entries::{EXPIRED_ENTRY_GRACE, Entries},
     restored_since, revision_after_failure, watch_timeout,
 };
 use crate::{clock, core::Core, dialect::Dialect, evacuation, store::Platform, table::Change};
-use fulmargw_decision::store_clock::{Call, StoreClock};
+use fulmargw_decision::store_clock::StoreClock;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -42,10 +42,7 @@
             watch_timeout(&core, MIN_REGISTRY_TIMEOUT..=maximum)
         };
         let wait = dependency.watch_wait(longest);
-        let call = Call {
-            sent: clock::since_boot(),
-            waits: revision.is_some() && !wait.is_zero(),
-        };
+        let call = describe_call(revision, wait);
         let response = match revision {
             None => core.platform.registry().await.map(|(registry, seen)| {
                 registered = registry;
