Report null limits of cold servers beside a bound of evacuations

Cause: FULMARGW_COLD_OVERAGE or FULMARGW_COLD_SLACK with the value null was taken for set by the check for presence and for absent when decoded, so that the three variables were ignored without a finding. An empty value was reported. Change: the presence is decided by the decoded value; not set, empty and null are the same for every variable.

--- a/fulmargw/src/pool/environment.rs
+++ b/fulmargw/src/pool/environment.rs
@@ -41,8 +41,8 @@
     apply_from(|name| std::env::var(name).ok(), settings)
 }
 
-/// Applies the variables that `read` returns. An empty value is one that the deployment does not
-/// have, and has no effect.
+/// Applies the variables that `read` returns. An empty value, or `null`, is one that the
+/// deployment does not have, and has no effect.
 pub fn apply_from(read: impl Fn(&str) -> Option<String>, settings: &mut Settings) -> Findings {
     let mut findings = Findings::default();
     let reader = Reader(read);
@@ -77,14 +77,17 @@
 struct Reader<R>(R);
 
 impl<R: Fn(&str) -> Option<String>> Reader<R> {
-    /// Returns the value of a variable, as JSON; `None` if it is empty, not set or unusable.
-    fn value<T: DeserializeOwned>(&self, name: &str, findings: &mut Findings) -> Option<T> {
-        let text = (self.0)(name)?;
-        if text.trim().is_empty() {
-            return None;
+    /// Returns the value of a variable, as JSON; `None` if it is not set, empty or `null`.
+    fn decode<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, serde_json::Error> {
+        match (self.0)(name) {
+            Some(text) if !text.trim().is_empty() => serde_json::from_str(&text),
+            _ => Ok(None),
         }
-        let decoded: Result<Option<T>, _> = serde_json::from_str(&text);
-        decoded.unwrap_or_else(|cause| {
+    }
+
+    /// Returns the value of a variable; `None` if it is absent, or unusable and thus reported.
+    fn value<T: DeserializeOwned>(&self, name: &str, findings: &mut Findings) -> Option<T> {
+        self.decode(name).unwrap_or_else(|cause| {
             add_finding(findings, name, cause);
             None
         })
@@ -92,13 +95,13 @@
 
     /// Returns the same for a variable that must have a value.
     fn required<T: DeserializeOwned>(&self, name: &str, findings: &mut Findings) -> Option<T> {
-        let is_set = (self.0)(name).is_some_and(|text| !text.trim().is_empty());
-        if !is_set {
-            let cause = format!("is required beside {EVACUATION_APPLY_MS}");
-            add_finding(findings, name, cause);
-            return None;
-        }
-        self.value(name, findings)
+        let cause = match self.decode(name) {
+            Ok(Some(value)) => return Some(value),
+            Ok(None) => format!("is required beside {EVACUATION_APPLY_MS}"),
+            Err(cause) => cause.to_string(),
+        };
+        add_finding(findings, name, cause);
+        None
     }
 }
 
--- a/fulmargw/tests/pool.rs
+++ b/fulmargw/tests/pool.rs
@@ -165,6 +165,30 @@
     }
 }
 
+/// Guards against a bound of evacuations that has no effect without a word, because a value that it
+/// needs is there but empty.
+#[test]
+fn the_limits_of_cold_servers_are_required_beside_the_bound_of_evacuations() {
+    for (absent, present) in [
+        (environment::COLD_OVERAGE, environment::COLD_SLACK),
+        (environment::COLD_SLACK, environment::COLD_OVERAGE),
+    ] {
+        for value in ["", " ", "null", " null "] {
+            let error = parse_with(&[
+                (environment::EVACUATION_APPLY_MS, "5000"),
+                (absent, value),
+                (present, "1.5"),
+            ])
+            .expect_err("invalid settings")
+            .to_string();
+
+            assert!(error.contains(absent), "{value:?}: {error}");
+            assert!(error.contains("is required"), "{value:?}: {error}");
+            assert!(!error.contains(present), "{value:?}: {error}");
+        }
+    }
+}
+
 /// Guards against a deploy file that sets a variable which the program does not read.
 #[test]
 fn the_deploy_file_sets_known_variables() {
