Hold the commits of a service while its primary is replaced

Cause: a promotion relies on positions that were read before it, while commits go on being acknowledged until it takes effect. Change: peer calls raise_barrier and lift_barrier, and their enforcement on a host. Commits wait before they are sent; once the barrier is sealed, responses to commits are kept until it has ended. A commit is not sent, and one outstanding at the seal not confirmed, if another server is the assumed primary by then. The end of a transaction that has written nothing is sent as a statement of the transaction, so that the barrier does not hold it. Nothing raises a barrier yet. Not run: tests with processes.

--- a/fulmargw_peer/src/codec.rs
+++ b/fulmargw_peer/src/codec.rs
@@ -93,6 +93,8 @@
                 ForwardRequest::Acknowledged { .. } => "acknowledged",
                 ForwardRequest::Ping { .. } => "ping",
                 ForwardRequest::Sample { .. } => "sample",
+                ForwardRequest::RaiseBarrier { .. } => "raise_barrier",
+                ForwardRequest::LiftBarrier { .. } => "lift_barrier",
             },
             _ => "cancel",
         }
@@ -112,6 +114,8 @@
             Ok(ForwardResponse::Acknowledged(_)) => "acknowledged",
             Ok(ForwardResponse::Ping(())) => "ping",
             Ok(ForwardResponse::Sample(_)) => "sample",
+            Ok(ForwardResponse::RaiseBarrier(_)) => "raise_barrier",
+            Ok(ForwardResponse::LiftBarrier(())) => "lift_barrier",
             Err(_) => "error",
         }
     }
--- a/fulmargw_peer/src/forward.rs
+++ b/fulmargw_peer/src/forward.rs
@@ -59,6 +59,15 @@
     pub age: Duration,
 }
 
+/// What a host reports once its commit barrier is up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BarrierReport {
+    /// Latest log position that the host knows to be acknowledged.
+    pub acknowledged: Option<Position>,
+    /// Whether no commit that the host has sent is still without a response.
+    pub is_settled: bool,
+}
+
 /// RPC methods for forwarded statements.
 #[tarpc::service]
 pub trait Forward {
@@ -80,6 +89,13 @@
 
     /// Returns the newest sample of the log position of the primary of a service.
     async fn sample(service: Name) -> Option<Sample>;
+
+    /// Raises the commit barrier of a service for a time. Returns `None` if a barrier or promotion
+    /// with a greater fencing token is known.
+    async fn raise_barrier(service: Name, token: u64, period: Duration) -> Option<BarrierReport>;
+
+    /// Lifts the commit barrier of a service, unless it has a greater fencing token.
+    async fn lift_barrier(service: Name, token: u64);
 }
 
 /// Creates an executor for each connection from a peer.
@@ -114,6 +130,18 @@
     /// taken for some time.
     fn sample(&self, service: Name) -> Option<Sample>;
 
+    /// Raises the commit barrier of a service for a time. Returns `None` if a barrier or promotion
+    /// with a greater fencing token is known.
+    fn raise_barrier(
+        &self,
+        service: Name,
+        token: u64,
+        period: Duration,
+    ) -> impl Future<Output = Option<BarrierReport>> + Send;
+
+    /// Lifts the commit barrier of a service, unless it has a greater fencing token.
+    fn lift_barrier(&self, service: Name, token: u64);
+
     /// Reports whether a transaction is open.
     fn has_open_transactions(&self) -> bool;
 
--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -1,6 +1,6 @@
 //! Calls to peers that run statements for this host.
 
-use super::{ForwardClient, Outcome, Sample, TransactionId};
+use super::{BarrierReport, ForwardClient, Outcome, Sample, TransactionId};
 use crate::{
     codec,
     connection::{Connection, Stub, Target},
@@ -208,6 +208,44 @@
         .await
     }
 
+    /// Raises the commit barrier of a service on a peer for a time. Returns `None` if the peer knows a
+    /// barrier or promotion with a greater fencing token.
+    ///
+    /// # Errors
+    ///
+    /// If the peer does not respond within `limit`; the barrier may be up there.
+    pub async fn raise_barrier(
+        &self,
+        address: SocketAddr,
+        service: Name,
+        token: u64,
+        period: Duration,
+        limit: Duration,
+    ) -> Result<Option<BarrierReport>, Error> {
+        self.call(address, limit, async |client, context| {
+            client.raise_barrier(context, service, token, period).await
+        })
+        .await
+    }
+
+    /// Lifts the commit barrier of a service on a peer, unless it has a greater fencing token.
+    ///
+    /// # Errors
+    ///
+    /// If the peer does not respond within `limit`.
+    pub async fn lift_barrier(
+        &self,
+        address: SocketAddr,
+        service: Name,
+        token: u64,
+        limit: Duration,
+    ) -> Result<(), Error> {
+        self.call(address, limit, async |client, context| {
+            client.lift_barrier(context, service, token).await
+        })
+        .await
+    }
+
     async fn call<T, F>(&self, address: SocketAddr, limit: Duration, send: F) -> Result<T, Error>
     where
         F: AsyncFnOnce(ForwardClient, context::Context) -> Result<T, RpcError>,
--- a/fulmargw_peer/src/forward/server.rs
+++ b/fulmargw_peer/src/forward/server.rs
@@ -1,6 +1,6 @@
 //! Serves the RPC methods for forwarded statements to peers.
 
-use super::{Executor, Forward, Handler, Outcome, Sample, TransactionId, size};
+use super::{BarrierReport, Executor, Forward, Handler, Outcome, Sample, TransactionId, size};
 use crate::{
     codec::{self, Codec},
     server,
@@ -36,6 +36,9 @@
 const SMALL_UNITS: u32 = 16;
 /// Unit of reservations of this memory, in bytes.
 const UNIT_BYTES: usize = 1024;
+/// Longest period of a commit barrier that a peer may ask for. A barrier holds all writes of its
+/// service, so it must not outlast the host that raised it by much.
+const MAX_BARRIER_PERIOD: Duration = Duration::from_secs(10);
 /// Requests of one connection that may run, or wait until their responses are read.
 const MAX_TASKS: usize = 1_024;
 
@@ -148,6 +151,21 @@
     async fn sample(self, _: Context, service: Name) -> Option<Sample> {
         self.executor.sample(service)
     }
+
+    async fn raise_barrier(
+        self,
+        _: Context,
+        service: Name,
+        token: u64,
+        period: Duration,
+    ) -> Option<BarrierReport> {
+        let period = period.min(MAX_BARRIER_PERIOD);
+        self.executor.raise_barrier(service, token, period).await
+    }
+
+    async fn lift_barrier(self, _: Context, service: Name, token: u64) {
+        self.executor.lift_barrier(service, token);
+    }
 }
 
 /// Closes the executor when it is dropped, so also if the task of the connection is cancelled.
--- a/fulmargw_pool/src/connection.rs
+++ b/fulmargw_pool/src/connection.rs
@@ -53,6 +53,8 @@
     pub position: Option<Position>,
     /// Counts the connection as held by its account while a transaction is open on it.
     pub hold: Option<Hold>,
+    /// Whether the last transaction began as a read-only one, whose commit changes nothing.
+    pub is_read_only: bool,
     variables: Variables,
     prepared: HashSet<Text>,
     /// Cancelled once nothing may be sent to the server any more.
@@ -143,6 +145,7 @@
             last_response_at: Instant::now(),
             position: None,
             hold: None,
+            is_read_only: false,
             variables: Variables::new(),
             prepared: HashSet::new(),
             gate: gate.clone(),
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -82,6 +82,8 @@
     pub servers: Mutex<Servers<D>>,
     /// Notified when a job starts to wait, or a server may run another statement.
     pub work_ready: Notify,
+    /// Notified when a commit that was sent to a server got a response, or is given up.
+    pub commit_ended: Notify,
     /// Notified when a report should be sent to peers at once.
     pub report_now: Notify,
     /// Cancelled when the host stops accepting new sessions.
@@ -144,6 +146,7 @@
             queues: Mutex::new(Rank::Queue, Queues::new(QUEUE_BOUND)),
             servers: Mutex::new(Rank::Server, servers),
             work_ready: Notify::new(),
+            commit_ended: Notify::new(),
             report_now: Notify::new(),
             draining: CancellationToken::new(),
             closing_idle: CancellationToken::new(),
@@ -330,14 +333,15 @@
         !is_excluded && self.is_ready() && knows_servers()
     }
 
-    /// Reports whether a service has no usable primary now.
+    /// Reports whether a service has no usable primary now, or its primary is being replaced.
     #[must_use]
     pub fn lacks_primary(&self, service: &Name) -> bool {
         let now = Instant::now();
         let servers = self.servers.lock();
         let group = servers.groups.get(service);
+        let is_barred = group.is_some_and(|group| group.barrier.is_up(now));
         let primary = group.and_then(|group| group.primary());
-        primary.is_none_or(|primary| !primary.health.is_usable(now))
+        is_barred || primary.is_none_or(|primary| !primary.health.is_usable(now))
     }
 
     /// Returns for how long this host has known no primary, if only the primary can run the
--- a/fulmargw_pool/src/dump.rs
+++ b/fulmargw_pool/src/dump.rs
@@ -118,10 +118,24 @@
     pub primary: Option<Name>,
     /// Log position of the last acknowledged commit that this host knows of.
     pub acknowledged: Option<Position>,
+    /// Commit barrier of the service; absent if none is up.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub barrier: Option<Barrier>,
     /// Backend servers of the service.
     pub servers: Vec<Backend>,
 }
 
+/// A commit barrier that is up.
+#[derive(Debug, Serialize)]
+pub struct Barrier {
+    /// Fencing token of the promotion for which it is raised.
+    pub token: u64,
+    /// Time until it ends by itself, in milliseconds.
+    pub remaining_ms: u64,
+    /// Whether responses to commits are kept until it ends.
+    pub is_sealed: bool,
+}
+
 /// A backend server.
 #[derive(Debug, Serialize)]
 pub struct Backend {
@@ -333,6 +347,11 @@
         waiting,
         primary: group.primary_id.clone(),
         acknowledged: group.acknowledged,
+        barrier: group.barrier.state(now).map(|state| Barrier {
+            token: state.token,
+            remaining_ms: millis(state.remaining),
+            is_sealed: state.is_sealed,
+        }),
         servers: group
             .backends
             .values()
--- a/fulmargw_pool/src/evacuation.rs
+++ b/fulmargw_pool/src/evacuation.rs
@@ -245,7 +245,11 @@
     service: &Name,
 ) -> Option<Position> {
     let servers = core.servers.lock();
-    let group = servers.groups.get(service)?;
+    acknowledged_in(servers.groups.get(service)?)
+}
+
+/// As [`acknowledged`], of a group whose table is locked.
+pub(crate) fn acknowledged_in<D: Dialect>(group: &Group<D>) -> Option<Position> {
     let mut left = group.backends.values().filter(|it| it.is_excluded());
     if left.any(|backend| backend.running > 0) {
         return None;
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -1,8 +1,12 @@
 //! Runs one job on one connection to a backend server.
 
+mod commit;
 mod statement;
 
-use self::statement::{Failure, run_statement};
+use self::{
+    commit::{Confirmation, Sent},
+    statement::{Failure, run_statement},
+};
 use crate::{
     clock,
     connection::{self, Connection},
@@ -149,53 +153,95 @@
     mut connection: Connection<D>,
     trace: Trace,
 ) {
-    let sent_at = Instant::now();
+    let commits = commits(&job, &connection);
+    let Some(sent) = commit::send(core, &job, &trace, commits).await else {
+        not_sent(core, job, connection, &trace);
+        return;
+    };
     let sent_since_boot = clock::since_boot();
-    let commits = job.request.statement.kind.commits();
-    let (ticket, running) = core
-        .with_backend(&trace.server_id, |backend| {
-            let ticket = backend.health.record_sent(commits, sent_at);
-            (ticket, backend.running)
-        })
-        .unwrap_or_else(|| (Health::new().record_sent(commits, sent_at), 0));
     let limit = remaining(job.deadline);
     let executed = timeout(limit, run_statement(&mut connection, &job, &trace)).await;
     let reply = match executed {
         Ok(Ok(reply)) => reply,
-        Ok(Err(Failure::Rejected(cause_code))) => {
+        Ok(Err(failure)) => return fail(core, job, connection, trace, &sent, failure),
+        Err(_) => return time_out(core, job, connection, trace, &sent),
+    };
+    let elapsed = sent.at.elapsed();
+    let mut unrecorded = Some(sent.ticket);
+    if commits && reply.result.is_ok() {
+        let record = || {
+            core.with_backend(&trace.server_id, |backend| {
+                record_response(backend, sent.ticket, &connection, &trace, &Code::Failed);
+            });
+            core.commit_ended.notify_waiters();
+        };
+        match commit::confirm(core, &job, &trace, &sent, &reply, record).await {
+            Confirmation::Immediate => {}
+            Confirmation::Delayed => unrecorded = None,
+            Confirmation::Unconfirmed { timed_out } => {
+                unconfirmed(core, job, connection, trace, timed_out);
+                return;
+            }
+        }
+    }
+    complete(
+        core,
+        job,
+        connection,
+        trace,
+        reply,
+        &SendRecord {
+            ticket: unrecorded,
+            sent_at: sent.at,
+            sent_since_boot,
+            elapsed,
+            running: sent.running,
+        },
+    );
+}
+
+/// Records that a statement got no reply, and sends its outcome.
+fn fail<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    job: Job<D>,
+    connection: Connection<D>,
+    trace: Trace,
+    sent: &Sent,
+    failure: Failure,
+) {
+    let outcome = match failure {
+        Failure::Rejected(cause_code) => {
             core.with_backend(&trace.server_id, |backend| {
-                record_response(backend, ticket, &connection, &trace, &cause_code);
+                record_response(backend, sent.ticket, &connection, &trace, &cause_code);
                 backend.statement_finished();
             });
+            core.commit_ended.notify_waiters();
             if cause_code == Code::Busy {
-                observe(core, &job, &trace, running, Ending::Rejected);
+                observe(core, &job, &trace, sent.running, Ending::Rejected);
             }
             switch_primary(core, &trace, &cause_code);
-            let is_idle = !matches!(
-                job.request.statement.kind,
-                Kind::InTransaction | Kind::Commit | Kind::Rollback
-            );
+            let is_idle = !in_transaction(job.request.statement.kind);
             release(core, connection, &trace, is_idle);
-            core.send_outcome(job, not_run(&trace, cause_code));
-            return;
+            not_run(&trace, cause_code)
         }
-        Ok(Err(Failure::Evacuated)) => {
+        Failure::Evacuated => {
             core.with_backend(&trace.server_id, |backend| {
                 backend.statement_finished();
                 backend.connection_closed();
-                backend.health.forget(ticket);
+                backend.health.forget(sent.ticket);
             });
+            core.commit_ended.notify_waiters();
             core.work_ready.notify_one();
             evacuation::log_refused(&job, &trace);
             drop(connection);
-            core.send_outcome(job, not_run(&trace, Code::Busy));
-            return;
+            not_run(&trace, Code::Busy)
         }
-        Ok(Err(failure)) => {
-            record_failure(core, ticket, &job.request.statement, &trace, &failure);
-            observe(core, &job, &trace, running, Ending::Broken);
+        failure => {
+            let statement = &job.request.statement;
+            record_failure(core, sent.ticket, statement, &trace, &failure);
+            observe(core, &job, &trace, sent.running, Ending::Broken);
             drop(connection);
-            let outcome = match failure {
+            match failure {
                 Failure::NotSent if !in_transaction(job.request.statement.kind) => {
                     not_run(&trace, Code::Busy)
                 }
@@ -203,57 +249,98 @@
                     server: Some(trace.server_id.server),
                     timed_out: false,
                 },
-            };
-            core.send_outcome(job, outcome);
-            return;
+            }
         }
-        Err(_) => {
-            let now = Instant::now();
-            core.with_backend(&trace.server_id, |backend| {
-                backend.statement_finished();
-                backend.connection_closed();
-                let is_unresponsive = !backend
-                    .health
-                    .has_responded(now.saturating_duration_since(sent_at), now);
-                backend.health.forget(ticket);
-                // One connection without a response does not mean that the server has failed if
-                // other statements get responses. Idle connections may have failed as well.
-                backend.close_idle();
-                if is_unresponsive {
-                    backend.health.record_failure(now);
-                }
-            });
-            observe(core, &job, &trace, running, Ending::TimedOut);
-            core.work_ready.notify_one();
-            drop(connection);
-            let outcome = Outcome::Lost {
-                server: Some(trace.server_id.server),
-                timed_out: true,
-            };
-            core.send_outcome(job, outcome);
-            return;
+    };
+    core.send_outcome(job, outcome);
+}
+
+/// Records that a statement got no reply before its deadline, and sends its outcome.
+fn time_out<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    job: Job<D>,
+    connection: Connection<D>,
+    trace: Trace,
+    sent: &Sent,
+) {
+    let now = Instant::now();
+    core.with_backend(&trace.server_id, |backend| {
+        backend.statement_finished();
+        backend.connection_closed();
+        let is_unresponsive = !backend
+            .health
+            .has_responded(now.saturating_duration_since(sent.at), now);
+        backend.health.forget(sent.ticket);
+        // One connection without a response does not mean that the server has failed if
+        // other statements get responses. Idle connections may have failed as well.
+        backend.close_idle();
+        if is_unresponsive {
+            backend.health.record_failure(now);
         }
+    });
+    core.commit_ended.notify_waiters();
+    observe(core, &job, &trace, sent.running, Ending::TimedOut);
+    core.work_ready.notify_one();
+    drop(connection);
+    let outcome = Outcome::Lost {
+        server: Some(trace.server_id.server),
+        timed_out: true,
     };
-    complete(
-        core,
-        job,
-        connection,
-        trace,
-        reply,
-        &SendRecord {
-            ticket,
-            sent_at,
-            sent_since_boot,
-            running,
-        },
-    );
+    core.send_outcome(job, outcome);
+}
+
+/// Reports whether a statement commits something. A host of an older version also sends the end of a
+/// transaction that has written nothing as a commit.
+fn commits<D: Dialect>(job: &Job<D>, connection: &Connection<D>) -> bool {
+    match job.request.statement.kind {
+        Kind::Commit => !connection.is_read_only,
+        kind => kind.commits(),
+    }
+}
+
+/// Ends a commit that must not be sent. The transaction of one that is pinned is rolled back; a write
+/// outside a transaction can be retried.
+fn not_sent<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    job: Job<D>,
+    connection: Connection<D>,
+    trace: &Trace,
+) {
+    let is_write = job.request.statement.kind == Kind::Write;
+    log::info!(event = "commit_not_sent", request:% = job.request.statement.request(), service = trace.server_id.service.as_str(), server = trace.server_id.server.as_str(); "the primary is being replaced, or has been; the commit was not sent");
+    core.with_backend(&trace.server_id, Backend::statement_finished);
+    release(core, connection, trace, is_write);
+    let cause_code = if is_write { Code::Busy } else { Code::Aborted };
+    core.send_outcome(job, not_run(trace, cause_code));
+}
+
+/// Ends a commit whose response the caller must not get: the new primary may lack it.
+fn unconfirmed<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    job: Job<D>,
+    connection: Connection<D>,
+    trace: Trace,
+    timed_out: bool,
+) {
+    metrics::counter!("fulmargw_pool_commits_unconfirmed_total").increment(1);
+    log::info!(event = "commit_unconfirmed", request:% = job.request.statement.request(), service = trace.server_id.service.as_str(), server = trace.server_id.server.as_str(), timed_out; "the primary is being replaced, or has been, while the commit ran; its outcome is unknown");
+    core.with_backend(&trace.server_id, Backend::statement_finished);
+    release(core, connection, &trace, false);
+    let outcome = Outcome::Lost {
+        server: Some(trace.server_id.server),
+        timed_out,
+    };
+    core.send_outcome(job, outcome);
 }
 
 /// Time at which a statement was sent, with the ticket under which its response is recorded.
 struct SendRecord {
-    ticket: Ticket,
+    /// `None` if the response has been recorded already.
+    ticket: Option<Ticket>,
     sent_at: Instant,
     sent_since_boot: Duration,
+    /// Time from sending to the response.
+    elapsed: Duration,
     /// Statements of this host that ran on the server then, itself included.
     running: u32,
 }
@@ -293,10 +380,11 @@
     reply: Reply,
     sent: &SendRecord,
 ) {
-    let elapsed = sent.sent_at.elapsed();
+    let elapsed = sent.elapsed;
     metrics::histogram!("fulmargw_pool_statement_seconds").record(elapsed);
     scheduling::record(core, &job.request, &trace, &reply, elapsed);
-    let is_proven = proves_primary(&job, &trace, &reply);
+    // A reply that was kept shows nothing about the present.
+    let is_proven = sent.ticket.is_some() && proves_primary(&job, &trace, &reply);
     let plan = core.plan();
     let mut effect = None;
     {
@@ -314,13 +402,6 @@
                     position,
                 });
             }
-            if let (true, Ok(_), Some(position)) = (
-                job.request.statement.kind.commits(),
-                &reply.result,
-                reply.position,
-            ) {
-                group.acknowledge(position);
-            }
             if let Some(backend) = group.backends.get_mut(&trace.server_id.server) {
                 let cause_code = reply
                     .result
@@ -328,7 +409,9 @@
                     .err()
                     .map(|(cause_code, _)| cause_code);
                 let cause_code = cause_code.unwrap_or(&Code::Failed);
-                record_response(backend, sent.ticket, &connection, &trace, cause_code);
+                if let Some(ticket) = sent.ticket {
+                    record_response(backend, ticket, &connection, &trace, cause_code);
+                }
                 backend.statement_finished();
                 if reply.state != TransactionState::Idle && connection.hold.is_none() {
                     connection.hold = Some(scheduling::hold(&plan, backend, &job.request.account));
@@ -346,6 +429,7 @@
             }
         }
     }
+    core.commit_ended.notify_waiters();
     if let Some(effect) = effect {
         effect.log(&trace.server_id.service, &trace.server_id.server);
     }
@@ -474,6 +558,7 @@
         backend.health.forget(ticket);
         backend.health.record_failure(now);
     });
+    core.commit_ended.notify_waiters();
     let cause = match failure {
         Failure::Lost(cause) => cause.to_string(),
         Failure::NotSent | Failure::Evacuated | Failure::Rejected(_) => "not sent".to_owned(),
--- a/fulmargw_pool/src/exchange/statement.rs
+++ b/fulmargw_pool/src/exchange/statement.rs
@@ -119,6 +119,7 @@
     read_only: bool,
     after: Option<Position>,
 ) -> Result<(), Failure> {
+    connection.is_read_only = read_only;
     let begin = Command::Begin { read_only, after };
     let replies = connection.run(vec![begin]).await;
     let replies = replies.map_err(|cause| Failure::before(&cause))?;
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -15,8 +15,8 @@
     replacement::{Completeness, Failure, attempt},
 };
 use crate::{
-    clock::millis, core::Core, dialect::Dialect, evacuation, health::Trouble, member::Executor,
-    promotion::Unresolved, sampling, store::Platform, table::Backend,
+    barrier, clock::millis, core::Core, dialect::Dialect, evacuation, health::Trouble,
+    member::Executor, promotion::Unresolved, sampling, store::Platform, table::Backend,
 };
 use fulmargw_decision::evacuation::{Exclusion, needs_successor};
 use fulmargw_model::name::Name;
@@ -74,6 +74,7 @@
             () = core.stop.cancelled() => return,
         }
         core.work_ready.notify_one();
+        barrier::end_expired(&core);
         evacuation::update_cold(&core);
         sampling::run(&core);
         release_services(&core);
@@ -301,18 +302,34 @@
 }
 
 /// Makes a server the assumed primary of a service because it was promoted. `source` names how this
-/// host learned of the promotion.
+/// host learned of the promotion. Ends the commit barrier of the service if the latest promotion of
+/// the service is the one for which it was raised, or a later one.
 pub fn set_primary<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
     server: &Name,
     source: &'static str,
 ) {
-    let is_new = {
+    let token = {
+        let members = core.members.lock();
+        let promotion = members.promotions.get(service);
+        promotion
+            .filter(|it| it.server == *server)
+            .map(|it| it.token)
+    };
+    let (is_new, ended) = {
         let mut servers = core.servers.lock();
-        let group = servers.groups.get_mut(service);
-        group.is_some_and(|group| group.set_promoted(server, Instant::now()))
+        let Some(group) = servers.groups.get_mut(service) else {
+            return;
+        };
+        let is_new = group.set_promoted(server, Instant::now());
+        // While the promoted server is not registered, the assumed primary is still the old one.
+        // The barrier stays up, so that nothing is committed there.
+        let is_primary = group.primary_id.as_ref() == Some(server);
+        let token = token.filter(|_| is_primary);
+        (is_new, token.and_then(|token| group.barrier.lift(token)))
     };
+    barrier::record_end(core, service, ended, "promoted");
     if is_new {
         log::info!(event = "primary_believed", service = service.as_str(), server = server.as_str(), source; "another server is the assumed primary");
         core.work_ready.notify_one();
--- a/fulmargw_pool/src/forward/executor.rs
+++ b/fulmargw_pool/src/forward/executor.rs
@@ -2,6 +2,7 @@
 
 use super::zone;
 use crate::{
+    barrier,
     core::Core,
     dialect::Dialect,
     dispatch, evacuation, failover,
@@ -16,7 +17,7 @@
     name::Name,
     position::Position,
 };
-use fulmargw_peer::forward::{self, Outcome, TransactionId};
+use fulmargw_peer::forward::{self, BarrierReport, Outcome, TransactionId};
 use std::{
     collections::BTreeMap,
     mem,
@@ -142,6 +143,19 @@
         evacuation::acknowledged(&self.core, &service)
     }
 
+    async fn raise_barrier(
+        &self,
+        service: Name,
+        token: u64,
+        period: Duration,
+    ) -> Option<BarrierReport> {
+        barrier::raise(&self.core, &service, token, period).await
+    }
+
+    fn lift_barrier(&self, service: Name, token: u64) {
+        barrier::lift(&self.core, &service, token);
+    }
+
     fn sample(&self, service: Name) -> Option<forward::Sample> {
         let moment = Moment::now();
         let mut servers = self.core.servers.lock();
--- a/fulmargw_pool/src/health.rs
+++ b/fulmargw_pool/src/health.rs
@@ -114,6 +114,12 @@
         self.paused_until = None;
     }
 
+    /// Reports whether a commit was sent and has no response yet.
+    #[must_use]
+    pub fn has_outstanding_commit(&self) -> bool {
+        self.outstanding.values().any(|(_, commits)| *commits)
+    }
+
     /// Stops waiting for the response to a statement.
     pub fn forget(&mut self, ticket: Ticket) {
         self.outstanding.remove(&ticket.0);
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod activity;
 pub mod admission;
 pub mod backend;
+mod barrier;
 pub mod borrow;
 pub mod budget;
 pub mod catalog;
--- a/fulmargw_pool/src/session/transaction.rs
+++ b/fulmargw_pool/src/session/transaction.rs
@@ -90,11 +90,17 @@
             ));
         };
         let timeout = self.timeout(configuration);
+        // The end of a transaction that has written nothing commits nothing, so a commit barrier does
+        // not hold it.
+        let sent_kind = match kind {
+            Kind::Commit if !transaction.has_written => Kind::InTransaction,
+            kind => kind,
+        };
         let statement = Statement {
             id: query.id.clone(),
             text: query.text.clone(),
             template: None,
-            kind,
+            kind: sent_kind,
         };
         let visibility = Visibility {
             consistency: transaction.consistency,
@@ -112,7 +118,11 @@
             )
             .await;
         match outcome {
-            Outcome::Answered { reply, trace, .. } => {
+            Outcome::Answered { reply, trace, pin } => {
+                // The transaction is over for the caller, whatever its state on the server.
+                if let Some(pin) = pin {
+                    self.core.roll_back(pin);
+                }
                 if kind == Kind::Commit && transaction.has_written && reply.result.is_ok() {
                     self.record_commit(&trace.server_id.service, reply.position);
                 }
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -2,12 +2,14 @@
 
 pub mod adaptive;
 mod backend;
+pub mod barrier;
 mod exclusion;
 mod queues;
 mod succession;
 
 pub use self::{
     backend::{Backend, Checkout, Share, Shares},
+    barrier::Barrier,
     queues::Queues,
     succession::{Effect, Succession},
 };
@@ -73,6 +75,8 @@
     last_used: Option<Instant>,
     /// Mean duration of the statements that this host runs.
     pub pace: Pace,
+    /// Holds the commits of the service while its primary is replaced.
+    pub barrier: Barrier,
     /// Servers by identifier.
     pub backends: BTreeMap<Name, Backend<D>>,
 }
@@ -180,6 +184,7 @@
             sample_needed: None,
             last_used: None,
             pace: Pace::default(),
+            barrier: Barrier::default(),
             backends: BTreeMap::new(),
         }
     }
@@ -355,6 +360,19 @@
         self.primary_id.clone()
     }
 
+    /// Reports whether there is an assumed primary and it is not `server`.
+    #[must_use]
+    pub fn has_other_primary(&self, server: &Name) -> bool {
+        self.primary_id.as_ref().is_some_and(|id| id != server)
+    }
+
+    /// Reports whether a commit that this host has sent to a server has no response yet.
+    #[must_use]
+    pub fn has_outstanding_commit(&self) -> bool {
+        let mut backends = self.backends.values();
+        backends.any(|backend| backend.health.has_outstanding_commit())
+    }
+
     /// Returns the assumed primary, if there is one.
     #[must_use]
     pub fn primary(&self) -> Option<&Backend<D>> {
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -76,6 +76,7 @@
         let (load, queue) = queues.load(&name);
         let mut lowest = load.lowest_level(&plan, &name, &candidates, moment.now);
         let bound = scheduling::connection_bound(&plan, group, queue);
+        let is_barred = group.barrier.is_up(moment.now);
         let choose = |job: &Job<D>| {
             let Request {
                 account,
@@ -90,6 +91,9 @@
                 }
                 _ => (&mut candidates, free_slots),
             };
+            if is_barred && job.request.statement.kind.needs_primary() {
+                return None;
+            }
             if !free_slots.may_take(job.request.needs_primary()) {
                 return None;
             }
