--- a/fulmargw_pool/tests/health.rs
+++ b/fulmargw_pool/tests/health.rs
@@ -130,3 +130,21 @@
     health.record_busy(later);
     assert!(health.is_usable(later + Duration::from_millis(15)));
 }
+
+/// Guards against a commit barrier that reports to be settled while a commit has no response, and against
+/// one that waits for statements that commit nothing.
+#[tokio::test(start_paused = true)]
+async fn only_commits_without_a_response_are_outstanding() {
+    let base = Instant::now();
+    let mut health = Health::new();
+    health.record_sent(false, base);
+    assert!(!health.has_outstanding_commit());
+
+    let answered = health.record_sent(true, base);
+    let given_up = health.record_sent(true, base);
+    health.record_response(answered, base);
+    assert!(health.has_outstanding_commit());
+    health.forget(given_up);
+
+    assert!(!health.has_outstanding_commit());
+}
