Compare a promoted server that has no commit of its own term yet

Only positions of earlier terms were compared, so a missing commit would not have been counted.

The term that was acknowledged before the promotion is compared as well. fulmargw_pool/tests/succession.rs a_server_without_a_commit_of_its_own_term_is_compared_as_well fails without the change.

--- a/fulmargw_pool/src/table/succession.rs
+++ b/fulmargw_pool/src/table/succession.rs
@@ -17,6 +17,8 @@
     known_at: Instant,
     /// Greatest index that is known to be acknowledged, by term.
     acknowledged: BTreeMap<Term, u64>,
+    /// Latest term that was acknowledged before. A server without a commit of its own term reports it.
+    earlier_term: Term,
 }
 
 /// What the first proof of a promoted server shows.
@@ -38,6 +40,7 @@
             server,
             known_at: now,
             acknowledged: BTreeMap::new(),
+            earlier_term: acknowledged.map_or(Term(0), |position| position.term),
         };
         if let Some(position) = acknowledged {
             succession.acknowledge(position);
@@ -55,7 +58,9 @@
     /// Returns the effect of the promotion once the server has proved to be the primary.
     #[must_use]
     pub fn effect(&self, position: Position, now: Instant) -> Effect {
-        let earlier = self.acknowledged.range(..position.term);
+        let known = self.acknowledged.iter();
+        let earlier =
+            known.filter(|(term, _)| **term < position.term || **term <= self.earlier_term);
         let missing = earlier
             .map(|(term, index)| Position {
                 term: *term,
--- a/fulmargw_pool/tests/succession.rs
+++ b/fulmargw_pool/tests/succession.rs
@@ -47,3 +47,17 @@
     let missing = lacking.effect(position(2, 12), now).missing;
     assert_eq!(missing, Some(position(1, 13)));
 }
+
+/// Guards against a lost commit that is not reported because the promoted server has no commit of its own
+/// term yet, and reports the term of its last one.
+#[test]
+fn a_server_without_a_commit_of_its_own_term_is_compared_as_well() {
+    let succession = succession(Some(position(1, 13)));
+    let now = Instant::now();
+
+    let lacking = succession.effect(position(1, 12), now);
+    let complete = succession.effect(position(1, 13), now);
+
+    assert_eq!(lacking.missing, Some(position(1, 13)));
+    assert_eq!(complete.missing, None);
+}
