Hold commits from before the last look at the logs until a promotion is known

Cause: evidence of one moment was relied on at a later one. The logs were looked at before the promotion call; the old primary leads until the call takes effect, 0.6 s later. A commit in between is acknowledged once any replica has it, and only the pause of the other replicas kept them from receiving it. A restart, a late RESUME or a replica that joins ends that.

Change: the host that replaces a primary raises the commit barrier on all hosts, and only then looks at the logs for the last time. That look goes over the connections of the survey; every replica must still hold its pause, and the candidate must have what the others have and what any host has acknowledged. After a call without a response the barrier, the look and the token are new for the next call.

The steps are a state machine without I/O, promotion::attempt.

A host whose primary has failed does not wait for responses to commits there, so a barrier costs a crash only its two round trips.

--- a/fulmargw_pool/src/backend.rs
+++ b/fulmargw_pool/src/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::replica_set::Member;
 use fulmargw_model::{
+    execution::ServerId,
     name::Name,
     position::{Position, Term},
 };
@@ -35,6 +36,15 @@
 }
 
 impl Server {
+    /// Returns its identifier together with its service.
+    #[must_use]
+    pub fn server_id(&self) -> ServerId {
+        ServerId {
+            service: self.service.clone(),
+            server: self.id.clone(),
+        }
+    }
+
     /// Returns this run of the server as a member of its replica set.
     #[must_use]
     pub fn member(&self) -> Member {
--- a/fulmargw_pool/src/barrier.rs
+++ b/fulmargw_pool/src/barrier.rs
@@ -1,12 +1,7 @@
 //! Raises and lifts the commit barriers of services on this host.
 
 use crate::{
-    clock::millis,
-    core::Core,
-    dialect::Dialect,
-    evacuation,
-    store::Platform,
-    table::{Group, barrier::Ended},
+    clock::millis, core::Core, dialect::Dialect, evacuation, store::Platform, table::barrier::Ended,
 };
 use fulmargw_model::name::Name;
 use fulmargw_peer::forward::BarrierReport;
@@ -125,12 +120,12 @@
     }
 }
 
-/// Waits until no commit of the service is without a response.
+/// Waits until no commit of the service is without a response, except on servers that have failed.
 async fn settle<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name, deadline: Instant) {
     loop {
         let mut commit_ended = pin!(core.commit_ended.notified());
         commit_ended.as_mut().enable();
-        if !has_outstanding(core, service) {
+        if !awaits_commit(core, service) {
             return;
         }
         if timeout_at(deadline, commit_ended).await.is_err() {
@@ -139,10 +134,11 @@
     }
 }
 
-fn has_outstanding<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> bool {
+fn awaits_commit<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> bool {
+    let now = Instant::now();
     let servers = core.servers.lock();
     let group = servers.groups.get(service);
-    group.is_some_and(Group::has_outstanding_commit)
+    group.is_some_and(|group| group.awaits_commit(now))
 }
 
 fn seal<D: Dialect, P: Platform>(
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -1,5 +1,6 @@
 //! Detects primaries that have failed or are draining, and has them replaced.
 
+mod barriers;
 mod claim;
 mod reach;
 mod recording;
@@ -12,11 +13,20 @@
 
 use self::{
     recording::Recorder,
-    replacement::{Completeness, Failure, attempt},
+    replacement::{Failure, attempt},
 };
 use crate::{
-    barrier, clock::millis, core::Core, dialect::Dialect, evacuation, health::Trouble,
-    member::Executor, promotion::Unresolved, sampling, store::Platform, table::Backend,
+    barrier,
+    clock::millis,
+    core::Core,
+    dialect::Dialect,
+    evacuation,
+    health::Trouble,
+    member::Executor,
+    promotion::{Unresolved, attempt::Completeness},
+    sampling,
+    store::Platform,
+    table::Backend,
 };
 use fulmargw_decision::evacuation::{Exclusion, needs_successor};
 use fulmargw_model::name::Name;
--- a/fulmargw_pool/src/failover/reach.rs
+++ b/fulmargw_pool/src/failover/reach.rs
@@ -9,7 +9,7 @@
 /// Maximum number of peers that are asked whether they reach a primary.
 const MAX_WITNESSES: usize = 3;
 /// Timeout of a request to a peer.
-const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(350);
+pub(super) const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(350);
 /// Timeout of the check of the primary that a peer makes for such a request; it is shorter.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which a host is not the holder of a service whose primary it cannot reach.
@@ -52,13 +52,18 @@
     Some(witness)
 }
 
+/// A peer and the address at which it accepts statements.
+pub(super) type Peer = (Name, SocketAddr);
+
 /// What the hosts of the fleet know of the acknowledged commits of a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Acknowledged {
     /// Latest log position that a host knows to be acknowledged.
     pub(super) position: Option<Position>,
     /// Whether every host has reported a position.
     pub(super) is_exact: bool,
+    /// The peers that responded.
+    pub(super) responsive: Vec<Peer>,
 }
 
 /// Returns the latest log position that the primary of a service has acknowledged, as far as this
@@ -74,7 +79,7 @@
                 .forward_client
                 .acknowledged_position(address, service, PEER_REQUEST_TIMEOUT);
             match reported.await {
-                Ok(position) => position,
+                Ok(position) => Some(((host, address), position)),
                 Err(cause) => {
                     log::info!(event = "witness_silent", host = host.as_str(), cause:% = cause; "peer did not report the acknowledged position");
                     None
@@ -83,17 +88,19 @@
         }
     });
     let reported = futures::future::join_all(requests).await;
+    let (responsive, reported): (Vec<Peer>, Vec<_>) = reported.into_iter().flatten().unzip();
     let own = evacuation::acknowledged(core, service);
     let known: Vec<Position> = reported.into_iter().chain([own]).flatten().collect();
     let peers = core.members.lock().peers.len();
     Acknowledged {
         is_exact: known.len() > peers && evacuation::is_settled(core, service),
         position: known.into_iter().reduce(Position::later),
+        responsive,
     }
 }
 
 /// Returns the peers that are alive, with the addresses at which they accept statements.
-fn live_peers<D: Dialect, P: Platform>(core: &Core<D, P>) -> Vec<(Name, SocketAddr)> {
+pub(super) fn live_peers<D: Dialect, P: Platform>(core: &Core<D, P>) -> Vec<Peer> {
     let members = core.members.lock();
     let alive = members.alive(Instant::now()).into_iter();
     let peers = alive.filter_map(|name| {
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -1,19 +1,24 @@
-//! Replaces a primary by a replica that has every acknowledged commit.
+//! Carries out the steps of an attempt to replace a primary.
 
 use super::{
     Reason, assess,
+    barriers::{lift_barriers, raise_barriers},
     claim::{KEY_PREFIX, claim, is_excluded, may_be_promoted, previous_claim},
-    reach::{acknowledged, find_witness},
+    reach::{Peer, acknowledged, find_witness},
     recording, set_primary,
     survey::{Probe, pause, query, query_replicas, resume_replicas},
 };
 use crate::{
-    clock::millis,
+    backend::Status,
+    clock::{self, millis},
     core::Core,
     dialect::Dialect,
     health::Trouble,
     message::Command,
-    promotion::{self, Candidate, Evidence, Obstacle, Replica},
+    promotion::{
+        Evidence, Obstacle, Replica,
+        attempt::{Attempt, Call, Completeness, End, Look, Step, Survey},
+    },
     store::{self, Condition, Outcome, Platform, Revision},
 };
 use fulmargw_decision::rendezvous;
@@ -22,6 +27,7 @@
     position::{Position, Term},
 };
 use fulmargw_peer::report;
+use futures::future::join_all;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
@@ -30,16 +36,17 @@
 /// Delay between two queries of the candidate's log position, and unit of the delay after a throttled
 /// promotion call.
 const QUERY_DELAY: Duration = Duration::from_millis(25);
-/// Timeout for the candidate to receive what the other replicas have received.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
-/// Maximum number of calls for one promotion; each has its own token.
-const MAX_PROMOTION_CALLS: u32 = 6;
+/// Longest time between the raising of the barrier and a promotion call, so that the barrier is still
+/// up when the call takes effect.
+const MAX_BARRIER_AGE: Duration = Duration::from_secs(1);
 
 /// Why an attempt ended without a new primary.
 #[derive(Debug, displaydoc::Display)]
 pub(super) enum Failure {
     /// another host has claimed the service
     Claimed,
+    /// a host knows a later claim or promotion
+    Superseded,
     /// the primary has recovered
     Recovered,
     /// the primary responds to host {0}
@@ -48,8 +55,6 @@
     Store(crate::store::Error),
     /// {0}
     Obstacle(Obstacle),
-    /// replica {0} could not be paused
-    NotPaused(Name),
     /// the platform rejected the promotion
     Rejected,
     /// the result of a promotion call with token {0} or a smaller one is unknown; it may take effect
@@ -59,15 +64,6 @@
     Encode(String),
 }
 
-/// Which commits a replica must have to be promoted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Completeness {
-    /// Every acknowledged commit, because the old primary may still come back with its log.
-    AllAcknowledged,
-    /// Those of the longest log, because the old primary has been away for too long.
-    LongestLog,
-}
-
 /// Replaces the primary of a service and returns the new one.
 ///
 /// # Errors
@@ -100,54 +96,17 @@
         .filter(|candidate| may_be_promoted(core, service, candidate));
     let claimed = claim(core, service, earlier_candidate.as_ref(), previous.row).await?;
     log::info!(event = "promotion_claimed", service = service.as_str(), revision:% = claimed, reason:? = reason, ordered:? = earlier_candidate.as_ref().map(Name::as_str); "replacing a primary");
-    let (mut probes, acknowledged, record) = tokio::join!(
-        query_replicas(core, service),
-        acknowledged(core, service),
-        recording::read(core, service)
-    );
-    let result = match record {
-        Ok(record) => {
-            let evidence = Evidence {
-                acknowledged: acknowledged.position,
-                is_exact: acknowledged.is_exact,
-                gap: recording::gap(record.as_ref().map(|(record, _)| record), &probes),
-            };
-            log_evidence(service, &evidence);
-            promote_candidate(
-                core,
-                service,
-                claimed,
-                (completeness == Completeness::AllAcknowledged).then_some(&evidence),
-                earlier_candidate
-                    .as_ref()
-                    .filter(|server| !is_excluded(core, service, server)),
-                &mut probes,
-            )
-            .await
-        }
-        Err(error) => Err(Failure::Store(error)),
+    let replacement = Replacement {
+        core,
+        service,
+        claimed,
+        earlier_candidate,
+        probes: Vec::new(),
+        responsive: Vec::new(),
+        barrier_raised: None,
+        lost_token: None,
     };
-    match result {
-        // The replicas stay paused. Then the candidate of the unresolved call, or of the host that
-        // has claimed the service meanwhile, still receives every commit that is acknowledged.
-        Err(Failure::Unresolved(_) | Failure::Claimed) => return result,
-        Err(ref failure)
-            if earlier_candidate.is_some()
-                && !matches!(failure, Failure::Obstacle(Obstacle::AlreadyPrimary(..))) =>
-        {
-            log::info!(event = "order_open", service = service.as_str(), revision:% = claimed, cause:% = failure; "an earlier promotion call may still take effect");
-            return Err(Failure::Unresolved(claimed.fencing_token()));
-        }
-        Err(_) => resume_replicas(&mut probes, claimed).await,
-        Ok(_) => {}
-    }
-    result
-}
-
-fn log_evidence(service: &Name, evidence: &Evidence) {
-    let acknowledged = evidence.acknowledged.map(|it| (it.term.0, it.index));
-    let gap = evidence.gap.as_ref().map(ToString::to_string);
-    log::info!(event = "promotion_evidence", service = service.as_str(), acknowledged:? = acknowledged, is_exact = evidence.is_exact, gap = gap.as_deref(); "what the promoted replica must have");
+    replacement.carry_out(completeness).await
 }
 
 /// Waits for the hosts that are ranked before this one, so that normally one host acts.
@@ -159,155 +118,250 @@
     sleep(RANK_DELAY.saturating_mul(rank)).await;
 }
 
-/// Chooses a candidate among the replicas, waits until it has every acknowledged commit, and
-/// promotes it.
-async fn promote_candidate<D: Dialect, P: Platform>(
-    core: &Core<D, P>,
-    service: &Name,
+/// An attempt that holds the claim of its service.
+struct Replacement<'a, D: Dialect, P: Platform> {
+    core: &'a Core<D, P>,
+    service: &'a Name,
+    /// Revision of the claim as this host last wrote it.
     claimed: Revision,
-    required: Option<&Evidence>,
-    earlier_candidate: Option<&Name>,
-    probes: &mut [Probe<D>],
-) -> Result<Name, Failure> {
-    let replicas: Vec<Replica> = probes
-        .iter()
-        .map(|probe| Replica {
+    /// Server for which an earlier promotion call was sent that may still take effect.
+    earlier_candidate: Option<Name>,
+    /// The servers that were asked.
+    probes: Vec<Probe<D>>,
+    /// Hosts that responded to the survey.
+    responsive: Vec<Peer>,
+    /// Time since boot at which the last barrier was raised; `None` if there is none.
+    barrier_raised: Option<Duration>,
+    /// Token of the last promotion call without a response.
+    lost_token: Option<u64>,
+}
+
+impl<D: Dialect, P: Platform> Replacement<'_, D, P> {
+    async fn carry_out(mut self, completeness: Completeness) -> Result<Name, Failure> {
+        let earlier = self.earlier_candidate.clone();
+        let earlier = earlier.filter(|server| !is_excluded(self.core, self.service, server));
+        let mut attempt = Attempt::new(completeness, earlier);
+        let result = self.run(&mut attempt).await;
+        self.clean_up(result).await
+    }
+
+    /// Carries out the steps until the attempt ends.
+    async fn run(&mut self, attempt: &mut Attempt) -> Result<Name, Failure> {
+        let mut step = Step::Survey;
+        loop {
+            step = match step {
+                Step::Survey => attempt.surveyed(self.survey().await?),
+                Step::Pause(servers, term) => {
+                    let looks = self.pause(&servers, term).await;
+                    attempt.paused(looks, Instant::now())
+                }
+                Step::Query(server) => {
+                    sleep(QUERY_DELAY).await;
+                    let status = self.query(&server).await;
+                    attempt.queried(status, Instant::now())
+                }
+                Step::Secure(candidate) => attempt.secured(self.secure(&candidate).await?),
+                Step::Verify => attempt.verified(&self.look_at_all().await),
+                Step::Call(candidate) => attempt.called(self.call(&candidate).await),
+                Step::End(end) => return self.end(end),
+            };
+        }
+    }
+
+    /// Asks the servers for their logs, and the hosts and the store for what was acknowledged.
+    async fn survey(&mut self) -> Result<Survey, Failure> {
+        let (probes, acknowledged, record) = tokio::join!(
+            query_replicas(self.core, self.service),
+            acknowledged(self.core, self.service),
+            recording::read(self.core, self.service)
+        );
+        self.probes = probes;
+        let record = record.map_err(Failure::Store)?;
+        self.probes.iter().for_each(Probe::log);
+        let record = record.as_ref().map(|(record, _)| record);
+        let evidence = Evidence {
+            acknowledged: acknowledged.position,
+            is_exact: acknowledged.is_exact,
+            gap: recording::gap(record, &self.probes),
+        };
+        self.responsive = acknowledged.responsive;
+        log_evidence(self.service, &evidence);
+        let replicas = self.probes.iter().map(|probe| Replica {
             server: probe.server.id.clone(),
             is_draining: probe.server.is_draining,
             status: probe.status,
+        });
+        Ok(Survey {
+            replicas: replicas.collect(),
+            evidence,
         })
-        .collect();
-    let candidate = match promotion::choose_candidate(&replicas, Term(0), earlier_candidate) {
-        Ok(candidate) => candidate,
-        Err(Obstacle::AlreadyPrimary(server, term)) => {
-            set_primary(core, service, &server, "survey");
-            return Err(Failure::Obstacle(Obstacle::AlreadyPrimary(server, term)));
-        }
-        Err(obstacle) => return Err(Failure::Obstacle(obstacle)),
-    };
-    let candidate = catch_up(probes, candidate, claimed).await?;
-    if let Some(evidence) = required {
-        promotion::check_complete(&candidate, evidence).map_err(Failure::Obstacle)?;
     }
-    log::info!(
-        event = "promotion_candidate", service = service.as_str(),
-        server = candidate.server.as_str(), revision:% = claimed,
-        received:? = (candidate.received.term.0, candidate.received.index);
-        "replica with every acknowledged commit"
-    );
-    // The claim names the candidate before the promotion call is sent. If the result of the call is
-    // unknown, another host that claims the service then chooses the same candidate.
-    let expected = Condition::Unchanged(claimed);
-    let claimed = claim(core, service, Some(&candidate.server), expected).await?;
-    let token = call_promotion(core, service, &candidate, claimed).await?;
-    let promotion = report::Promotion {
-        service: service.clone(),
-        server: candidate.server.clone(),
-        token,
-    };
-    core.members.lock().record_promotion(&promotion);
-    set_primary(core, service, &candidate.server, "own order");
-    core.report_now.notify_one();
-    Ok(candidate.server)
-}
 
-/// Pauses replication to the other replicas, and waits until the candidate has received everything
-/// that they have received. Returns the replica with the longest log if the candidate does not
-/// catch up.
-///
-/// From then on a commit is acknowledged only if the candidate has received it, so the old primary
-/// may keep running until it is replaced.
-async fn catch_up<D: Dialect>(
-    probes: &mut [Probe<D>],
-    candidate: Candidate,
-    claimed: Revision,
-) -> Result<Candidate, Failure> {
-    let mut received_by: Vec<(Name, Position)> = Vec::new();
-    for other in probes
-        .iter_mut()
-        .filter(|other| other.server.id != candidate.server)
-    {
-        let status = pause(other, candidate.pause_term, claimed).await;
-        let status = status.ok_or_else(|| Failure::NotPaused(other.server.id.clone()))?;
-        received_by.push((other.server.id.clone(), status.received));
+    async fn pause(&mut self, servers: &[Name], term: Term) -> Vec<Look> {
+        let claimed = self.claimed;
+        let probes = self.probes.iter_mut();
+        let chosen = probes.filter(|probe| servers.contains(&probe.server.id));
+        let pauses = chosen.map(async |probe| {
+            let status = pause(probe, term, claimed).await;
+            (probe.server.id.clone(), status)
+        });
+        join_all(pauses).await
     }
-    let positions: Vec<Position> = received_by.iter().map(|(_, position)| *position).collect();
-    let chosen = probes
-        .iter_mut()
-        .find(|probe| probe.server.id == candidate.server);
-    let Some(chosen) = chosen else {
-        return Err(Failure::NotPaused(candidate.server));
-    };
-    let deadline = Instant::now() + CATCH_UP_TIMEOUT;
-    let mut received = candidate.received;
-    while !promotion::includes_all(received, &positions) && Instant::now() < deadline {
-        sleep(QUERY_DELAY).await;
-        let status = query(chosen, &Command::Status).await;
-        received = status.map_or(received, |status| status.received);
+
+    async fn query(&mut self, server: &Name) -> Option<Status> {
+        let probe = self.probes.iter_mut().find(|it| it.server.id == *server)?;
+        query(probe, &Command::Status).await
     }
-    if promotion::includes_all(received, &positions) {
-        return Ok(Candidate {
-            received,
-            ..candidate
+
+    async fn look_at_all(&mut self) -> Vec<Look> {
+        let looks = self.probes.iter_mut().map(async |probe| {
+            let status = query(probe, &Command::Status).await;
+            probe.status = status;
+            probe.log();
+            (probe.server.id.clone(), status)
         });
+        join_all(looks).await
     }
-    // The candidate does not catch up. With all replicas paused, the longest log has every
-    // acknowledged commit.
-    let status = pause(chosen, candidate.pause_term, claimed).await;
-    let status = status.ok_or_else(|| Failure::NotPaused(candidate.server.clone()))?;
-    received_by.push((candidate.server.clone(), status.received));
-    let all: Vec<Position> = received_by.iter().map(|(_, position)| *position).collect();
-    let best = received_by
-        .into_iter()
-        .find(|(_, position)| promotion::includes_all(*position, &all));
-    let (server, received) = best.ok_or(Failure::Obstacle(Obstacle::NoCandidate))?;
-    Ok(Candidate {
-        server,
-        received,
-        ..candidate
-    })
-}
 
-/// Sends the promotion call and returns the token that was accepted.
-///
-/// A call without a response may take effect later. It is repeated with a greater token, after
-/// whose acceptance the platform rejects the earlier call.
-async fn call_promotion<D: Dialect, P: Platform>(
-    core: &Core<D, P>,
-    service: &Name,
-    candidate: &Candidate,
-    claimed: Revision,
-) -> Result<u64, Failure> {
-    let mut claimed = claimed;
-    let mut unresolved = None;
-    for _ in 0..MAX_PROMOTION_CALLS {
-        let token = claimed.fencing_token();
+    /// Names the candidate in the claim and raises the barrier. Returns the latest position that the
+    /// hosts know to be acknowledged.
+    ///
+    /// The claim names the candidate before the promotion call is sent. If the result of the call is
+    /// unknown, another host that claims the service then chooses the same candidate.
+    async fn secure(&mut self, candidate: &Name) -> Result<Option<Position>, Failure> {
+        let expected = Condition::Unchanged(self.claimed);
+        let named = claim(self.core, self.service, Some(candidate), expected);
+        let (claimed, raised) = tokio::join!(named, self.raise_barriers());
+        match (claimed, raised) {
+            (Ok(claimed), raised) => {
+                self.claimed = claimed;
+                raised.map_err(|failure| self.open_call_or(failure))
+            }
+            (Err(failure), _) => Err(self.open_call_or(failure)),
+        }
+    }
+
+    async fn raise_barriers(&mut self) -> Result<Option<Position>, Failure> {
+        self.barrier_raised = Some(clock::since_boot());
+        let token = self.claimed.fencing_token();
+        let raised = raise_barriers(self.core, self.service, token, &self.responsive).await;
+        raised.ok_or(Failure::Superseded)
+    }
+
+    /// Sends the promotion call.
+    ///
+    /// A call without a response may take effect later. It is repeated with a greater token, after
+    /// whose acceptance the platform rejects the earlier call.
+    async fn call(&mut self, candidate: &Name) -> Call {
+        let age = self
+            .barrier_raised
+            .map(|at| clock::since_boot().saturating_sub(at));
+        if age.is_none_or(|age| age > MAX_BARRIER_AGE) {
+            log::info!(event = "promotion_postponed", service = self.service.as_str(), age_ms = age.map(millis); "raising the commit barrier again before the promotion call");
+            return Call::NoEffect;
+        }
+        let service = self.service.as_str();
+        let token = self.claimed.fencing_token();
         let promotion = store::Promotion {
-            host: core.settings.host.name.clone(),
+            host: self.core.settings.host.name.clone(),
             token,
-            service: service.clone(),
-            server: candidate.server.clone(),
+            service: self.service.clone(),
+            server: candidate.clone(),
         };
         let sent = Instant::now();
-        log::info!(event = "promotion_called", service = service.as_str(), server = candidate.server.as_str(), token; "sending a promotion call");
-        match core.platform.promote(&promotion).await {
+        log::info!(event = "promotion_called", service, server = candidate.as_str(), token; "sending a promotion call");
+        match self.core.platform.promote(&promotion).await {
             Ok(Outcome::Accepted) => {
-                log::info!(event = "promotion_accepted", service = service.as_str(), server = candidate.server.as_str(), token, elapsed_ms = millis(sent.elapsed()); "the promotion call was accepted");
-                return Ok(token);
+                log::info!(event = "promotion_accepted", service, server = candidate.as_str(), token, elapsed_ms = millis(sent.elapsed()); "the promotion call was accepted");
+                Call::Accepted
+            }
+            Ok(Outcome::Refused) => Call::Refused,
+            Ok(Outcome::Throttled) => {
+                sleep(QUERY_DELAY * 4).await;
+                Call::NoEffect
             }
-            Ok(Outcome::Refused) => break,
-            Ok(Outcome::Throttled) => sleep(QUERY_DELAY * 4).await,
             Err(error) => {
-                log::warn!(event = "order_unanswered", service = service.as_str(), token, cause:% = error; "repeating the promotion call with a greater token");
-                unresolved = Some(token);
-                let expected = Condition::Unchanged(claimed);
-                let repeated = claim(core, service, Some(&candidate.server), expected).await;
-                claimed = repeated.map_err(|failure| {
-                    log::warn!(event = "order_open", service = service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
-                    Failure::Unresolved(token)
-                })?;
+                log::warn!(event = "order_unanswered", service, token, cause:% = error; "repeating the promotion call with a greater token");
+                self.lost_token = Some(token);
+                Call::Lost
+            }
+        }
+    }
+
+    /// Applies how the steps ended.
+    fn end(&self, end: End) -> Result<Name, Failure> {
+        match end {
+            End::Promoted(server) => {
+                let promotion = report::Promotion {
+                    service: self.service.clone(),
+                    server: server.clone(),
+                    token: self.claimed.fencing_token(),
+                };
+                self.core.members.lock().record_promotion(&promotion);
+                set_primary(self.core, self.service, &server, "own order");
+                self.core.report_now.notify_one();
+                Ok(server)
+            }
+            End::Obstacle(obstacle) => {
+                if let Obstacle::AlreadyPrimary(server, _) = &obstacle {
+                    set_primary(self.core, self.service, server, "survey");
+                }
+                Err(Failure::Obstacle(obstacle))
             }
+            End::Rejected => Err(Failure::Rejected),
+            End::Unresolved => Err(self.open_call_or(Failure::Rejected)),
         }
     }
-    Err(unresolved.map_or(Failure::Rejected, Failure::Unresolved))
+
+    /// Returns that the result of a promotion call is unknown if there is such a call, else `failure`.
+    fn open_call_or(&self, failure: Failure) -> Failure {
+        let Some(token) = self.lost_token else {
+            return failure;
+        };
+        log::warn!(event = "order_open", service = self.service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
+        Failure::Unresolved(token)
+    }
+
+    /// Ends the barrier and the pauses of an attempt without a new primary, unless a promotion call
+    /// may still take effect. Returns the result of the attempt.
+    async fn clean_up(mut self, result: Result<Name, Failure>) -> Result<Name, Failure> {
+        let result = match result {
+            Err(failure) if self.leaves_call_open(&failure) => {
+                let token = self.claimed.fencing_token();
+                log::info!(event = "order_open", service = self.service.as_str(), revision:% = self.claimed, cause:% = failure; "an earlier promotion call may still take effect");
+                Err(Failure::Unresolved(token))
+            }
+            result => result,
+        };
+        match &result {
+            Ok(_) => return result,
+            // The replicas stay paused and the barriers up. Then the candidate of the call still
+            // receives every commit that is acknowledged.
+            Err(Failure::Unresolved(_)) => {}
+            Err(failure) => {
+                if self.barrier_raised.is_some() {
+                    lift_barriers(self.core, self.service, self.claimed.fencing_token()).await;
+                }
+                // Another host that has the claim may rely on the pauses.
+                if !matches!(failure, Failure::Claimed) {
+                    resume_replicas(&mut self.probes, self.claimed).await;
+                }
+            }
+        }
+        result
+    }
+
+    fn leaves_call_open(&self, failure: &Failure) -> bool {
+        let is_settled = matches!(
+            failure,
+            Failure::Unresolved(_) | Failure::Obstacle(Obstacle::AlreadyPrimary(..))
+        );
+        self.earlier_candidate.is_some() && !is_settled
+    }
+}
+
+fn log_evidence(service: &Name, evidence: &Evidence) {
+    let acknowledged = evidence.acknowledged.map(|it| (it.term.0, it.index));
+    let gap = evidence.gap.as_ref().map(ToString::to_string);
+    log::info!(event = "promotion_evidence", service = service.as_str(), acknowledged:? = acknowledged, is_exact = evidence.is_exact, gap = gap.as_deref(); "what the promoted replica must have");
 }
--- a/fulmargw_pool/src/failover/survey.rs
+++ b/fulmargw_pool/src/failover/survey.rs
@@ -10,11 +10,7 @@
     store::{Platform, Revision},
     table::{Backend, Group},
 };
-use fulmargw_model::{
-    execution::{Code, ServerId},
-    name::Name,
-    position::Term,
-};
+use fulmargw_model::{execution::Code, name::Name, position::Term};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -32,6 +28,24 @@
     pub(super) status: Option<Status>,
 }
 
+impl<D: Dialect> Probe<D> {
+    /// Writes the line of the server's last status.
+    pub(super) fn log(&self) {
+        let server = &self.server;
+        let connection = self.connection.as_ref();
+        let connection_age_ms = connection.map(|it| millis(it.opened_at.elapsed()));
+        let status = self.status;
+        log::info!(
+            event = "replica_status", service = server.service.as_str(),
+            server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms,
+            role:? = status.map(|it| it.role), term = status.map(|it| it.term.0),
+            received:? = status.map(|it| (it.received.term.0, it.received.index)),
+            held_term = status.and_then(|it| it.held).map(|term| term.0);
+            "asked a replica for its log"
+        );
+    }
+}
+
 /// Queries the status of all servers of a service except the assumed primary and those of evacuated
 /// zones.
 pub(super) async fn query_replicas<D: Dialect, P: Platform>(
@@ -54,9 +68,7 @@
     let queries = replicas
         .into_iter()
         .map(|(server, _)| query_status(core, server));
-    let probes = futures::future::join_all(queries).await;
-    probes.iter().for_each(log_status);
-    probes
+    futures::future::join_all(queries).await
 }
 
 /// Returns why a promotion does not ask a server for its log; `None` if it does.
@@ -67,26 +79,6 @@
     backend.is_excluded().then_some("its zone is evacuated")
 }
 
-fn log_status<D: Dialect>(probe: &Probe<D>) {
-    let server = &probe.server;
-    let connection_age_ms = probe
-        .connection
-        .as_ref()
-        .map(|it| millis(it.opened_at.elapsed()));
-    let Some(status) = probe.status else {
-        log::info!(event = "replica_status", service = server.service.as_str(), server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms; "a replica did not report its log");
-        return;
-    };
-    log::info!(
-        event = "replica_status", service = server.service.as_str(),
-        server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms,
-        role:? = status.role, term = status.term.0,
-        received:? = (status.received.term.0, status.received.index),
-        held_term = status.held.map(|term| term.0);
-        "a replica reported its log"
-    );
-}
-
 /// Connects to a server and queries its status.
 pub(super) async fn query_status<D: Dialect, P: Platform>(
     core: &Core<D, P>,
@@ -106,10 +98,7 @@
     core: &Core<D, P>,
     server: &Server,
 ) -> Option<Connection<D>> {
-    let server_id = ServerId {
-        service: server.service.clone(),
-        server: server.id.clone(),
-    };
+    let server_id = server.server_id();
     let (idle, gate) = core
         .with_backend(&server_id, |backend| {
             let idle = backend.take_idle();
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -1,5 +1,7 @@
 //! Decides which replica may be promoted to primary.
 
+pub mod attempt;
+
 use crate::{backend::Role, backend::Status};
 use fulmargw_model::{
     name::Name,
@@ -23,6 +25,10 @@
 pub enum Obstacle {
     /// replica {0} did not respond and may be the only one with an acknowledged commit
     NoResponse(Name),
+    /// replica {0} could not be paused
+    NotPaused(Name),
+    /// replica {0} is not as it was when the candidate was chosen
+    Moved(Name),
     /// no replica can be promoted
     NoCandidate,
     /// server {0} is the primary of term {1:?}
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -366,6 +366,17 @@
         self.primary_id.as_ref().is_some_and(|id| id != server)
     }
 
+    /// Reports whether a commit that this host has sent to a server has no response yet, although the
+    /// server works.
+    #[must_use]
+    pub fn awaits_commit(&self, now: Instant) -> bool {
+        let mut working = self
+            .backends
+            .values()
+            .filter(|it| it.health.trouble(now).is_none());
+        working.any(|backend| backend.health.has_outstanding_commit())
+    }
+
     /// Reports whether a commit that this host has sent to a server has no response yet.
     #[must_use]
     pub fn has_outstanding_commit(&self) -> bool {
