Resume replicas only on behalf of a claim that is still held

Cause: an attempt that ended with an obstacle resumed every replica that it had reached, also those that it had not paused, and did not ask whether it still held the claim.

Change: it resumes the replicas that it paused, and those that an earlier claim left paused. Without the claim the replicas stay paused for the holder. A RESUME that arrives late is harmless because of the commit barrier.

The claim does not name a candidate any more for which no call was sent. The next attempt took such a one for an open promotion call.

--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -39,6 +39,9 @@
 /// Longest time between the raising of the barrier and a promotion call, so that the barrier is still
 /// up when the call takes effect.
 const MAX_BARRIER_AGE: Duration = Duration::from_secs(1);
+/// Time after the renewal of a claim in which replicas may be resumed. It is shorter than the time for
+/// which a claim excludes other hosts.
+const RESUME_PERIOD: Duration = Duration::from_secs(3);
 
 /// Why an attempt ended without a new primary.
 #[derive(Debug, displaydoc::Display)]
@@ -100,6 +103,7 @@
         core,
         service,
         claimed,
+        is_candidate_claimed: earlier_candidate.is_some(),
         earlier_candidate,
         probes: Vec::new(),
         responsive: Vec::new(),
@@ -126,6 +130,8 @@
     claimed: Revision,
     /// Server for which an earlier promotion call was sent that may still take effect.
     earlier_candidate: Option<Name>,
+    /// Whether the claim names a candidate.
+    is_candidate_claimed: bool,
     /// The servers that were asked.
     probes: Vec<Probe<D>>,
     /// Hosts that responded to the survey.
@@ -142,7 +148,7 @@
         let earlier = earlier.filter(|server| !is_excluded(self.core, self.service, server));
         let mut attempt = Attempt::new(completeness, earlier);
         let result = self.run(&mut attempt).await;
-        self.clean_up(result).await
+        self.clean_up(&attempt, result).await
     }
 
     /// Carries out the steps until the attempt ends.
@@ -235,6 +241,7 @@
         match (claimed, raised) {
             (Ok(claimed), raised) => {
                 self.claimed = claimed;
+                self.is_candidate_claimed = true;
                 raised.map_err(|failure| self.open_call_or(failure))
             }
             (Err(failure), _) => Err(self.open_call_or(failure)),
@@ -324,7 +331,11 @@
 
     /// Ends the barrier and the pauses of an attempt without a new primary, unless a promotion call
     /// may still take effect. Returns the result of the attempt.
-    async fn clean_up(mut self, result: Result<Name, Failure>) -> Result<Name, Failure> {
+    async fn clean_up(
+        mut self,
+        attempt: &Attempt,
+        result: Result<Name, Failure>,
+    ) -> Result<Name, Failure> {
         let result = match result {
             Err(failure) if self.leaves_call_open(&failure) => {
                 let token = self.claimed.fencing_token();
@@ -344,7 +355,7 @@
                 }
                 // Another host that has the claim may rely on the pauses.
                 if !matches!(failure, Failure::Claimed) {
-                    resume_replicas(&mut self.probes, self.claimed).await;
+                    self.resume(attempt).await;
                 }
             }
         }
@@ -358,6 +369,30 @@
         );
         self.earlier_candidate.is_some() && !is_settled
     }
+
+    /// Resumes the replicas that are paused, if the claim is still that of this host.
+    ///
+    /// The claim is renewed, without a candidate, so that no other host can have it while the replicas
+    /// are resumed: a replica that the next holder has paused must stay paused.
+    async fn resume(&mut self, attempt: &Attempt) {
+        let paused = attempt.paused_servers();
+        if paused.is_empty() && !self.is_candidate_claimed {
+            return;
+        }
+        let renewed_at = clock::since_boot();
+        let expected = Condition::Unchanged(self.claimed);
+        match claim(self.core, self.service, None, expected).await {
+            Ok(claimed) => {
+                let until = renewed_at + RESUME_PERIOD;
+                let probes = self.probes.iter_mut();
+                let paused = probes.filter(|probe| paused.contains(&probe.server.id));
+                resume_replicas(paused, claimed, until).await;
+            }
+            Err(failure) => {
+                log::info!(event = "replicas_left_paused", service = self.service.as_str(), cause:% = failure; "the claim could not be renewed");
+            }
+        }
+    }
 }
 
 fn log_evidence(service: &Name, evidence: &Evidence) {
--- a/fulmargw_pool/src/failover/survey.rs
+++ b/fulmargw_pool/src/failover/survey.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::{Server, Status},
-    clock::millis,
+    clock::{self, millis},
     connection::Connection,
     core::Core,
     dialect::Dialect,
@@ -163,12 +163,18 @@
     status
 }
 
-/// Resumes replication to the paused replicas on behalf of a claim.
-pub(super) async fn resume_replicas<D: Dialect>(probes: &mut [Probe<D>], claimed: Revision) {
-    for replica in probes
-        .iter_mut()
-        .filter(|replica| replica.connection.is_some())
-    {
+/// Resumes replication to replicas on behalf of a claim. Nothing is sent after `until`, by the time
+/// since boot: another host may have the claim then.
+pub(super) async fn resume_replicas<D: Dialect>(
+    replicas: impl Iterator<Item = &mut Probe<D>>,
+    claimed: Revision,
+    until: Duration,
+) {
+    for replica in replicas.filter(|replica| replica.connection.is_some()) {
+        if clock::since_boot() >= until {
+            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(), cause = "the claim may have expired"; "cannot resume replication to a replica");
+            continue;
+        }
         let sent = Instant::now();
         let status = query(replica, &Command::Resume).await;
         log_command(
@@ -179,7 +185,7 @@
             status,
         );
         if status.is_none() {
-            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(); "cannot resume replication to a replica");
+            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(), cause = "no response"; "cannot resume replication to a replica");
         }
     }
 }
--- a/fulmargw_pool/src/promotion/attempt.rs
+++ b/fulmargw_pool/src/promotion/attempt.rs
@@ -11,7 +11,7 @@
     name::Name,
     position::{Position, Term},
 };
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use tokio::time::Instant;
 
 /// Timeout for the candidate to receive what the other replicas have received.
@@ -94,6 +94,8 @@
     replicas: Vec<Replica>,
     evidence: Evidence,
     candidate: Option<Candidate>,
+    /// Servers that a pause was sent to. One without a response may take effect later.
+    pause_sent: Vec<Name>,
     /// Positions at which replicas were paused.
     paused_at: Vec<(Name, Position)>,
     /// Time until which the candidate may catch up.
@@ -114,6 +116,7 @@
             replicas: Vec::new(),
             evidence: Evidence::default(),
             candidate: None,
+            pause_sent: Vec::new(),
             paused_at: Vec::new(),
             catch_up_until: None,
             acknowledged: None,
@@ -139,7 +142,12 @@
         let others = others.map(|replica| replica.server.clone()).collect();
         let term = candidate.pause_term;
         self.candidate = Some(candidate);
-        Step::Pause(others, term)
+        self.pause(others, term)
+    }
+
+    fn pause(&mut self, servers: Vec<Name>, term: Term) -> Step {
+        self.pause_sent.extend_from_slice(&servers);
+        Step::Pause(servers, term)
     }
 
     /// Records the positions at which replicas were paused, and waits for the candidate to have all of
@@ -188,7 +196,7 @@
             return Step::Query(candidate.server);
         }
         // With all replicas paused, the longest log has every acknowledged commit.
-        Step::Pause(vec![candidate.server], candidate.pause_term)
+        self.pause(vec![candidate.server], candidate.pause_term)
     }
 
     fn choose_longest_log(&mut self) -> Step {
@@ -300,6 +308,17 @@
         }
     }
 
+    /// Returns the servers to resume if the attempt ends with an obstacle: those that it paused, and
+    /// those that an earlier claim left paused.
+    #[must_use]
+    pub fn paused_servers(&self) -> Vec<Name> {
+        let is_held = |replica: &&Replica| replica.status.is_some_and(|it| it.held.is_some());
+        let held = self.replicas.iter().filter(is_held);
+        let held = held.map(|replica| &replica.server);
+        let paused: BTreeSet<&Name> = self.pause_sent.iter().chain(held).collect();
+        paused.into_iter().cloned().collect()
+    }
+
     fn stop(obstacle: Obstacle) -> Step {
         Step::End(End::Obstacle(obstacle))
     }
