Hold commits while a promotion call without a response may take effect

Change: as long as the result of a call is unknown, its host raises the commit barrier again each second, for at most 15 s; a platform that is away must not stop the writes of a primary that works for ever. An attempt that finds an earlier candidate in the claim raises the barrier before it asks the servers.

Test: fulmargw_pool/tests/promotion.rs commits_are_held_for_some_time_while_a_promotion_call_is_open.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -12,6 +12,8 @@
 pub(crate) use survey::connect;
 
 use self::{
+    barriers::raise_barriers,
+    reach::live_peers,
     recording::Recorder,
     replacement::{Failure, attempt},
 };
@@ -89,6 +91,7 @@
         sampling::run(&core);
         release_services(&core);
         recorder.start_due(&core);
+        hold_open_calls(&core, &monitor, &tasks);
         for (service, reason) in monitor.start_due(&core) {
             let core = Arc::clone(&core);
             let attempts = Arc::clone(&monitor.attempts);
@@ -117,6 +120,24 @@
     }
 }
 
+/// Raises the commit barriers of services for which a promotion call may still take effect.
+fn hold_open_calls<D: Dialect, P: Platform>(
+    core: &Arc<Core<D, P>>,
+    monitor: &Monitor,
+    tasks: &TaskTracker,
+) {
+    let due = lock(&monitor.attempts)
+        .unresolved
+        .due_barriers(Instant::now());
+    for (service, token) in due {
+        let core = Arc::clone(core);
+        tasks.spawn(async move {
+            let peers = live_peers(&core);
+            raise_barriers(&core, &service, token, &peers).await;
+        });
+    }
+}
+
 /// Closes the idle connections of services whose holder is another host now.
 fn release_services<D: Dialect, P: Platform>(core: &Core<D, P>) {
     let now = Instant::now();
@@ -203,7 +224,7 @@
             Err(_) => {}
         }
         if let Err(Failure::Unresolved(token)) = result {
-            self.unresolved.record(service, *token);
+            self.unresolved.record(service, *token, Instant::now());
         }
     }
 }
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -4,7 +4,7 @@
     Reason, assess,
     barriers::{lift_barriers, raise_barriers},
     claim::{KEY_PREFIX, claim, is_excluded, may_be_promoted, previous_claim},
-    reach::{Peer, acknowledged, find_witness},
+    reach::{Peer, acknowledged, find_witness, live_peers},
     recording, set_primary,
     survey::{Probe, pause, query, query_replicas, resume_replicas},
 };
@@ -153,6 +153,11 @@
 
     /// Carries out the steps until the attempt ends.
     async fn run(&mut self, attempt: &mut Attempt) -> Result<Name, Failure> {
+        if self.earlier_candidate.is_some() {
+            // The earlier call may take effect at any time.
+            self.responsive = live_peers(self.core);
+            self.raise_barriers().await?;
+        }
         let mut step = Step::Survey;
         loop {
             step = match step {
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -7,7 +7,8 @@
     name::Name,
     position::{Position, Term},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
 
 /// A replica and the status that it reported.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -159,27 +160,62 @@
     }
 }
 
+/// Interval at which the commit barrier of a service with an unresolved call is raised again.
+const BARRIER_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which commits are held because of an unresolved call. A call that got no response takes
+/// effect within seconds; without this limit a platform that is away would stop all writes of a
+/// service whose primary works.
+const HOLD_PERIOD: Duration = Duration::from_secs(15);
+
 /// Promotion calls whose results are unknown, by service. Such a call may take effect at any time,
 /// until one with a greater token is accepted.
 #[derive(Debug, Default)]
 pub struct Unresolved {
-    /// Greatest token that the calls of a service have used.
-    tokens: BTreeMap<Name, u64>,
+    calls: BTreeMap<Name, OpenCall>,
+}
+
+/// Calls of a service whose results are unknown.
+#[derive(Debug)]
+struct OpenCall {
+    /// Greatest token that they have used.
+    token: u64,
+    /// Time at which the first one was recorded.
+    since: Instant,
+    /// Time at which the barrier was last raised for them.
+    held_at: Instant,
 }
 
 impl Unresolved {
     /// Records a call with `token`, or one with a smaller token.
-    pub fn record(&mut self, service: &Name, token: u64) {
-        let known = self.tokens.entry(service.clone()).or_default();
-        *known = token.max(*known);
+    pub fn record(&mut self, service: &Name, token: u64, now: Instant) {
+        let known = self.calls.entry(service.clone()).or_insert(OpenCall {
+            token,
+            since: now,
+            held_at: now,
+        });
+        known.token = token.max(known.token);
+    }
+
+    /// Returns the services whose commit barrier has to be raised again now, with the tokens.
+    pub fn due_barriers(&mut self, now: Instant) -> Vec<(Name, u64)> {
+        let mut due = Vec::new();
+        for (service, call) in &mut self.calls {
+            let is_held = now.saturating_duration_since(call.since) < HOLD_PERIOD;
+            let is_due = now.saturating_duration_since(call.held_at) >= BARRIER_INTERVAL;
+            if is_held && is_due {
+                call.held_at = now;
+                due.push((service.clone(), call.token));
+            }
+        }
+        due
     }
 
     /// Records that a call with `token` was accepted, of this host or of another one. Returns whether
     /// this settles calls whose results were unknown.
     pub fn settle(&mut self, service: &Name, token: u64) -> bool {
-        let is_settled = self.tokens.get(service).is_some_and(|used| *used < token);
+        let is_settled = self.calls.get(service).is_some_and(|it| it.token < token);
         if is_settled {
-            self.tokens.remove(service);
+            self.calls.remove(service);
         }
         is_settled
     }
@@ -187,7 +223,7 @@
     /// Reports whether a call of a service may still take effect.
     #[must_use]
     pub fn contains(&self, service: &Name) -> bool {
-        self.tokens.contains_key(service)
+        self.calls.contains_key(service)
     }
 }
 
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -6,6 +6,8 @@
     promotion::{self, Evidence, Gap, Obstacle, Replica, Unresolved},
 };
 use quickcheck::QuickCheck;
+use std::time::Duration;
+use tokio::time::Instant;
 
 fn position(term: u64, index: u64) -> Position {
     Position {
@@ -194,8 +196,9 @@
 fn an_accepted_call_of_another_host_settles_calls_with_smaller_tokens() {
     let (service, other) = ("s".into(), "other".into());
     let mut unresolved = Unresolved::default();
-    unresolved.record(&service, 7);
-    unresolved.record(&service, 5);
+    let now = Instant::now();
+    unresolved.record(&service, 7, now);
+    unresolved.record(&service, 5, now);
 
     let by_older = unresolved.settle(&service, 6);
     let by_same = unresolved.settle(&service, 7);
@@ -206,3 +209,25 @@
     assert!(unresolved.settle(&service, 8));
     assert!(!unresolved.contains(&service));
 }
+
+/// Guards against a commit that is acknowledged while a promotion call without a response may take effect,
+/// and against writes that are held for ever because the platform is away.
+#[test]
+fn commits_are_held_for_some_time_while_a_promotion_call_is_open() {
+    let service = "s".into();
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut unresolved = Unresolved::default();
+    unresolved.record(&service, 7, start);
+    unresolved.record(&service, 9, after(14));
+
+    let at_once = unresolved.due_barriers(start);
+    let later = unresolved.due_barriers(after(2));
+    let again = unresolved.due_barriers(after(2));
+    let last = unresolved.due_barriers(after(16));
+
+    assert_eq!(at_once, []);
+    assert_eq!(later, [(service, 9)]);
+    assert_eq!(again, []);
+    assert_eq!(last, []);
+}
