Count the wait for a failed primary for that primary only

From reading: a promotion waits up to 20 s for a primary that may have commits which no replica has. A check that finds no reason ends the wait. If another host promotes a server and that one fails within a check, or needs a successor for another reason, the time since the first failure counted as the wait for the second one, and an incomplete replica could be promoted at once.

Change: the wait names its primary; another primary begins another wait. A registry entry that lapses meanwhile does not.

Test: fulmargw_pool/tests/promotion.rs the_wait_for_one_primary_does_not_count_for_another.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -25,7 +25,7 @@
     evacuation,
     health::Trouble,
     member::Executor,
-    promotion::{Unresolved, attempt::Completeness},
+    promotion::{Unresolved, Waits, attempt::Completeness},
     sampling,
     store::Platform,
     table::Backend,
@@ -53,10 +53,7 @@
 /// starts to work.
 const AFTER_PROMOTION_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Time for which a promotion waits for the old primary, which may come back with acknowledged
-/// commits that no replica has received.
-const MISSING_COMMITS_TIMEOUT: Duration = Duration::from_secs(20);
-/// Delay between attempts while it waits.
+/// Delay between attempts while a promotion waits for the old primary.
 const MISSING_COMMITS_RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// Why a primary should be replaced.
@@ -95,17 +92,21 @@
         for (service, reason) in monitor.start_due(&core) {
             let core = Arc::clone(&core);
             let attempts = Arc::clone(&monitor.attempts);
+            let primary = assumed_primary(&core, &service);
             let completeness = if evacuation::has_excluded(&core, &service) {
                 // Servers that are not asked may have commits that no other server has.
                 Completeness::AllAcknowledged
             } else {
-                lock(&attempts).completeness(&service, Instant::now())
+                let now = Instant::now();
+                lock(&attempts)
+                    .waits
+                    .completeness(&service, primary.as_ref(), now)
             };
             tasks.spawn(async move {
                 let started = Instant::now();
                 let result = attempt(&core, &service, reason, completeness).await;
                 log_result(&service, reason, started, &result);
-                lock(&attempts).record_result(&service, &result, started);
+                lock(&attempts).record_result(&service, primary.as_ref(), &result, started);
                 let delay = match &result {
                     Ok(_) => AFTER_PROMOTION_DELAY,
                     Err(Failure::Obstacle(obstacle)) if obstacle.awaits_primary() => {
@@ -190,35 +191,30 @@
     running: BTreeSet<Name>,
     /// Promotion calls whose results are unknown.
     unresolved: Unresolved,
-    /// Services whose present failure of the primary leaves no replica with every acknowledged
-    /// commit, and since when.
-    missing_commits: BTreeMap<Name, Instant>,
+    /// Services whose promotion waits for the old primary.
+    waits: Waits,
 }
 
 impl Attempts {
-    fn completeness(&self, service: &Name, now: Instant) -> Completeness {
-        let since = self.missing_commits.get(service);
-        match since.map(|since| now.saturating_duration_since(*since)) {
-            Some(waited) if waited >= MISSING_COMMITS_TIMEOUT => Completeness::LongestLog,
-            _ => Completeness::AllAcknowledged,
-        }
-    }
-
     /// Forgets for how long a promotion has waited for the old primary. A later failure is another
     /// one, whose primary may come back just as well.
     fn end_wait(&mut self, service: &Name, now: Instant) {
-        if let Some(since) = self.missing_commits.remove(service) {
-            let waited_ms = millis(now.saturating_duration_since(since));
+        if let Some(waited) = self.waits.end(service, now) {
+            let waited_ms = millis(waited);
             log::info!(event = "promotion_wait_ended", service = service.as_str(), waited_ms; "the service has a primary again");
         }
     }
 
-    fn record_result(&mut self, service: &Name, result: &Result<Name, Failure>, started: Instant) {
+    fn record_result(
+        &mut self,
+        service: &Name,
+        primary: Option<&Name>,
+        result: &Result<Name, Failure>,
+        started: Instant,
+    ) {
         match result {
             Err(Failure::Obstacle(obstacle)) if obstacle.awaits_primary() => {
-                self.missing_commits
-                    .entry(service.clone())
-                    .or_insert(started);
+                self.waits.begin(service, primary, started);
             }
             Ok(_) => self.end_wait(service, started),
             Err(_) => {}
@@ -284,6 +280,10 @@
     }
 }
 
+fn assumed_primary<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<Name> {
+    core.servers.lock().groups.get(service)?.primary_id.clone()
+}
+
 /// Returns the token of the latest promotion of a service that this host knows to be accepted.
 fn accepted_token<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<u64> {
     let members = core.members.lock();
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 
+use self::attempt::Completeness;
 use crate::{backend::Role, backend::Status};
 use fulmargw_model::{
     name::Name,
@@ -160,6 +161,70 @@
     }
 }
 
+/// Time for which a promotion waits for the old primary, which may come back with acknowledged
+/// commits that no replica has received.
+const MISSING_COMMITS_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Services whose present failure of the primary leaves no replica with every acknowledged commit.
+#[derive(Debug, Default)]
+pub struct Waits {
+    waits: BTreeMap<Name, Wait>,
+}
+
+/// Wait for a failed primary.
+#[derive(Debug)]
+struct Wait {
+    /// The failed primary; `None` if it is not registered.
+    primary: Option<Name>,
+    since: Instant,
+}
+
+impl Waits {
+    /// Records that a promotion has to wait since `since` for `primary`, unless it does so already. The
+    /// wait for another primary is another one, as that may come back just as well.
+    pub fn begin(&mut self, service: &Name, primary: Option<&Name>, since: Instant) {
+        let wait = self.waits.entry(service.clone());
+        let wait = wait.or_insert_with(|| Wait {
+            primary: primary.cloned(),
+            since,
+        });
+        if wait.is_for_other(primary) {
+            wait.since = since;
+        }
+        // The registry entry of a failed primary lapses, which does not begin another wait.
+        wait.primary = primary.or(wait.primary.as_ref()).cloned();
+    }
+
+    /// Ends the wait of a service, and returns how long it has lasted.
+    pub fn end(&mut self, service: &Name, now: Instant) -> Option<Duration> {
+        let wait = self.waits.remove(service)?;
+        Some(now.saturating_duration_since(wait.since))
+    }
+
+    /// Returns which commits a replica must have to replace `primary`.
+    #[must_use]
+    pub fn completeness(
+        &self,
+        service: &Name,
+        primary: Option<&Name>,
+        now: Instant,
+    ) -> Completeness {
+        let wait = self.waits.get(service);
+        let wait = wait.filter(|wait| !wait.is_for_other(primary));
+        let waited = wait.map(|wait| now.saturating_duration_since(wait.since));
+        match waited {
+            Some(waited) if waited >= MISSING_COMMITS_TIMEOUT => Completeness::LongestLog,
+            _ => Completeness::AllAcknowledged,
+        }
+    }
+}
+
+impl Wait {
+    fn is_for_other(&self, primary: Option<&Name>) -> bool {
+        self.primary.is_some() && primary.is_some() && self.primary.as_ref() != primary
+    }
+}
+
 /// Interval at which the commit barrier of a service with an unresolved call is raised again.
 const BARRIER_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which commits are held because of an unresolved call. A call that got no response takes
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -3,7 +3,7 @@
 use fulmargw_model::position::{Position, Term};
 use fulmargw_pool::{
     backend::{Role, Status},
-    promotion::{self, Evidence, Gap, Obstacle, Replica, Unresolved},
+    promotion::{self, Evidence, Gap, Obstacle, Replica, Unresolved, Waits, attempt::Completeness},
 };
 use quickcheck::QuickCheck;
 use std::time::Duration;
@@ -231,3 +231,26 @@
     assert_eq!(again, []);
     assert_eq!(last, []);
 }
+
+/// Guards against the promotion of an incomplete replica without a wait: the service had failed for another
+/// reason before, and the time since then counted as the wait for the present primary.
+#[test]
+fn the_wait_for_one_primary_does_not_count_for_another() {
+    let (service, first, second) = ("s".into(), "first".into(), "second".into());
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut waits = Waits::default();
+    waits.begin(&service, Some(&first), start);
+    waits.begin(&service, None, after(5));
+
+    let lapsed = waits.completeness(&service, None, after(20));
+    let of_other = waits.completeness(&service, Some(&second), after(20));
+    waits.begin(&service, Some(&second), after(20));
+    let too_early = waits.completeness(&service, Some(&second), after(39));
+    let in_time = waits.completeness(&service, Some(&second), after(40));
+
+    assert_eq!(lapsed, Completeness::LongestLog);
+    assert_eq!(of_other, Completeness::AllAcknowledged);
+    assert_eq!(too_early, Completeness::AllAcknowledged);
+    assert_eq!(in_time, Completeness::LongestLog);
+}
