Count the status of a replica only for a process that is known

Cause: the record of the replica set names processes by their start. It was compared with the registry's entries, but the status came from whatever process answered at the address. The entry of a restarted process can be late.

A connection stays with one process; a new one takes over what an older one shows that got a response while both were open. Servers that registered meanwhile count as not asked. Connections of an attempt without a result are kept, so that the next one knows the processes.

If a process is not known and not every host has reported a position, the promotion waits for the primary as it does for a server that left.

--- a/fulmargw_pool/src/connection.rs
+++ b/fulmargw_pool/src/connection.rs
@@ -4,6 +4,7 @@
     backend::Server,
     dialect::Dialect,
     message::{Command, Response},
+    process::Tenure,
     scheduling::Hold,
 };
 use bytes::BytesMut;
@@ -45,8 +46,8 @@
     framed: Framed<TcpStream, D::BackendCodec>,
     /// Client account on whose behalf it was opened.
     pub account: Name,
-    /// Time at which it was about to be opened.
-    pub opened_at: Instant,
+    /// What is known of the process that responds on it.
+    pub tenure: Tenure,
     /// Time of the last response.
     pub last_response_at: Instant,
     /// Log position that the server reported last.
@@ -129,7 +130,6 @@
         account: Name,
         gate: &CancellationToken,
     ) -> Result<Self, Error> {
-        let opened_at = Instant::now();
         let stream = TcpStream::connect(server.address).await;
         let stream = stream.map_err(Error::Unreachable)?;
         set_socket_options(&stream).map_err(Error::Unreachable)?;
@@ -141,7 +141,7 @@
         let mut connection = Self {
             framed: Framed::new(stream, D::BackendCodec::default()),
             account,
-            opened_at,
+            tenure: Tenure::new(Instant::now()),
             last_response_at: Instant::now(),
             position: None,
             hold: None,
@@ -156,6 +156,7 @@
         match connection.next().await.map_err(Error::Dropped)? {
             Response::Ready(TransactionState::Idle, position) => {
                 connection.position = position;
+                connection.tenure = Tenure::new(Instant::now());
                 Ok(connection)
             }
             Response::Error(code, _) => Err(Error::Refused(code)),
@@ -174,6 +175,7 @@
             return Err(io::Error::other(Evacuated));
         }
         let count = commands.len();
+        let sent_at = Instant::now();
         let mut sent = 0;
         for command in commands {
             self.framed.feed(command).await?;
@@ -184,6 +186,7 @@
         for _ in 0..count {
             replies.push(self.reply().await?);
         }
+        self.tenure.record_response(sent_at);
         let rows = replies.iter().flat_map(|reply| &reply.rows);
         let received: usize = rows.map(Text::len).sum();
         self.release_buffers(sent, received);
--- a/fulmargw_pool/src/failover/recording.rs
+++ b/fulmargw_pool/src/failover/recording.rs
@@ -224,14 +224,26 @@
 }
 
 /// Returns why the logs of the queried replicas may lack an acknowledged commit, according to the
-/// record of their service; `None` if together they have all of them.
-pub(super) fn gap<D: Dialect>(record: Option<&Record>, probes: &[Probe<D>]) -> Option<Gap> {
+/// record of their service and the servers that are `registered` now; `None` if together they have
+/// all of them.
+pub(super) fn gap<D: Dialect>(
+    record: Option<&Record>,
+    registered: &BTreeSet<Member>,
+    probes: &[Probe<D>],
+) -> Option<Gap> {
     let Some(record) = record.filter(|record| !record.members.is_empty()) else {
         return Some(Gap::Unrecorded);
     };
-    let responding = probes.iter().filter(|probe| probe.status.is_some());
-    let asked = responding.map(|probe| probe.server.member()).collect();
-    record.gap(&asked).cloned().map(Gap::Absent)
+    let identified = probes.iter().filter(|probe| probe.is_identified);
+    let asked = identified.map(|probe| probe.server.member()).collect();
+    let all = record.updated(None, registered);
+    let missing = all.gap(&asked)?;
+    let has_responded = |probe: &Probe<D>| probe.server.id == *missing && probe.status.is_some();
+    Some(if probes.iter().any(has_responded) {
+        Gap::Unidentified(missing.clone())
+    } else {
+        Gap::Absent(missing.clone())
+    })
 }
 
 fn encode(record: &Record) -> Result<Vec<u8>, Error> {
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -6,10 +6,10 @@
     claim::{KEY_PREFIX, claim, is_excluded, may_be_promoted, previous_claim},
     reach::{Peer, acknowledged, find_witness, live_peers},
     recording, set_primary,
-    survey::{Probe, pause, query, query_replicas, resume_replicas},
+    survey::{Probe, pause, query, query_replicas, resume_replicas, return_connections},
 };
 use crate::{
-    backend::Status,
+    backend::{Server, Status},
     clock::{self, millis},
     core::Core,
     dialect::Dialect,
@@ -181,19 +181,28 @@
 
     /// Asks the servers for their logs, and the hosts and the store for what was acknowledged.
     async fn survey(&mut self) -> Result<Survey, Failure> {
-        let (probes, acknowledged, record) = tokio::join!(
+        let asked_at = Instant::now();
+        let (probes, acknowledged, record, registry) = tokio::join!(
             query_replicas(self.core, self.service),
             acknowledged(self.core, self.service),
-            recording::read(self.core, self.service)
+            recording::read(self.core, self.service),
+            self.core.platform.registry()
         );
         self.probes = probes;
         let record = record.map_err(Failure::Store)?;
-        self.probes.iter().for_each(Probe::log);
+        let (registry, _) = registry.map_err(Failure::Store)?;
+        let lifetime = self.core.settings.limits.registration_lifetime();
+        for probe in &mut self.probes {
+            probe.identify(&registry, asked_at, lifetime);
+            probe.log();
+        }
+        let members = registry.values().filter(|it| it.service == *self.service);
+        let registered = members.map(Server::member).collect();
         let record = record.as_ref().map(|(record, _)| record);
         let evidence = Evidence {
             acknowledged: acknowledged.position,
             is_exact: acknowledged.is_exact,
-            gap: recording::gap(record, &self.probes),
+            gap: recording::gap(record, &registered, &self.probes),
         };
         self.responsive = acknowledged.responsive;
         log_evidence(self.service, &evidence);
@@ -364,6 +373,7 @@
                 }
             }
         }
+        return_connections(self.core, self.probes);
         result
     }
 
--- a/fulmargw_pool/src/failover/survey.rs
+++ b/fulmargw_pool/src/failover/survey.rs
@@ -1,7 +1,7 @@
 //! Queries the servers of a service for their status, and pauses and resumes replication.
 
 use crate::{
-    backend::{Server, Status},
+    backend::{Registry, Server, Status},
     clock::{self, millis},
     connection::Connection,
     core::Core,
@@ -26,18 +26,34 @@
     pub(super) server: Server,
     connection: Option<Connection<D>>,
     pub(super) status: Option<Status>,
+    /// Whether its registry entry was written by the process that responds.
+    pub(super) is_identified: bool,
 }
 
 impl<D: Dialect> Probe<D> {
+    /// Decides whether the process that responded wrote the server's entry in a registry that was read
+    /// after `read_at`. The registry removes an entry within `lifetime` after its last write.
+    ///
+    /// A process that has run for the lifetime of an entry that is still there has written that entry.
+    /// One that has restarted since may have a late entry, which leaves the earlier one in place.
+    pub(super) fn identify(&mut self, registry: &Registry, read_at: Instant, lifetime: Duration) {
+        let registered = registry.get(&self.server.id).map(Server::member);
+        let is_registered = registered == Some(self.server.member());
+        let is_old = |connection: &Connection<D>| connection.tenure.since() + lifetime <= read_at;
+        self.is_identified =
+            self.status.is_some() && is_registered && self.connection.as_ref().is_some_and(is_old);
+    }
+
     /// Writes the line of the server's last status.
     pub(super) fn log(&self) {
         let server = &self.server;
         let connection = self.connection.as_ref();
-        let connection_age_ms = connection.map(|it| millis(it.opened_at.elapsed()));
+        let known_for_ms = connection.map(|it| millis(it.tenure.since().elapsed()));
         let status = self.status;
         log::info!(
             event = "replica_status", service = server.service.as_str(),
-            server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms,
+            server = server.id.as_str(), born_unix_ms = server.born_unix_ms, known_for_ms,
+            is_identified = self.is_identified,
             role:? = status.map(|it| it.role), term = status.map(|it| it.term.0),
             received:? = status.map(|it| (it.received.term.0, it.received.index)),
             held_term = status.and_then(|it| it.held).map(|term| term.0);
@@ -88,8 +104,14 @@
         connection: connect(core, &server).await,
         server,
         status: None,
+        is_identified: false,
     };
     probe.status = query(&mut probe, &Command::Status).await;
+    if let Some(connection) = &mut probe.connection {
+        let server_id = probe.server.server_id();
+        let tenure = &mut connection.tenure;
+        core.with_backend(&server_id, |backend| backend.process.compare(tenure));
+    }
     probe
 }
 
@@ -101,7 +123,7 @@
     let server_id = server.server_id();
     let (idle, gate) = core
         .with_backend(&server_id, |backend| {
-            let idle = backend.take_idle();
+            let idle = backend.take_oldest_idle();
             if idle.is_some() {
                 backend.connection_closed();
             }
@@ -190,6 +212,22 @@
     }
 }
 
+/// Keeps the connections of an attempt for the next one, so that they get old enough to tell which
+/// process responds.
+pub(super) fn return_connections<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    probes: Vec<Probe<D>>,
+) {
+    for probe in probes {
+        let Some(connection) = probe.connection else {
+            continue;
+        };
+        let server_id = probe.server.server_id();
+        core.with_backend(&server_id, |backend| backend.adopt(connection));
+    }
+    core.work_ready.notify_one();
+}
+
 /// Writes the line of a command that pauses or resumes replication. One without a response may take
 /// effect later.
 fn log_command(
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pace;
 pub mod placement;
 pub mod probe;
+pub mod process;
 pub mod promotion;
 pub mod replica_set;
 pub mod routing;
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -54,6 +54,8 @@
 pub enum Gap {
     /// server {0} did not report its log and may be the only one with it
     Absent(Name),
+    /// server {0} may be the only one with it, and may have restarted without its log
+    Unidentified(Name),
     /// the servers that may have it are not recorded
     Unrecorded,
 }
--- a/fulmargw_pool/src/sampling.rs
+++ b/fulmargw_pool/src/sampling.rs
@@ -115,7 +115,7 @@
             return None;
         }
         let source = match backend.take_idle() {
-            Some(connection) => Source::Idle(connection),
+            Some(connection) => Source::Idle(Box::new(connection)),
             None if due.is_needed && backend.reserve_connection(moment.now) => {
                 Source::New(backend.server.clone())
             }
@@ -157,7 +157,7 @@
 
 /// Connection over which a sample is taken.
 enum Source<D: Dialect> {
-    Idle(Connection<D>),
+    Idle(Box<Connection<D>>),
     /// A connection to this server has to be opened, and is counted already.
     New(Server),
 }
@@ -168,7 +168,7 @@
     source: Source<D>,
 ) {
     let connection = match source {
-        Source::Idle(connection) => Some(connection),
+        Source::Idle(connection) => Some(*connection),
         Source::New(server) => failover::connect(&core, &server).await,
     };
     match connection {
--- a/fulmargw_pool/src/table/backend.rs
+++ b/fulmargw_pool/src/table/backend.rs
@@ -6,6 +6,7 @@
     connection::Connection,
     dialect::Dialect,
     health::Health,
+    process::Proof,
     routing::Availability,
     scheduling::{Hold, Holds},
 };
@@ -41,6 +42,8 @@
     pub(super) entered_at: Instant,
     /// What its responses say about its speed and failures, while limits follow them.
     pub(super) adaptation: Option<Adaptation>,
+    /// What its responses say of the process that runs there.
+    pub process: Proof,
     /// Idle connections, the least recently used one first.
     idle: Vec<Connection<D>>,
     /// Connections that open transactions hold.
@@ -100,6 +103,7 @@
             cold: None,
             entered_at: Instant::now(),
             adaptation: None,
+            process: Proof::default(),
             idle: Vec::new(),
             holds: Holds::default(),
         }
@@ -114,6 +118,7 @@
             self.close_idle();
             self.health = Health::new();
             self.adaptation = None;
+            self.process = Proof::default();
         }
         if server.is_draining {
             self.draining_since.get_or_insert_with(|| time_ago(age));
@@ -214,11 +219,29 @@
         None
     }
 
+    /// Takes the idle connection that has been open for the longest time, of any account.
+    pub fn take_oldest_idle(&mut self) -> Option<Connection<D>> {
+        let count = self.idle.len();
+        self.idle.retain(|connection| !connection.is_stale());
+        let closed = u32::try_from(count - self.idle.len()).unwrap_or(u32::MAX);
+        self.open = self.open.saturating_sub(closed);
+        let idle = self.idle.iter().enumerate();
+        let (oldest, _) = idle.min_by_key(|(_, connection)| connection.tenure.since())?;
+        Some(self.idle.remove(oldest))
+    }
+
+    /// Checks in a connection that was opened without being counted.
+    pub fn adopt(&mut self, connection: Connection<D>) {
+        self.open += 1;
+        self.check_in(connection);
+    }
+
     /// Checks in a connection, or closes the least recently used one if too many are open.
     ///
     /// Opening a connection takes a slot, so none is closed while all slots are in use.
     pub fn check_in(&mut self, mut connection: Connection<D>) {
         connection.hold = None;
+        self.process.compare(&mut connection.tenure);
         let has_free_slot = self.running < self.server.slots;
         if connection.is_closed() {
             self.connection_closed();
--- a/fulmargw_pool/tests/attempt.rs
+++ b/fulmargw_pool/tests/attempt.rs
@@ -265,7 +265,7 @@
         let is_exact = self.fault == Fault::Replicas;
         let hosts = self.hosts.iter().filter(|_| is_exact);
         let acknowledged = hosts.map(|host| host.acknowledged).max();
-        let gap = record.gap(&asked).cloned().map(Gap::Absent);
+        let gap = record.gap(&asked).cloned().map(Gap::Unidentified);
         Survey {
             replicas,
             evidence: Evidence {
