--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -1,5 +1,6 @@
 //! Detects primaries that have failed or are draining, and has them replaced.
 
+mod barriers;
 mod claim;
 mod reach;
 mod recording;
@@ -11,12 +12,23 @@
 pub(crate) use survey::connect;
 
 use self::{
+    barriers::raise_barriers,
+    reach::live_peers,
     recording::Recorder,
-    replacement::{Completeness, Failure, attempt},
+    replacement::{Failure, attempt},
 };
 use crate::{
-    clock::millis, core::Core, dialect::Dialect, evacuation, health::Trouble, member::Executor,
-    promotion::Unresolved, sampling, store::Platform, table::Backend,
+    barrier,
+    clock::millis,
+    core::Core,
+    dialect::Dialect,
+    evacuation,
+    health::Trouble,
+    member::Executor,
+    promotion::{Unresolved, Waits, attempt::Completeness},
+    sampling,
+    store::Platform,
+    table::Backend,
 };
 use fulmargw_decision::evacuation::{Exclusion, needs_successor};
 use fulmargw_model::name::Name;
@@ -41,10 +53,7 @@
 /// starts to work.
 const AFTER_PROMOTION_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Time for which a promotion waits for the old primary, which may come back with acknowledged
-/// commits that no replica has received.
-const MISSING_COMMITS_TIMEOUT: Duration = Duration::from_secs(20);
-/// Delay between attempts while it waits.
+/// Delay between attempts while a promotion waits for the old primary.
 const MISSING_COMMITS_RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// Why a primary should be replaced.
@@ -74,24 +83,30 @@
             () = core.stop.cancelled() => return,
         }
         core.work_ready.notify_one();
+        barrier::end_expired(&core);
         evacuation::update_cold(&core);
         sampling::run(&core);
         release_services(&core);
         recorder.start_due(&core);
+        hold_open_calls(&core, &monitor, &tasks);
         for (service, reason) in monitor.start_due(&core) {
             let core = Arc::clone(&core);
             let attempts = Arc::clone(&monitor.attempts);
+            let primary = assumed_primary(&core, &service);
             let completeness = if evacuation::has_excluded(&core, &service) {
                 // Servers that are not asked may have commits that no other server has.
                 Completeness::AllAcknowledged
             } else {
-                lock(&attempts).completeness(&service, Instant::now())
+                let now = Instant::now();
+                lock(&attempts)
+                    .waits
+                    .completeness(&service, primary.as_ref(), now)
             };
             tasks.spawn(async move {
                 let started = Instant::now();
                 let result = attempt(&core, &service, reason, completeness).await;
                 log_result(&service, reason, started, &result);
-                lock(&attempts).record_result(&service, &result, started);
+                lock(&attempts).record_result(&service, primary.as_ref(), &result, started);
                 let delay = match &result {
                     Ok(_) => AFTER_PROMOTION_DELAY,
                     Err(Failure::Obstacle(obstacle)) if obstacle.awaits_primary() => {
@@ -106,6 +121,24 @@
     }
 }
 
+/// Raises the commit barriers of services for which a promotion call may still take effect.
+fn hold_open_calls<D: Dialect, P: Platform>(
+    core: &Arc<Core<D, P>>,
+    monitor: &Monitor,
+    tasks: &TaskTracker,
+) {
+    let due = lock(&monitor.attempts)
+        .unresolved
+        .due_barriers(Instant::now());
+    for (service, token) in due {
+        let core = Arc::clone(core);
+        tasks.spawn(async move {
+            let peers = live_peers(&core);
+            raise_barriers(&core, &service, token, &peers).await;
+        });
+    }
+}
+
 /// Closes the idle connections of services whose holder is another host now.
 fn release_services<D: Dialect, P: Platform>(core: &Core<D, P>) {
     let now = Instant::now();
@@ -158,41 +191,36 @@
     running: BTreeSet<Name>,
     /// Promotion calls whose results are unknown.
     unresolved: Unresolved,
-    /// Services whose present failure of the primary leaves no replica with every acknowledged
-    /// commit, and since when.
-    missing_commits: BTreeMap<Name, Instant>,
+    /// Services whose promotion waits for the old primary.
+    waits: Waits,
 }
 
 impl Attempts {
-    fn completeness(&self, service: &Name, now: Instant) -> Completeness {
-        let since = self.missing_commits.get(service);
-        match since.map(|since| now.saturating_duration_since(*since)) {
-            Some(waited) if waited >= MISSING_COMMITS_TIMEOUT => Completeness::LongestLog,
-            _ => Completeness::AllAcknowledged,
-        }
-    }
-
     /// Forgets for how long a promotion has waited for the old primary. A later failure is another
     /// one, whose primary may come back just as well.
     fn end_wait(&mut self, service: &Name, now: Instant) {
-        if let Some(since) = self.missing_commits.remove(service) {
-            let waited_ms = millis(now.saturating_duration_since(since));
+        if let Some(waited) = self.waits.end(service, now) {
+            let waited_ms = millis(waited);
             log::info!(event = "promotion_wait_ended", service = service.as_str(), waited_ms; "the service has a primary again");
         }
     }
 
-    fn record_result(&mut self, service: &Name, result: &Result<Name, Failure>, started: Instant) {
+    fn record_result(
+        &mut self,
+        service: &Name,
+        primary: Option<&Name>,
+        result: &Result<Name, Failure>,
+        started: Instant,
+    ) {
         match result {
             Err(Failure::Obstacle(obstacle)) if obstacle.awaits_primary() => {
-                self.missing_commits
-                    .entry(service.clone())
-                    .or_insert(started);
+                self.waits.begin(service, primary, started);
             }
             Ok(_) => self.end_wait(service, started),
             Err(_) => {}
         }
         if let Err(Failure::Unresolved(token)) = result {
-            self.unresolved.record(service, *token);
+            self.unresolved.record(service, *token, Instant::now());
         }
     }
 }
@@ -252,6 +280,10 @@
     }
 }
 
+fn assumed_primary<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<Name> {
+    core.servers.lock().groups.get(service)?.primary_id.clone()
+}
+
 /// Returns the token of the latest promotion of a service that this host knows to be accepted.
 fn accepted_token<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<u64> {
     let members = core.members.lock();
@@ -301,18 +333,34 @@
 }
 
 /// Makes a server the assumed primary of a service because it was promoted. `source` names how this
-/// host learned of the promotion.
+/// host learned of the promotion. Ends the commit barrier of the service if the latest promotion of
+/// the service is the one for which it was raised, or a later one.
 pub fn set_primary<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
     server: &Name,
     source: &'static str,
 ) {
-    let is_new = {
+    let token = {
+        let members = core.members.lock();
+        let promotion = members.promotions.get(service);
+        promotion
+            .filter(|it| it.server == *server)
+            .map(|it| it.token)
+    };
+    let (is_new, ended) = {
         let mut servers = core.servers.lock();
-        let group = servers.groups.get_mut(service);
-        group.is_some_and(|group| group.set_promoted(server, Instant::now()))
+        let Some(group) = servers.groups.get_mut(service) else {
+            return;
+        };
+        let is_new = group.set_promoted(server, Instant::now());
+        // While the promoted server is not registered, the assumed primary is still the old one.
+        // The barrier stays up, so that nothing is committed there.
+        let is_primary = group.primary_id.as_ref() == Some(server);
+        let token = token.filter(|_| is_primary);
+        (is_new, token.and_then(|token| group.barrier.lift(token)))
     };
+    barrier::record_end(core, service, ended, "promoted");
     if is_new {
         log::info!(event = "primary_believed", service = service.as_str(), server = server.as_str(), source; "another server is the assumed primary");
         core.work_ready.notify_one();
--- a/fulmargw_pool/src/failover/survey.rs
+++ b/fulmargw_pool/src/failover/survey.rs
@@ -1,8 +1,8 @@
 //! Queries the servers of a service for their status, and pauses and resumes replication.
 
 use crate::{
-    backend::{Server, Status},
-    clock::millis,
+    backend::{Registry, Server, Status},
+    clock::{self, millis},
     connection::Connection,
     core::Core,
     dialect::Dialect,
@@ -10,11 +10,7 @@
     store::{Platform, Revision},
     table::{Backend, Group},
 };
-use fulmargw_model::{
-    execution::{Code, ServerId},
-    name::Name,
-    position::Term,
-};
+use fulmargw_model::{execution::Code, name::Name, position::Term};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -30,6 +26,40 @@
     pub(super) server: Server,
     connection: Option<Connection<D>>,
     pub(super) status: Option<Status>,
+    /// Whether its registry entry was written by the process that responds.
+    pub(super) is_identified: bool,
+}
+
+impl<D: Dialect> Probe<D> {
+    /// Decides whether the process that responded wrote the server's entry in a registry that was read
+    /// after `read_at`. The registry removes an entry within `lifetime` after its last write.
+    ///
+    /// A process that has run for the lifetime of an entry that is still there has written that entry.
+    /// One that has restarted since may have a late entry, which leaves the earlier one in place.
+    pub(super) fn identify(&mut self, registry: &Registry, read_at: Instant, lifetime: Duration) {
+        let registered = registry.get(&self.server.id).map(Server::member);
+        let is_registered = registered == Some(self.server.member());
+        let is_old = |connection: &Connection<D>| connection.tenure.since() + lifetime <= read_at;
+        self.is_identified =
+            self.status.is_some() && is_registered && self.connection.as_ref().is_some_and(is_old);
+    }
+
+    /// Writes the line of the server's last status.
+    pub(super) fn log(&self) {
+        let server = &self.server;
+        let connection = self.connection.as_ref();
+        let known_for_ms = connection.map(|it| millis(it.tenure.since().elapsed()));
+        let status = self.status;
+        log::info!(
+            event = "replica_status", service = server.service.as_str(),
+            server = server.id.as_str(), born_unix_ms = server.born_unix_ms, known_for_ms,
+            is_identified = self.is_identified,
+            role:? = status.map(|it| it.role), term = status.map(|it| it.term.0),
+            received:? = status.map(|it| (it.received.term.0, it.received.index)),
+            held_term = status.and_then(|it| it.held).map(|term| term.0);
+            "asked a replica for its log"
+        );
+    }
 }
 
 /// Queries the status of all servers of a service except the assumed primary and those of evacuated
@@ -54,9 +84,7 @@
     let queries = replicas
         .into_iter()
         .map(|(server, _)| query_status(core, server));
-    let probes = futures::future::join_all(queries).await;
-    probes.iter().for_each(log_status);
-    probes
+    futures::future::join_all(queries).await
 }
 
 /// Returns why a promotion does not ask a server for its log; `None` if it does.
@@ -67,26 +95,6 @@
     backend.is_excluded().then_some("its zone is evacuated")
 }
 
-fn log_status<D: Dialect>(probe: &Probe<D>) {
-    let server = &probe.server;
-    let connection_age_ms = probe
-        .connection
-        .as_ref()
-        .map(|it| millis(it.opened_at.elapsed()));
-    let Some(status) = probe.status else {
-        log::info!(event = "replica_status", service = server.service.as_str(), server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms; "a replica did not report its log");
-        return;
-    };
-    log::info!(
-        event = "replica_status", service = server.service.as_str(),
-        server = server.id.as_str(), born_unix_ms = server.born_unix_ms, connection_age_ms,
-        role:? = status.role, term = status.term.0,
-        received:? = (status.received.term.0, status.received.index),
-        held_term = status.held.map(|term| term.0);
-        "a replica reported its log"
-    );
-}
-
 /// Connects to a server and queries its status.
 pub(super) async fn query_status<D: Dialect, P: Platform>(
     core: &Core<D, P>,
@@ -96,8 +104,14 @@
         connection: connect(core, &server).await,
         server,
         status: None,
+        is_identified: false,
     };
     probe.status = query(&mut probe, &Command::Status).await;
+    if let Some(connection) = &mut probe.connection {
+        let server_id = probe.server.server_id();
+        let tenure = &mut connection.tenure;
+        core.with_backend(&server_id, |backend| backend.process.compare(tenure));
+    }
     probe
 }
 
@@ -106,13 +120,10 @@
     core: &Core<D, P>,
     server: &Server,
 ) -> Option<Connection<D>> {
-    let server_id = ServerId {
-        service: server.service.clone(),
-        server: server.id.clone(),
-    };
+    let server_id = server.server_id();
     let (idle, gate) = core
         .with_backend(&server_id, |backend| {
-            let idle = backend.take_idle();
+            let idle = backend.take_oldest_idle();
             if idle.is_some() {
                 backend.connection_closed();
             }
@@ -174,12 +185,18 @@
     status
 }
 
-/// Resumes replication to the paused replicas on behalf of a claim.
-pub(super) async fn resume_replicas<D: Dialect>(probes: &mut [Probe<D>], claimed: Revision) {
-    for replica in probes
-        .iter_mut()
-        .filter(|replica| replica.connection.is_some())
-    {
+/// Resumes replication to replicas on behalf of a claim. Nothing is sent after `until`, by the time
+/// since boot: another host may have the claim then.
+pub(super) async fn resume_replicas<D: Dialect>(
+    replicas: impl Iterator<Item = &mut Probe<D>>,
+    claimed: Revision,
+    until: Duration,
+) {
+    for replica in replicas.filter(|replica| replica.connection.is_some()) {
+        if clock::since_boot() >= until {
+            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(), cause = "the claim may have expired"; "cannot resume replication to a replica");
+            continue;
+        }
         let sent = Instant::now();
         let status = query(replica, &Command::Resume).await;
         log_command(
@@ -190,11 +207,27 @@
             status,
         );
         if status.is_none() {
-            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(); "cannot resume replication to a replica");
+            log::warn!(event = "replica_left_paused", server = replica.server.id.as_str(), cause = "no response"; "cannot resume replication to a replica");
         }
     }
 }
 
+/// Keeps the connections of an attempt for the next one, so that they get old enough to tell which
+/// process responds.
+pub(super) fn return_connections<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    probes: Vec<Probe<D>>,
+) {
+    for probe in probes {
+        let Some(connection) = probe.connection else {
+            continue;
+        };
+        let server_id = probe.server.server_id();
+        core.with_backend(&server_id, |backend| backend.adopt(connection));
+    }
+    core.work_ready.notify_one();
+}
+
 /// Writes the line of a command that pauses or resumes replication. One without a response may take
 /// effect later.
 fn log_command(
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod activity;
 pub mod admission;
 pub mod backend;
+mod barrier;
 pub mod borrow;
 pub mod budget;
 pub mod catalog;
@@ -32,6 +33,7 @@
 pub mod pace;
 pub mod placement;
 pub mod probe;
+pub mod process;
 pub mod promotion;
 pub mod replica_set;
 pub mod routing;
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -1,11 +1,15 @@
 //! Decides which replica may be promoted to primary.
 
+pub mod attempt;
+
+use self::attempt::Completeness;
 use crate::{backend::Role, backend::Status};
 use fulmargw_model::{
     name::Name,
     position::{Position, Term},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
 
 /// A replica and the status that it reported.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +27,10 @@
 pub enum Obstacle {
     /// replica {0} did not respond and may be the only one with an acknowledged commit
     NoResponse(Name),
+    /// replica {0} could not be paused
+    NotPaused(Name),
+    /// replica {0} is not as it was when the candidate was chosen
+    Moved(Name),
     /// no replica can be promoted
     NoCandidate,
     /// server {0} is the primary of term {1:?}
@@ -46,6 +54,8 @@
 pub enum Gap {
     /// server {0} did not report its log and may be the only one with it
     Absent(Name),
+    /// server {0} may be the only one with it, and may have restarted without its log
+    Unidentified(Name),
     /// the servers that may have it are not recorded
     Unrecorded,
 }
@@ -153,27 +163,126 @@
     }
 }
 
+/// Time for which a promotion waits for the old primary, which may come back with acknowledged
+/// commits that no replica has received.
+const MISSING_COMMITS_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Services whose present failure of the primary leaves no replica with every acknowledged commit.
+#[derive(Debug, Default)]
+pub struct Waits {
+    waits: BTreeMap<Name, Wait>,
+}
+
+/// Wait for a failed primary.
+#[derive(Debug)]
+struct Wait {
+    /// The failed primary; `None` if it is not registered.
+    primary: Option<Name>,
+    since: Instant,
+}
+
+impl Waits {
+    /// Records that a promotion has to wait since `since` for `primary`, unless it does so already. The
+    /// wait for another primary is another one, as that may come back just as well.
+    pub fn begin(&mut self, service: &Name, primary: Option<&Name>, since: Instant) {
+        let wait = self.waits.entry(service.clone());
+        let wait = wait.or_insert_with(|| Wait {
+            primary: primary.cloned(),
+            since,
+        });
+        if wait.is_for_other(primary) {
+            wait.since = since;
+        }
+        // The registry entry of a failed primary lapses, which does not begin another wait.
+        wait.primary = primary.or(wait.primary.as_ref()).cloned();
+    }
+
+    /// Ends the wait of a service, and returns how long it has lasted.
+    pub fn end(&mut self, service: &Name, now: Instant) -> Option<Duration> {
+        let wait = self.waits.remove(service)?;
+        Some(now.saturating_duration_since(wait.since))
+    }
+
+    /// Returns which commits a replica must have to replace `primary`.
+    #[must_use]
+    pub fn completeness(
+        &self,
+        service: &Name,
+        primary: Option<&Name>,
+        now: Instant,
+    ) -> Completeness {
+        let wait = self.waits.get(service);
+        let wait = wait.filter(|wait| !wait.is_for_other(primary));
+        let waited = wait.map(|wait| now.saturating_duration_since(wait.since));
+        match waited {
+            Some(waited) if waited >= MISSING_COMMITS_TIMEOUT => Completeness::LongestLog,
+            _ => Completeness::AllAcknowledged,
+        }
+    }
+}
+
+impl Wait {
+    fn is_for_other(&self, primary: Option<&Name>) -> bool {
+        self.primary.is_some() && primary.is_some() && self.primary.as_ref() != primary
+    }
+}
+
+/// Interval at which the commit barrier of a service with an unresolved call is raised again.
+const BARRIER_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which commits are held because of an unresolved call. A call that got no response takes
+/// effect within seconds; without this limit a platform that is away would stop all writes of a
+/// service whose primary works.
+const HOLD_PERIOD: Duration = Duration::from_secs(15);
+
 /// Promotion calls whose results are unknown, by service. Such a call may take effect at any time,
 /// until one with a greater token is accepted.
 #[derive(Debug, Default)]
 pub struct Unresolved {
-    /// Greatest token that the calls of a service have used.
-    tokens: BTreeMap<Name, u64>,
+    calls: BTreeMap<Name, OpenCall>,
+}
+
+/// Calls of a service whose results are unknown.
+#[derive(Debug)]
+struct OpenCall {
+    /// Greatest token that they have used.
+    token: u64,
+    /// Time at which the first one was recorded.
+    since: Instant,
+    /// Time at which the barrier was last raised for them.
+    held_at: Instant,
 }
 
 impl Unresolved {
     /// Records a call with `token`, or one with a smaller token.
-    pub fn record(&mut self, service: &Name, token: u64) {
-        let known = self.tokens.entry(service.clone()).or_default();
-        *known = token.max(*known);
+    pub fn record(&mut self, service: &Name, token: u64, now: Instant) {
+        let known = self.calls.entry(service.clone()).or_insert(OpenCall {
+            token,
+            since: now,
+            held_at: now,
+        });
+        known.token = token.max(known.token);
+    }
+
+    /// Returns the services whose commit barrier has to be raised again now, with the tokens.
+    pub fn due_barriers(&mut self, now: Instant) -> Vec<(Name, u64)> {
+        let mut due = Vec::new();
+        for (service, call) in &mut self.calls {
+            let is_held = now.saturating_duration_since(call.since) < HOLD_PERIOD;
+            let is_due = now.saturating_duration_since(call.held_at) >= BARRIER_INTERVAL;
+            if is_held && is_due {
+                call.held_at = now;
+                due.push((service.clone(), call.token));
+            }
+        }
+        due
     }
 
     /// Records that a call with `token` was accepted, of this host or of another one. Returns whether
     /// this settles calls whose results were unknown.
     pub fn settle(&mut self, service: &Name, token: u64) -> bool {
-        let is_settled = self.tokens.get(service).is_some_and(|used| *used < token);
+        let is_settled = self.calls.get(service).is_some_and(|it| it.token < token);
         if is_settled {
-            self.tokens.remove(service);
+            self.calls.remove(service);
         }
         is_settled
     }
@@ -181,7 +290,7 @@
     /// Reports whether a call of a service may still take effect.
     #[must_use]
     pub fn contains(&self, service: &Name) -> bool {
-        self.tokens.contains_key(service)
+        self.calls.contains_key(service)
     }
 }
 
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -3,9 +3,11 @@
 use fulmargw_model::position::{Position, Term};
 use fulmargw_pool::{
     backend::{Role, Status},
-    promotion::{self, Evidence, Gap, Obstacle, Replica, Unresolved},
+    promotion::{self, Evidence, Gap, Obstacle, Replica, Unresolved, Waits, attempt::Completeness},
 };
 use quickcheck::QuickCheck;
+use std::time::Duration;
+use tokio::time::Instant;
 
 fn position(term: u64, index: u64) -> Position {
     Position {
@@ -194,8 +196,9 @@
 fn an_accepted_call_of_another_host_settles_calls_with_smaller_tokens() {
     let (service, other) = ("s".into(), "other".into());
     let mut unresolved = Unresolved::default();
-    unresolved.record(&service, 7);
-    unresolved.record(&service, 5);
+    let now = Instant::now();
+    unresolved.record(&service, 7, now);
+    unresolved.record(&service, 5, now);
 
     let by_older = unresolved.settle(&service, 6);
     let by_same = unresolved.settle(&service, 7);
@@ -206,3 +209,48 @@
     assert!(unresolved.settle(&service, 8));
     assert!(!unresolved.contains(&service));
 }
+
+/// Guards against a commit that is acknowledged while a promotion call without a response may take effect,
+/// and against writes that are held for ever because the platform is away.
+#[test]
+fn commits_are_held_for_some_time_while_a_promotion_call_is_open() {
+    let service = "s".into();
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut unresolved = Unresolved::default();
+    unresolved.record(&service, 7, start);
+    unresolved.record(&service, 9, after(14));
+
+    let at_once = unresolved.due_barriers(start);
+    let later = unresolved.due_barriers(after(2));
+    let again = unresolved.due_barriers(after(2));
+    let last = unresolved.due_barriers(after(16));
+
+    assert_eq!(at_once, []);
+    assert_eq!(later, [(service, 9)]);
+    assert_eq!(again, []);
+    assert_eq!(last, []);
+}
+
+/// Guards against the promotion of an incomplete replica without a wait: the service had failed for another
+/// reason before, and the time since then counted as the wait for the present primary.
+#[test]
+fn the_wait_for_one_primary_does_not_count_for_another() {
+    let (service, first, second) = ("s".into(), "first".into(), "second".into());
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut waits = Waits::default();
+    waits.begin(&service, Some(&first), start);
+    waits.begin(&service, None, after(5));
+
+    let lapsed = waits.completeness(&service, None, after(20));
+    let of_other = waits.completeness(&service, Some(&second), after(20));
+    waits.begin(&service, Some(&second), after(20));
+    let too_early = waits.completeness(&service, Some(&second), after(39));
+    let in_time = waits.completeness(&service, Some(&second), after(40));
+
+    assert_eq!(lapsed, Completeness::LongestLog);
+    assert_eq!(of_other, Completeness::AllAcknowledged);
+    assert_eq!(too_early, Completeness::AllAcknowledged);
+    assert_eq!(in_time, Completeness::LongestLog);
+}
