--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -249,6 +249,7 @@
     /// The claim names the candidate before the promotion call is sent. If the result of the call is
     /// unknown, another host that claims the service then chooses the same candidate.
     async fn secure(&mut self, candidate: &Name) -> Result<Option<Position>, Failure> {
+        log::info!(event = "promotion_candidate", service = self.service.as_str(), server = candidate.as_str(), revision:% = self.claimed; "replica with every acknowledged commit");
         let expected = Condition::Unchanged(self.claimed);
         let named = claim(self.core, self.service, Some(candidate), expected);
         let (claimed, raised) = tokio::join!(named, self.raise_barriers());
