Ignore a late registry entry while a promoted server takes over

A host learns of two promotions from its peers. Then its delayed watch of the registry shows the effect of the first one, and that server became the assumed primary again: commits went to the server that is being replaced, after the barrier had ended.

A server that refuses is replaced afterwards, as before.

--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -217,7 +217,10 @@
                 has_become_primary
             }
         };
-        if is_new_primary && self.primary_id.as_ref() != Some(&server.id) {
+        // An entry that shows the effect of an earlier promotion may come later than the news of this
+        // one. Commits must not go to the server that is being replaced.
+        let is_late = self.is_being_promoted(Instant::now());
+        if is_new_primary && !is_late && self.primary_id.as_ref() != Some(&server.id) {
             self.primary_id = Some(server.id.clone());
             self.without_primary_since = None;
             changes.push(Change::PrimaryChanged(server.clone()));
@@ -343,10 +346,10 @@
     /// Records that the assumed primary reported to be a replica. Returns the server that replaces
     /// it: another one that is registered as the primary and has not failed.
     pub fn reject_primary(&mut self, server: &Name, now: Instant) -> Option<Name> {
-        let is_being_promoted = self
+        let is_recent = self
             .promoted_at
             .is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_GRACE);
-        if self.primary_id.as_ref() != Some(server) || is_being_promoted {
+        if self.primary_id.as_ref() != Some(server) || is_recent {
             return None;
         }
         self.without_primary_since.get_or_insert(now);
@@ -384,6 +387,13 @@
         backends.any(|backend| backend.health.has_outstanding_commit())
     }
 
+    /// Reports whether the assumed primary was promoted a short time ago and has not proved to be the
+    /// primary yet.
+    fn is_being_promoted(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < PROMOTION_GRACE;
+        self.succession.is_some() && self.promoted_at.is_some_and(is_recent)
+    }
+
     /// Returns the assumed primary, if there is one.
     #[must_use]
     pub fn primary(&self) -> Option<&Backend<D>> {
