Count a host's position as exact only if it covers what the host forgot

A host acknowledges commits that only one replica has, is killed before its next report, and learns an earlier position from a peer after its start. The primary crashes and that replica restarts without its log.

Cause: a position that a host knows from a peer counted as everything that the host had acknowledged.

A host now reports a position to a promotion only if a commit was acknowledged to it since it started, or if its peers reported a new position when their reports from before its start had arrived (3 s). Logs are acknowledged in order, so such a position covers what it forgot. The reports themselves and the barrier still pass every known position on.

--- a/fulmargw_pool/src/barrier.rs
+++ b/fulmargw_pool/src/barrier.rs
@@ -1,8 +1,6 @@
 //! Raises and lifts the commit barriers of services on this host.
 
-use crate::{
-    clock::millis, core::Core, dialect::Dialect, evacuation, store::Platform, table::barrier::Ended,
-};
+use crate::{clock::millis, core::Core, dialect::Dialect, store::Platform, table::barrier::Ended};
 use fulmargw_model::name::Name;
 use fulmargw_peer::forward::BarrierReport;
 use std::{pin::pin, time::Duration};
@@ -152,7 +150,7 @@
         return None;
     }
     Some(BarrierReport {
-        acknowledged: evacuation::acknowledged_in(group),
+        acknowledged: group.acknowledged,
         is_settled: !group.has_outstanding_commit(),
     })
 }
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -283,6 +283,13 @@
         }
     }
 
+    /// Records a log position that a peer knows to be acknowledged.
+    pub fn learn_acknowledged(&self, service: &Name, position: Position) {
+        if let Some(group) = self.servers.lock().groups.get_mut(service) {
+            group.learn_acknowledged(position, Instant::now());
+        }
+    }
+
     /// Returns the latest log position that the primary of a service is known to have
     /// acknowledged.
     pub fn acknowledged(&self, service: &Name) -> Option<Position> {
--- a/fulmargw_pool/src/evacuation.rs
+++ b/fulmargw_pool/src/evacuation.rs
@@ -254,7 +254,7 @@
     if left.any(|backend| backend.running > 0) {
         return None;
     }
-    group.acknowledged
+    group.exact_acknowledged()
 }
 
 /// Reports whether every host knows the orders of the zones in which servers of a service are not
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -87,7 +87,7 @@
     evacuation::apply_report(core, report.orders.take(), report.host.as_str());
     let promotions = report.promotions.clone();
     for (service, position) in &report.acknowledged_positions {
-        core.acknowledge(service, *position);
+        core.learn_acknowledged(service, *position);
     }
     let (is_changed, newer_promotions, knows_all_hosts) = {
         let mut members = core.members.lock();
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -32,6 +32,9 @@
 /// Time after a promotion for which the promoted server may still report that it is a replica.
 pub const PROMOTION_GRACE: Duration = Duration::from_secs(4);
 
+/// Time after a host has started in which the reports of its peers from before have arrived.
+const REPORTS_SETTLED: Duration = Duration::from_secs(3);
+
 /// Time without a statement after which a host that ran statements of a service closes its
 /// connections, which the holder needs.
 pub const HOLDER_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -62,6 +65,10 @@
     /// Latest log position that the primary is known to have acknowledged, to this host or to one
     /// that reported it.
     pub acknowledged: Option<Position>,
+    /// Whether that covers what this host acknowledged before its process started.
+    covers_earlier: bool,
+    /// Time at which this host learned of the service.
+    known_since: Instant,
     /// Time of the last read; samples are taken for some time after it.
     pub sample_requested: Option<Instant>,
     /// Time at which a sample was last requested from another host.
@@ -178,6 +185,8 @@
             succession: None,
             freshness: Freshness::default(),
             acknowledged: None,
+            covers_earlier: false,
+            known_since: Instant::now(),
             sample_requested: None,
             sample_fetched: None,
             usual: adaptive::UsualTimes::new(),
@@ -227,8 +236,33 @@
         }
     }
 
-    /// Records the log position of the primary after it acknowledged a commit.
+    /// Records the log position of the primary after it acknowledged a commit to this host.
     pub fn acknowledge(&mut self, position: Position) {
+        self.covers_earlier = true;
+        self.record_acknowledged(position);
+    }
+
+    /// Records a position that a peer knows to be acknowledged.
+    ///
+    /// Logs are acknowledged in order, so a commit that was acknowledged after this process had started
+    /// covers those that the process before it had acknowledged and that nobody remembers. A new position
+    /// is one of such a commit if the reports of the peers from before have arrived.
+    pub fn learn_acknowledged(&mut self, position: Position, now: Instant) {
+        let is_new =
+            self.acknowledged != Some(self.acknowledged.unwrap_or_default().later(position));
+        let is_settled = now.saturating_duration_since(self.known_since) >= REPORTS_SETTLED;
+        self.covers_earlier |= is_new && is_settled;
+        self.record_acknowledged(position);
+    }
+
+    /// Returns the latest log position that was acknowledged to this host or one that reported it, if
+    /// that covers what this host had acknowledged before its process started.
+    #[must_use]
+    pub fn exact_acknowledged(&self) -> Option<Position> {
+        self.acknowledged.filter(|_| self.covers_earlier)
+    }
+
+    fn record_acknowledged(&mut self, position: Position) {
         if let Some(succession) = &mut self.succession {
             succession.acknowledge(position);
         }
