Release the responses that a barrier kept only when it is lifted

A host keeps the response to a commit behind a sealed barrier, and is frozen for longer than the barrier lasts. The promotion takes effect without the commit.

A barrier that expired leaves open what became of its promotion. Commits that were sent before it was sealed now end with an unknown outcome (INDOUBT), unless the barrier was lifted.

Test: fulmargw_pool/tests/barrier.rs only_a_barrier_that_was_lifted_releases_what_it_kept.

--- a/fulmargw_pool/src/exchange/commit.rs
+++ b/fulmargw_pool/src/exchange/commit.rs
@@ -163,7 +163,9 @@
     }
     // The barrier may have ended before the response came: the old primary leads until the promotion
     // takes effect, which is some hundred milliseconds after its acceptance.
-    if group.barrier.was_sealed_since(sent.at) && group.has_other_primary(&id.server) {
+    // A barrier that expired leaves open what became of its promotion, as after a host was frozen.
+    let is_unclear = group.has_other_primary(&id.server) || group.barrier.has_unlifted_seal();
+    if group.barrier.was_sealed_since(sent.at) && is_unclear {
         return Checked::Superseded;
     }
     if let Some(position) = reply.position {
--- a/fulmargw_pool/src/table/barrier.rs
+++ b/fulmargw_pool/src/table/barrier.rs
@@ -12,6 +12,8 @@
     raised: Option<Raised>,
     /// Time at which a barrier was last sealed.
     sealed_at: Option<Instant>,
+    /// Whether that one was lifted, so that its promotion does not take effect, or is known.
+    is_seal_lifted: bool,
 }
 
 #[derive(Debug)]
@@ -105,12 +107,14 @@
         };
         raised.is_sealed = true;
         self.sealed_at = Some(now);
+        self.is_seal_lifted = false;
         true
     }
 
     /// Ends the barrier, unless it has a greater token.
     pub fn lift(&mut self, token: u64) -> Option<Ended> {
         self.raised.as_ref().filter(|it| it.token <= token)?;
+        self.is_seal_lifted = true;
         self.end()
     }
 
@@ -167,6 +171,13 @@
         self.sealed_at.is_some_and(|at| at >= sent_at)
     }
 
+    /// Reports whether the last barrier that was sealed was not lifted: it is up, or has expired. Its promotion
+    /// may have taken effect, although this host does not know of it.
+    #[must_use]
+    pub fn has_unlifted_seal(&self) -> bool {
+        self.sealed_at.is_some() && !self.is_seal_lifted
+    }
+
     fn up(&self, now: Instant) -> Option<&Raised> {
         self.raised.as_ref().filter(|it| it.ends_at > now)
     }
--- a/fulmargw_pool/tests/barrier.rs
+++ b/fulmargw_pool/tests/barrier.rs
@@ -158,3 +158,23 @@
     assert!(barrier.was_sealed_since(now));
     assert!(!barrier.was_sealed_since(sealed_at + Duration::from_millis(1)));
 }
+
+/// Guards against a response to a commit that is passed on because the barrier that kept it has expired,
+/// although the promotion for which it was raised has taken effect without the commit.
+#[test]
+fn only_a_barrier_that_was_lifted_releases_what_it_kept() {
+    let start = Instant::now();
+    let later = start + PERIOD;
+    let (mut expired, mut lifted) = (Barrier::default(), Barrier::default());
+    for barrier in [&mut expired, &mut lifted] {
+        assert!(barrier.raise(7, PERIOD, start));
+        assert!(barrier.seal(7, start));
+        assert!(barrier.has_unlifted_seal());
+    }
+
+    assert!(expired.expire(later).is_some());
+    assert!(lifted.lift(7).is_some());
+
+    assert!(expired.has_unlifted_seal());
+    assert!(!lifted.has_unlifted_seal());
+}
