Hold commits for a limited time because a claim names a candidate

A host is killed after it has named a candidate in the claim and before its call. If each attempt that follows ends with an obstacle, it counts as one with an open call and raised the barrier first: no write of a working primary succeeded for 32 s.

The limit of 15 s for commits that are held because of an open call now holds for the attempts as well. A claim that may have been written without a response is also renewed without its candidate.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -102,9 +102,12 @@
                     .waits
                     .completeness(&service, primary.as_ref(), now)
             };
+            let may_hold = lock(&attempts)
+                .unresolved
+                .may_hold(&service, Instant::now());
             tasks.spawn(async move {
                 let started = Instant::now();
-                let result = attempt(&core, &service, reason, completeness).await;
+                let result = attempt(&core, &service, reason, completeness, may_hold).await;
                 log_result(&service, reason, started, &result);
                 lock(&attempts).record_result(&service, primary.as_ref(), &result, started);
                 let delay = match &result {
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -67,7 +67,8 @@
     Encode(String),
 }
 
-/// Replaces the primary of a service and returns the new one.
+/// Replaces the primary of a service and returns the new one. Without `may_hold`, commits are not held
+/// because of an earlier promotion call that may still take effect.
 ///
 /// # Errors
 ///
@@ -77,6 +78,7 @@
     service: &Name,
     reason: Reason,
     completeness: Completeness,
+    may_hold: bool,
 ) -> Result<Name, Failure> {
     wait_for_turn(core, service).await;
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
@@ -103,6 +105,7 @@
         core,
         service,
         claimed,
+        may_hold,
         is_candidate_claimed: earlier_candidate.is_some(),
         earlier_candidate,
         probes: Vec::new(),
@@ -130,6 +133,8 @@
     claimed: Revision,
     /// Server for which an earlier promotion call was sent that may still take effect.
     earlier_candidate: Option<Name>,
+    /// Whether commits may be held because of a call that may still take effect.
+    may_hold: bool,
     /// Whether the claim names a candidate.
     is_candidate_claimed: bool,
     /// The servers that were asked.
@@ -153,7 +158,7 @@
 
     /// Carries out the steps until the attempt ends.
     async fn run(&mut self, attempt: &mut Attempt) -> Result<Name, Failure> {
-        if self.earlier_candidate.is_some() {
+        if self.earlier_candidate.is_some() && self.may_hold {
             // The earlier call may take effect at any time.
             self.responsive = live_peers(self.core);
             self.raise_barriers().await?;
@@ -250,13 +255,14 @@
     /// unknown, another host that claims the service then chooses the same candidate.
     async fn secure(&mut self, candidate: &Name) -> Result<Option<Position>, Failure> {
         log::info!(event = "promotion_candidate", service = self.service.as_str(), server = candidate.as_str(), revision:% = self.claimed; "replica with every acknowledged commit");
+        // The claim may have been written although the store did not respond.
+        self.is_candidate_claimed = true;
         let expected = Condition::Unchanged(self.claimed);
         let named = claim(self.core, self.service, Some(candidate), expected);
         let (claimed, raised) = tokio::join!(named, self.raise_barriers());
         match (claimed, raised) {
             (Ok(claimed), raised) => {
                 self.claimed = claimed;
-                self.is_candidate_claimed = true;
                 raised.map_err(|failure| self.open_call_or(failure))
             }
             (Err(failure), _) => Err(self.open_call_or(failure)),
@@ -363,11 +369,13 @@
             Ok(_) => return result,
             // The replicas stay paused and the barriers up. Then the candidate of the call still
             // receives every commit that is acknowledged.
-            Err(Failure::Unresolved(_)) => {}
-            Err(failure) => {
-                if self.barrier_raised.is_some() {
-                    lift_barriers(self.core, self.service, self.claimed.fencing_token()).await;
+            Err(Failure::Unresolved(_)) => {
+                if !self.may_hold {
+                    self.lift_barriers().await;
                 }
+            }
+            Err(failure) => {
+                self.lift_barriers().await;
                 // Another host that has the claim may rely on the pauses.
                 if !matches!(failure, Failure::Claimed) {
                     self.resume(attempt).await;
@@ -378,6 +386,12 @@
         result
     }
 
+    async fn lift_barriers(&self) {
+        if self.barrier_raised.is_some() {
+            lift_barriers(self.core, self.service, self.claimed.fencing_token()).await;
+        }
+    }
+
     fn leaves_call_open(&self, failure: &Failure) -> bool {
         let is_settled = matches!(
             failure,
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -263,6 +263,14 @@
         known.token = token.max(known.token);
     }
 
+    /// Reports whether commits are held because of a call of a service, or may be: there is none, or not
+    /// for too long.
+    #[must_use]
+    pub fn may_hold(&self, service: &Name, now: Instant) -> bool {
+        let call = self.calls.get(service);
+        call.is_none_or(|call| now.saturating_duration_since(call.since) < HOLD_PERIOD)
+    }
+
     /// Returns the services whose commit barrier has to be raised again now, with the tokens.
     pub fn due_barriers(&mut self, now: Instant) -> Vec<(Name, u64)> {
         let mut due = Vec::new();
