Wait for the relays when a fleet of the lab starts

A fleet without hosts waited only for the servers' own reports, which do not pass the relays. With hosts, the reads at the end of the wait did.

The start waits until the link accepts connections at its admin address, which it binds last. The test passed in 8 of 8 runs without the change on a quieter machine, so the change is shown by reading only.

--- a/fulmargw_lab/src/fleet/processes.rs
+++ b/fulmargw_lab/src/fleet/processes.rs
@@ -17,7 +17,10 @@
 use reqwest::{Client, StatusCode};
 use serde::Serialize;
 use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path, time::Duration};
-use tokio::time::{self, Instant};
+use tokio::{
+    net::TcpStream,
+    time::{self, Instant},
+};
 
 /// Longest wait for a started process to respond, and the timeout of an HTTP request.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
@@ -103,6 +106,10 @@
     }
 
     async fn wait_until_ready(&self) -> io::Result<()> {
+        // The link binds its admin address last, so all relays listen then.
+        let admin = self.layout.link_admin;
+        let listens = || async { TcpStream::connect(admin).await.is_ok() };
+        wait_until("the relays", listens).await?;
         for server in &self.layout.servers {
             let responds = || async { self.server_report(&server.name).await.is_ok() };
             wait_until(&format!("the report of {}", server.name), responds).await?;
