Say what a reported position covers, and remove two leftovers

Found when the diff was read once more. Behaviour does not change.

- The comments of the position that a host reports to a promotion did not say that there is none if it may not cover what the host acknowledged before its process started.
- evacuation::acknowledged_in was split off for the barrier, which no longer calls it; Core::acknowledged had no caller.
Attempt::paused searched the paused servers as is_paused does.

--- a/fulmargw_peer/src/forward.rs
+++ b/fulmargw_peer/src/forward.rs
@@ -81,7 +81,7 @@
     async fn reaches(service: Name, server: Name) -> bool;
 
     /// Returns the last log position that this host knows to be acknowledged by the primary of
-    /// a service.
+    /// a service; `None` if it may not cover what the host itself has acknowledged.
     async fn acknowledged(service: Name) -> Option<Position>;
 
     /// Responds at once, which shows that this host is running.
@@ -123,7 +123,7 @@
     fn reaches(&self, service: Name, server: Name) -> impl Future<Output = bool> + Send;
 
     /// Returns the last log position that this host knows to be acknowledged by the primary of
-    /// a service.
+    /// a service; `None` if it may not cover what the host itself has acknowledged.
     fn acknowledged_position(&self, service: Name) -> Option<Position>;
 
     /// Returns the newest sample of the log position of the primary of a service, and has newer ones
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -290,12 +290,6 @@
         }
     }
 
-    /// Returns the latest log position that the primary of a service is known to have
-    /// acknowledged.
-    pub fn acknowledged(&self, service: &Name) -> Option<Position> {
-        self.servers.lock().groups.get(service)?.acknowledged
-    }
-
     /// Rolls a transaction back, on this host or on a peer.
     pub fn roll_back(&self, pin: Pin<D>) {
         match pin {
--- a/fulmargw_pool/src/evacuation.rs
+++ b/fulmargw_pool/src/evacuation.rs
@@ -239,17 +239,14 @@
 
 /// Returns the latest log position that the primary of a service is known to have acknowledged;
 /// `None` while a statement of this host still runs on a server of an evacuated zone, which may get a
-/// later one acknowledged.
+/// later one acknowledged, and while the position may not cover what this host acknowledged before its
+/// process started.
 pub(crate) fn acknowledged<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
 ) -> Option<Position> {
     let servers = core.servers.lock();
-    acknowledged_in(servers.groups.get(service)?)
-}
-
-/// As [`acknowledged`], of a group whose table is locked.
-pub(crate) fn acknowledged_in<D: Dialect>(group: &Group<D>) -> Option<Position> {
+    let group = servers.groups.get(service)?;
     let mut left = group.backends.values().filter(|it| it.is_excluded());
     if left.any(|backend| backend.running > 0) {
         return None;
--- a/fulmargw_pool/src/promotion/attempt.rs
+++ b/fulmargw_pool/src/promotion/attempt.rs
@@ -162,11 +162,7 @@
             };
             self.paused_at.push((server, status.received));
         }
-        if self
-            .paused_at
-            .iter()
-            .any(|(server, _)| *server == candidate.server)
-        {
+        if self.is_paused(&candidate.server) {
             return self.choose_longest_log();
         }
         let until = now + CATCH_UP_TIMEOUT;
