--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod group;
 mod json;
+mod memory;
 mod record;
 mod stop;
 mod store;
@@ -46,6 +47,7 @@
     };
     let outcome = match case.as_str() {
         "stop" => stop::run(&setting),
+        "memory" => memory::run(&setting),
         other => {
             eprintln!("there is no case {other}");
             Outcome::NotRun
