--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/release/fulmargw ] && [ -x target/review-2/standin ] || exit 2
-exec target/review-2/standin memory "$folder"
+exec target/review-2/standin restart "$folder"
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -30,15 +30,6 @@
     pub state: String,
 }
 
-impl Reply {
-    pub fn code(&self) -> &str {
-        match &self.result {
-            Ok(_) => "",
-            Err((code, _)) => code,
-        }
-    }
-}
-
 #[derive(Debug)]
 pub struct Client {
     pub name: String,
@@ -84,7 +75,8 @@
     /// Runs a statement, and records what was sent and answered.
     pub fn run(&mut self, text: &str) -> io::Result<Reply> {
         let id = new_id();
-        self.record.line(&format!("{} sends {id} {text}", self.name));
+        self.record
+            .line(&format!("{} sends {id} {text}", self.name));
         let reply = self.exchange(&id, text);
         match &reply {
             Ok(reply) => {
@@ -94,9 +86,14 @@
                 };
                 let rows = reply.rows.len();
                 let state = &reply.state;
-                self.record.line(&format!("{} gets {id} {rows} rows, {result}, READY {state}", self.name));
+                self.record.line(&format!(
+                    "{} gets {id} {rows} rows, {result}, READY {state}",
+                    self.name
+                ));
             }
-            Err(cause) => self.record.line(&format!("{} gets {id} no answer: {cause}", self.name)),
+            Err(cause) => self
+                .record
+                .line(&format!("{} gets {id} no answer: {cause}", self.name)),
         }
         reply
     }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -37,9 +37,15 @@
 /// Returns loopback addresses at which all ports of a host are free, one for each host.
 fn free_addresses(count: u8) -> Vec<Ipv4Addr> {
     for block in 30..250 {
-        let addresses: Vec<Ipv4Addr> = (1..=count).map(|host| Ipv4Addr::new(127, block, 0, host)).collect();
+        let addresses: Vec<Ipv4Addr> = (1..=count)
+            .map(|host| Ipv4Addr::new(127, block, 0, host))
+            .collect();
         let ports = [FRONT, READY, CONTROL, INTERNAL, METRICS];
-        let is_free = |ip: &Ipv4Addr| ports.iter().all(|port| TcpListener::bind((*ip, *port)).is_ok());
+        let is_free = |ip: &Ipv4Addr| {
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((*ip, *port)).is_ok())
+        };
         if addresses.iter().all(is_free) {
             return addresses;
         }
@@ -52,7 +58,11 @@
     let template = fs::read_to_string("deploy/settings.toml").expect("read the template");
     let zones = ["attica-a", "attica-a", "attica-b", "attica-c"];
     let addresses = free_addresses(4);
-    let seeds: Vec<String> = addresses.iter().take(3).map(|ip| format!("\"{ip}:{CONTROL}\"")).collect();
+    let seeds: Vec<String> = addresses
+        .iter()
+        .take(3)
+        .map(|ip| format!("\"{ip}:{CONTROL}\""))
+        .collect();
     let mut hosts = Vec::new();
     for (index, (ip, zone)) in addresses.iter().zip(zones).enumerate() {
         let name = format!("front-{zone}-{index}");
@@ -64,7 +74,10 @@
             ("{{listenAddresses.control}}", format!("{ip}:{CONTROL}")),
             ("{{ipAddress}}", ip.to_string()),
             ("{{internalPortRange.0}}", INTERNAL.to_string()),
-            ("{{#seedNodes}}\"{{.}}\"{{,}}{{/seedNodes}}", seeds.join(", ")),
+            (
+                "{{#seedNodes}}\"{{.}}\"{{,}}{{/seedNodes}}",
+                seeds.join(", "),
+            ),
             ("{{platform.address}}", store.to_string()),
             ("{{cloud.address}}", store.to_string()),
             ("{{limits.memoryMb}}", memory_mb.to_string()),
@@ -79,7 +92,10 @@
         for (placeholder, value) in filled {
             text = text.replace(placeholder, &value);
         }
-        assert!(!text.contains("{{"), "a placeholder of the template is not known: {text}");
+        assert!(
+            !text.contains("{{"),
+            "a placeholder of the template is not known: {text}"
+        );
         let settings = folder.join(format!("{name}.toml"));
         fs::write(&settings, text).expect("write the settings");
         let mut host = Host {
@@ -98,12 +114,19 @@
 
 impl Host {
     pub fn spawn(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("open the log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("open the log");
         let zones = "{\"attica-a\":\"attica\",\"attica-b\":\"attica\",\"attica-c\":\"attica\"}";
         let child = Command::new("target/release/fulmargw")
             .arg("pool")
             .env_clear()
-            .envs(std::env::vars().filter(|(name, _)| ["PATH", "HOME", "LANG"].contains(&name.as_str())))
+            .envs(
+                std::env::vars()
+                    .filter(|(name, _)| ["PATH", "HOME", "LANG"].contains(&name.as_str())),
+            )
             .env("FULMARGW_NODE_FILE", &self.settings)
             .env("FULMARGW_CPU_SHARE", "0.25")
             .env("FULMARGW_ZONES", zones)
@@ -117,7 +140,8 @@
             .stderr(log)
             .spawn()
             .expect("start target/release/fulmargw");
-        self.record.line(&format!("host {} starts at {}", self.name, self.ip));
+        self.record
+            .line(&format!("host {} starts at {}", self.name, self.ip));
         self.child = Some(child);
     }
 
@@ -131,20 +155,13 @@
 
     pub fn signal(&self, signal: i32) {
         if let Some(id) = self.process_id() {
-            self.record.line(&format!("signal {signal} to host {}", self.name));
+            self.record
+                .line(&format!("signal {signal} to host {}", self.name));
             // The child has not been waited for, so its number is not used by another process.
             unsafe { kill(id as i32, signal) };
         }
     }
 
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let Some(child) = &mut self.child else {
-            return true;
-        };
-        matches!(child.try_wait(), Ok(Some(_)))
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -167,7 +184,12 @@
         let address = (self.ip, port).into();
         let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        write!(stream, "GET {path} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ip).ok()?;
+        write!(
+            stream,
+            "GET {path} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+            self.ip
+        )
+        .ok()?;
         let mut text = String::new();
         stream.read_to_string(&mut text).ok()?;
         let status = text.split_whitespace().nth(1)?.parse().ok()?;
@@ -175,7 +197,8 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        self.get(READY, "/api/readiness").is_some_and(|(status, _)| status == 200)
+        self.get(READY, "/api/readiness")
+            .is_some_and(|(status, _)| status == 200)
     }
 
     /// Returns the value of a metric; 0 if it is not there.
@@ -185,7 +208,8 @@
         };
         let mut lines = text.lines();
         let line = lines.find(|line| line.split([' ', '{']).next() == Some(name));
-        line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+        line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+            .unwrap_or(0.0)
     }
 }
 
@@ -210,8 +234,12 @@
 }
 
 /// Returns the configuration: one service, a route of each kind, and one client account.
-pub fn configuration(version: u64, timeout_ms: u64, transaction_idle_ms: u64) -> String {
-    let routes = [("current", "primary"), ("bounded", "bounded_staleness"), ("own", "read_your_writes")];
+pub fn configuration(version: u64, timeout_ms: u64, transaction_idle_ms: u64, rate: u32) -> String {
+    let routes = [
+        ("current", "primary"),
+        ("bounded", "bounded_staleness"),
+        ("own", "read_your_writes"),
+    ];
     let routes: Vec<String> = routes
         .iter()
         .map(|(host, kind)| {
@@ -225,9 +253,12 @@
         ("routes", format!("[{}]", routes.join(","))),
         ("services", "[{\"name\":\"ledger\",\"healthPath\":\"/health\",\"maxConnections\":64,\"protocol\":\"h1\",\"tls\":false,\"syncReplicas\":1}]".into()),
         ("limits", format!("{{\"transactionIdleMs\":{transaction_idle_ms}}}")),
-        ("tenants", "[{\"name\":\"workshop\",\"apiKeys\":[\"u3f1\"],\"priority\":1,\"ratePerS\":400,\"burst\":400}]".into()),
+        ("tenants", format!("[{{\"name\":\"workshop\",\"apiKeys\":[\"u3f1\"],\"priority\":1,\"ratePerS\":{rate},\"burst\":{rate}}}]")),
     ]
     .into();
-    let fields: Vec<String> = fields.iter().map(|(name, value)| format!("\"{name}\":{value}")).collect();
+    let fields: Vec<String> = fields
+        .iter()
+        .map(|(name, value)| format!("\"{name}\":{value}"))
+        .collect();
     format!("{{{}}}", fields.join(","))
 }
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -1,26 +1,32 @@
 //! A database group: one primary and its replicas, which speak the line protocol.
 //!
-//! The servers share one state. A replica has a commit as soon as the primary has it, and so every
-//! commit is on a replica before it is acknowledged.
+//! The servers share one log. Each replica has received a beginning of it, and shows what it has
+//! received. A commit is acknowledged once a replica has received it. A promoted server leads with what
+//! it has received; the rest of the log is gone.
 
 use crate::{record::Record, store::Store};
 use std::{
     collections::BTreeMap,
-    io::{BufRead as _, BufReader, Write as _},
+    io::{BufRead as _, BufReader, ErrorKind, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 pub const SERVICE: &str = "ledger";
 /// Interval at which a server writes its registry entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time from the acceptance of a promotion until it takes effect.
-const PROMOTION_TIME: Duration = Duration::from_millis(600);
+pub const PROMOTION_TIME: Duration = Duration::from_millis(600);
+/// Time from a commit until the replicas receive it.
+const REPLICATION_TIME: Duration = Duration::from_millis(4);
+/// Interval at which a connection checks whether its server has crashed.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const BORN_UNIX_MS: u64 = 1_780_000_000_000;
 const ZONES: [&str; 3] = ["attica-a", "attica-b", "attica-c"];
 
 /// A write in the log.
@@ -35,11 +41,18 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub id: String,
-    pub text: String,
     /// Number of the transaction in which it ran; `None` if it ran outside of one.
     pub transaction: Option<u64>,
 }
 
+/// A promotion that has taken effect.
+#[derive(Debug, Clone)]
+pub struct Promotion {
+    pub server: usize,
+    /// Identifiers of the writes that the promoted server had not received.
+    pub missing: Vec<String>,
+}
+
 /// What the servers do with statements, which a case sets.
 #[derive(Debug, Clone, Copy)]
 pub struct Behaviour {
@@ -55,7 +68,16 @@
     id: String,
     zone: &'static str,
     address: SocketAddr,
+    born_unix_ms: u64,
+    is_draining: bool,
+    is_running: bool,
+    /// Whether it receives nothing from the primary.
+    is_deaf: bool,
+    /// Number of its crashes. A connection ends with the run of the server that accepted it.
+    crashes: u32,
     held_term: u64,
+    /// Number of commits that it has received.
+    received: usize,
 }
 
 #[derive(Debug)]
@@ -63,10 +85,12 @@
     term: u64,
     primary: usize,
     servers: Vec<Server>,
-    /// Commits: each has the writes of one transaction.
-    log: Vec<Vec<Entry>>,
+    /// Commits, each with its writes and the time of its end.
+    log: Vec<(Vec<Entry>, Instant)>,
     runs: Vec<Run>,
     sequence: u64,
+    accepted: Vec<usize>,
+    promotions: Vec<Promotion>,
 }
 
 #[derive(Debug)]
@@ -87,15 +111,23 @@
     writes: Vec<Entry>,
 }
 
-#[derive(Default)]
 struct Session {
+    server: usize,
     transaction: Option<Transaction>,
-    prepared: BTreeMap<String, (bool, String)>,
+    prepared: BTreeMap<String, bool>,
     values: BTreeMap<String, String>,
 }
 
-/// Rows, and a signature or an error code.
-type Answer = (Vec<String>, Result<String, &'static str>);
+/// Rows, and a signature or an error code; `None` if the server crashed.
+type Answer = Option<(Vec<String>, Result<String, &'static str>)>;
+
+fn done() -> Answer {
+    Some((Vec::new(), Ok("-".to_owned())))
+}
+
+fn refusal(code: &'static str) -> Answer {
+    Some((Vec::new(), Err(code)))
+}
 
 impl Group {
     pub fn start(store: &Arc<Store>, record: &Arc<Record>, behaviour: Behaviour) -> Arc<Self> {
@@ -108,7 +140,13 @@
             id: format!("i-{index}"),
             zone,
             address: listener.local_addr().expect("address"),
+            born_unix_ms: BORN_UNIX_MS,
+            is_draining: false,
+            is_running: true,
+            is_deaf: false,
+            crashes: 0,
             held_term: 0,
+            received: 0,
         });
         let group = Arc::new(Self {
             store: Arc::clone(store),
@@ -121,6 +159,8 @@
                 log: Vec::new(),
                 runs: Vec::new(),
                 sequence: 0,
+                accepted: Vec::new(),
+                promotions: Vec::new(),
             }),
             next: AtomicU64::new(1),
         });
@@ -140,103 +180,227 @@
                 thread::sleep(HEARTBEAT);
             }
         });
+        let replicating = Arc::clone(&group);
+        thread::spawn(move || {
+            loop {
+                replicating.replicate();
+                thread::sleep(Duration::from_millis(1));
+            }
+        });
         store.set_group(&group);
         group
     }
 
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
     pub fn runs(&self) -> Vec<Run> {
-        self.state.lock().unwrap().runs.clone()
+        self.state().runs.clone()
+    }
+
+    /// Returns the identifiers of the writes in the log of the primary.
+    pub fn kept(&self) -> Vec<String> {
+        let state = self.state();
+        let entries = state.log.iter().flat_map(|(writes, _)| writes);
+        entries.map(|entry| entry.id.clone()).collect()
+    }
+
+    pub fn primary(&self) -> usize {
+        self.state().primary
+    }
+
+    /// Returns the servers whose promotions were accepted, in order.
+    pub fn accepted(&self) -> Vec<usize> {
+        self.state().accepted.clone()
+    }
+
+    pub fn promotions(&self) -> Vec<Promotion> {
+        self.state().promotions.clone()
+    }
+
+    fn change(&self, index: usize, what: &str, change: impl FnOnce(&mut Server)) {
+        self.record.line(&format!("server i-{index} {what}"));
+        change(&mut self.state().servers[index]);
     }
 
-    pub fn log(&self) -> Vec<Vec<Entry>> {
-        self.state.lock().unwrap().log.clone()
+    /// Lets a server report that it is draining.
+    pub fn drain(&self, index: usize) {
+        self.change(index, "is draining", |server| server.is_draining = true);
+        self.register_all();
+    }
+
+    /// Lets a replica receive nothing.
+    pub fn deafen(&self, index: usize) {
+        self.change(index, "receives nothing", |server| server.is_deaf = true);
+    }
+
+    /// Ends a replica's process; its connections end.
+    pub fn crash(&self, index: usize) {
+        self.change(index, "crashes", |server| {
+            server.is_running = false;
+            server.crashes += 1;
+        });
+    }
+
+    /// Starts it again with its log. This ends a pause.
+    pub fn restart(&self, index: usize) {
+        self.change(index, "starts again with its log", |server| {
+            server.is_running = true;
+            server.held_term = 0;
+            server.born_unix_ms += 1_000;
+        });
+        self.register_all();
+    }
+
+    fn replicate(&self) {
+        let mut state = self.state();
+        let due = state
+            .log
+            .iter()
+            .take_while(|(_, at)| at.elapsed() >= REPLICATION_TIME)
+            .count();
+        let (primary, length) = (state.primary, state.log.len());
+        let is_sending = state.servers[primary].is_running;
+        for (index, server) in state.servers.iter_mut().enumerate() {
+            let may_receive =
+                is_sending && server.is_running && !server.is_deaf && server.held_term == 0;
+            if index == primary {
+                server.received = length;
+            } else if may_receive {
+                server.received = server.received.max(due);
+            }
+        }
     }
 
     fn register_all(&self) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state();
         state.sequence += 1;
-        for (index, server) in state.servers.iter().enumerate() {
-            let role = if state.primary == index { "primary" } else { "replica" };
+        for (index, server) in state
+            .servers
+            .iter()
+            .enumerate()
+            .filter(|(_, it)| it.is_running)
+        {
+            let role = if state.primary == index {
+                "primary"
+            } else {
+                "replica"
+            };
+            let condition = if server.is_draining {
+                "draining"
+            } else {
+                "ready"
+            };
             let entry = format!(
-                "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"coldRemainingMs\":0,\"databaseRole\":\"{role}\",\"sequence\":{},\"born\":1780000000000}}",
-                server.address, server.zone, state.sequence
+                "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":16,\"state\":\"{condition}\",\"coldRemainingMs\":0,\"databaseRole\":\"{role}\",\"sequence\":{},\"born\":{}}}",
+                server.address, server.zone, state.sequence, server.born_unix_ms
             );
             self.store.write("servers", &server.id, Some(&entry));
         }
     }
 
-    /// Accepts a promotion, which takes effect some hundred milliseconds later.
+    /// Accepts a promotion, which takes effect some hundred milliseconds later unless the server
+    /// crashes before.
     pub fn promote(self: &Arc<Self>, id: &str) -> bool {
-        let state = self.state.lock().unwrap();
-        let Some(index) = state.servers.iter().position(|server| server.id == id) else {
+        let mut state = self.state();
+        let mut servers = state.servers.iter();
+        let Some(index) = servers.position(|server| server.id == id && server.is_running) else {
             return false;
         };
         if state.primary == index {
             return true;
         }
+        state.accepted.push(index);
+        let crashes = state.servers[index].crashes;
         drop(state);
+        self.record
+            .line(&format!("promotion of i-{index} accepted"));
         let group = Arc::clone(self);
         thread::spawn(move || {
             thread::sleep(PROMOTION_TIME);
-            {
-                let mut state = group.state.lock().unwrap();
-                state.term += 1;
-                state.primary = index;
-                for server in &mut state.servers {
-                    server.held_term = 0;
-                }
-                group.record.line(&format!("server i-{index} leads term {}", state.term));
-            }
+            group.lead(index, crashes);
             group.register_all();
         });
         true
     }
 
+    fn lead(&self, index: usize, crashes: u32) {
+        let mut state = self.state();
+        if state.servers[index].crashes != crashes || state.primary == index {
+            return;
+        }
+        state.term += 1;
+        state.primary = index;
+        let length = state.servers[index].received;
+        let missing = state.log.split_off(length);
+        for server in &mut state.servers {
+            server.held_term = 0;
+            server.received = server.received.min(length);
+        }
+        let term = state.term;
+        let missing: Vec<String> = missing
+            .into_iter()
+            .flat_map(|(writes, _)| writes)
+            .map(|entry| entry.id)
+            .collect();
+        self.record.line(&format!("server i-{index} leads term {term} with {length} commits; {} writes are gone: {missing:?}", missing.len()));
+        state.promotions.push(Promotion {
+            server: index,
+            missing,
+        });
+    }
+
     fn serve(&self, index: usize, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(CRASH_CHECK_INTERVAL));
         let Ok(mut output) = stream.try_clone() else {
             return;
         };
         let mut input = BufReader::new(stream);
-        let mut session = Session::default();
+        let crashes = self.state().servers[index].crashes;
+        let mut session = Session {
+            server: index,
+            transaction: None,
+            prepared: BTreeMap::new(),
+            values: BTreeMap::new(),
+        };
         let mut has_started = false;
         let mut line = Vec::new();
         loop {
-            line.clear();
-            if input.read_until(b'\n', &mut line).unwrap_or(0) == 0 {
+            if !self.is_running(index, crashes) {
                 return;
             }
-            let text = String::from_utf8_lossy(&line).trim_end_matches(['\r', '\n']).to_owned();
+            match input.read_until(b'\n', &mut line) {
+                Ok(0) => return,
+                Ok(_) if line.ends_with(b"\n") => {}
+                Ok(_) => continue,
+                Err(cause)
+                    if matches!(cause.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) =>
+                {
+                    continue;
+                }
+                Err(_) => return,
+            }
+            let text = String::from_utf8_lossy(&line)
+                .trim_end_matches(['\r', '\n'])
+                .to_owned();
+            line.clear();
             let (word, rest) = text.split_once(' ').unwrap_or((&text, ""));
             let response = match word {
                 "START" => {
                     has_started = self.accepts(index, rest);
                     if has_started {
-                        format!("READY I {}\r\n", self.position())
+                        Some(format!("READY I {}\r\n", self.position(index)))
                     } else {
-                        "ERROR MISROUTED\r\n".to_owned()
+                        Some("ERROR MISROUTED\r\n".to_owned())
                     }
                 }
-                "QUERY" if has_started => {
-                    let (id, query) = rest.split_once(' ').unwrap_or((rest, ""));
-                    let (rows, result) = self.run(index, &mut session, id, query);
-                    let mut response = String::new();
-                    for row in rows {
-                        response.extend(["ROW ", &row, "\r\n"]);
-                    }
-                    match result {
-                        Ok(signature) => response.extend(["COMPLETE ", &signature, "\r\n"]),
-                        Err(code) => response.extend(["ERROR ", code, "\r\n"]),
-                    }
-                    let state = match &session.transaction {
-                        None => "I",
-                        Some(transaction) if transaction.has_failed => "E",
-                        Some(_) => "T",
-                    };
-                    response.push_str(&format!("READY {state} {}\r\n", self.position()));
-                    response
-                }
-                _ => return,
+                "QUERY" if has_started => self.respond(&mut session, rest),
+                _ => None,
+            };
+            let Some(response) = response.filter(|_| self.is_running(index, crashes)) else {
+                return;
             };
             if output.write_all(response.as_bytes()).is_err() || !has_started {
                 return;
@@ -244,55 +408,100 @@
         }
     }
 
+    fn is_running(&self, index: usize, crashes: u32) -> bool {
+        let state = self.state();
+        state.servers[index].is_running && state.servers[index].crashes == crashes
+    }
+
     fn accepts(&self, index: usize, fields: &str) -> bool {
         let mut fields = fields.split(' ');
         let service = fields.next();
         let id = fields.nth(1);
-        let state = self.state.lock().unwrap();
-        service == Some(SERVICE) && id.is_none_or(|id| id == state.servers[index].id)
+        service == Some(SERVICE) && id.is_none_or(|id| id == self.state().servers[index].id)
     }
 
-    fn position(&self) -> String {
-        let state = self.state.lock().unwrap();
-        format!("{}.{}", state.term, state.log.len())
+    fn position(&self, index: usize) -> String {
+        let state = self.state();
+        let number = if state.primary == index {
+            state.log.len()
+        } else {
+            state.servers[index].received
+        };
+        format!("{}.{number}", state.term)
     }
 
-    fn run(&self, index: usize, session: &mut Session, id: &str, query: &str) -> Answer {
-        let mut query = query.to_owned();
-        if let Some(rest) = query.strip_prefix("AFTER ") {
-            let (position, rest) = rest.split_once(' ').unwrap_or((rest, ""));
-            let (term, number) = position.split_once('.').unwrap_or(("0", "0"));
-            let state = self.state.lock().unwrap();
-            let has_term = term.parse().is_ok_and(|term: u64| term <= state.term);
-            let has_number = number.parse().is_ok_and(|number: usize| number <= state.log.len());
-            if !has_term || !has_number {
-                return (Vec::new(), Err("LAGGING"));
-            }
-            let rest = rest.to_owned();
-            drop(state);
-            query = rest;
+    fn respond(&self, session: &mut Session, fields: &str) -> Option<String> {
+        let (id, query) = fields.split_once(' ').unwrap_or((fields, ""));
+        let (rows, result) = self.run(session, id, query)?;
+        let mut response = String::new();
+        for row in rows {
+            response.extend(["ROW ", &row, "\r\n"]);
         }
-        let (word, rest) = query.split_once(' ').unwrap_or((&query, ""));
-        let failed = session.transaction.as_ref().is_some_and(|it| it.has_failed);
-        if failed && !matches!(word, "COMMIT" | "ROLLBACK") {
-            return (Vec::new(), Err("MALFORMED"));
+        match result {
+            Ok(signature) => response.extend(["COMPLETE ", &signature, "\r\n"]),
+            Err(code) => response.extend(["ERROR ", code, "\r\n"]),
+        }
+        let state = match &session.transaction {
+            None => "I",
+            Some(transaction) if transaction.has_failed => "E",
+            Some(_) => "T",
+        };
+        response.push_str(&format!(
+            "READY {state} {}\r\n",
+            self.position(session.server)
+        ));
+        Some(response)
+    }
+
+    /// Reports whether a server has received a log position.
+    fn has(&self, index: usize, position: &str) -> bool {
+        let (term, number) = position.split_once('.').unwrap_or(("0", "0"));
+        let state = self.state();
+        let received = if state.primary == index {
+            state.log.len()
+        } else {
+            state.servers[index].received
+        };
+        let has_term = term.parse().is_ok_and(|term: u64| term <= state.term);
+        has_term && number.parse().is_ok_and(|number: usize| number <= received)
+    }
+
+    fn run(&self, session: &mut Session, id: &str, query: &str) -> Answer {
+        let query = match query
+            .strip_prefix("AFTER ")
+            .and_then(|rest| rest.split_once(' '))
+        {
+            Some((position, _)) if !self.has(session.server, position) => {
+                return refusal("LAGGING");
+            }
+            Some((_, rest)) => rest,
+            None => query,
+        };
+        let (word, rest) = query.split_once(' ').unwrap_or((query, ""));
+        let has_failed = session.transaction.as_ref().is_some_and(|it| it.has_failed);
+        if has_failed && !matches!(word, "COMMIT" | "ROLLBACK") {
+            return refusal("MALFORMED");
         }
-        let done = || (Vec::new(), Ok("-".to_owned()));
         match word {
-            "STATUS" => self.status(index),
+            "STATUS" => self.status(session.server),
             "PAUSE" => {
                 let term = rest.parse().unwrap_or(0);
-                {
-                    let mut state = self.state.lock().unwrap();
-                    if term > state.term && state.primary != index {
-                        state.servers[index].held_term = term;
-                    }
+                let mut state = self.state();
+                if term > state.term && state.primary != session.server {
+                    state.servers[session.server].held_term = term;
                 }
-                self.status(index)
+                drop(state);
+                self.record.line(&format!(
+                    "server i-{} is told to pause with term {term}",
+                    session.server
+                ));
+                self.status(session.server)
             }
             "RESUME" => {
-                self.state.lock().unwrap().servers[index].held_term = 0;
-                self.status(index)
+                self.state().servers[session.server].held_term = 0;
+                self.record
+                    .line(&format!("server i-{} is told to resume", session.server));
+                self.status(session.server)
             }
             "RESET" => {
                 session.values.clear();
@@ -307,16 +516,16 @@
             "PREPARE" => {
                 let mut fields = rest.splitn(3, ' ');
                 let name = fields.next().unwrap_or_default().to_owned();
-                let writes = fields.next() == Some("WRITE");
-                let shape = fields.next().unwrap_or_default().to_owned();
-                session.prepared.insert(name, (writes, shape));
+                session
+                    .prepared
+                    .insert(name, fields.next() == Some("WRITE"));
                 done()
             }
             "DEALLOCATE" => {
                 session.prepared.remove(rest);
                 done()
             }
-            "BEGIN" => self.begin(index, session, rest == "READ"),
+            "BEGIN" => self.begin(session, rest == "READ"),
             "COMMIT" => self.commit(session, id),
             "ROLLBACK" => {
                 session.transaction = None;
@@ -325,29 +534,38 @@
             "EXECUTE" => {
                 let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
                 match session.prepared.get(name) {
-                    None => (Vec::new(), Err("NOSUCHNAME")),
-                    Some((true, _)) => self.write(index, session, id, &query, arguments),
-                    Some((false, _)) => self.read(session, id, &query, arguments),
+                    None => refusal("NOSUCHNAME"),
+                    Some(true) => self.write(session, id, query, arguments),
+                    Some(false) => self.read(session, id, query, arguments),
                 }
             }
-            "READ" => self.read(session, id, &query, rest),
-            "WRITE" => self.write(index, session, id, &query, rest),
-            _ => (Vec::new(), Err("MALFORMED")),
+            "READ" => self.read(session, id, query, rest),
+            "WRITE" => self.write(session, id, query, rest),
+            _ => refusal("MALFORMED"),
         }
     }
 
     fn status(&self, index: usize) -> Answer {
-        let state = self.state.lock().unwrap();
-        let role = if state.primary == index { "primary" } else { "replica" };
-        let held = state.servers[index].held_term;
-        let row = format!("{role} {} {}.{} {held} 0 1 1", state.term, state.term, state.log.len());
-        (vec![row], Ok("-".to_owned()))
+        let state = self.state();
+        let role = if state.primary == index {
+            "primary"
+        } else {
+            "replica"
+        };
+        let Server {
+            held_term,
+            received,
+            ..
+        } = state.servers[index];
+        let term = state.term;
+        let row = format!("{role} {term} {term}.{received} {held_term} 0 1 1");
+        Some((vec![row], Ok("-".to_owned())))
     }
 
-    fn begin(&self, index: usize, session: &mut Session, is_read_only: bool) -> Answer {
-        let state = self.state.lock().unwrap();
-        if !is_read_only && state.primary != index {
-            return (Vec::new(), Err("READONLY"));
+    fn begin(&self, session: &mut Session, is_read_only: bool) -> Answer {
+        let state = self.state();
+        if !is_read_only && state.primary != session.server {
+            return refusal("READONLY");
         }
         session.transaction = Some(Transaction {
             number: self.next.fetch_add(1, Ordering::Relaxed),
@@ -356,7 +574,7 @@
             term: state.term,
             writes: Vec::new(),
         });
-        (Vec::new(), Ok("-".to_owned()))
+        done()
     }
 
     fn signature(&self) -> String {
@@ -365,18 +583,22 @@
 
     fn record_run(&self, session: &Session, id: &str, text: &str) {
         let transaction = session.transaction.as_ref().map(|it| it.number);
-        let place = transaction.map_or("outside a transaction".into(), |it| format!("in transaction {it}"));
-        self.record.line(&format!("server runs {id} {text} {place}"));
-        self.state.lock().unwrap().runs.push(Run {
+        let place = transaction.map_or("outside a transaction".into(), |it| {
+            format!("in transaction {it}")
+        });
+        self.record.line(&format!(
+            "server i-{} runs {id} {text} {place}",
+            session.server
+        ));
+        self.state().runs.push(Run {
             id: id.to_owned(),
-            text: text.to_owned(),
             transaction,
         });
     }
 
     /// Reports whether the open plain transaction belongs to an earlier term.
     fn has_lost_lead(&self, session: &Session) -> bool {
-        let term = self.state.lock().unwrap().term;
+        let term = self.state().term;
         let transaction = session.transaction.as_ref();
         transaction.is_some_and(|it| !it.is_read_only && it.term != term)
     }
@@ -385,7 +607,7 @@
         if let Some(transaction) = &mut session.transaction {
             transaction.has_failed = true;
         }
-        (Vec::new(), Err("READONLY"))
+        refusal("READONLY")
     }
 
     fn read(&self, session: &mut Session, id: &str, text: &str, item: &str) -> Answer {
@@ -396,18 +618,27 @@
         self.record_run(session, id, text);
         if item == "report" {
             let row = "x".repeat(self.behaviour.row_bytes);
-            return (vec![row; self.behaviour.report_rows], Ok(self.signature()));
+            return Some((vec![row; self.behaviour.report_rows], Ok(self.signature())));
         }
         let own = session.transaction.iter().flat_map(|it| &it.writes);
-        let state = self.state.lock().unwrap();
-        let entries = state.log.iter().flatten().chain(own);
+        let state = self.state();
+        let received = if state.primary == session.server {
+            state.log.len()
+        } else {
+            state.servers[session.server].received
+        };
+        let entries = state.log[..received]
+            .iter()
+            .flat_map(|(writes, _)| writes)
+            .chain(own);
         let found = entries.filter(|entry| entry.item == item).last();
         let rows = found.map(|entry| entry.data.clone()).into_iter().collect();
-        (rows, Ok(self.signature()))
+        drop(state);
+        Some((rows, Ok(self.signature())))
     }
 
-    fn write(&self, index: usize, session: &mut Session, id: &str, text: &str, fields: &str) -> Answer {
-        if self.has_lost_lead(session) || self.state.lock().unwrap().primary != index {
+    fn write(&self, session: &mut Session, id: &str, text: &str, fields: &str) -> Answer {
+        if self.has_lost_lead(session) || self.primary() != session.server {
             return Self::refuse(session);
         }
         thread::sleep(self.behaviour.work);
@@ -420,25 +651,55 @@
         };
         match &mut session.transaction {
             Some(transaction) => transaction.writes.push(entry),
-            None => self.state.lock().unwrap().log.push(vec![entry]),
+            None => self.append(session.server, vec![entry])?,
         }
-        (Vec::new(), Ok(self.signature()))
+        Some((Vec::new(), Ok(self.signature())))
     }
 
     fn commit(&self, session: &mut Session, id: &str) -> Answer {
         let has_lost_lead = self.has_lost_lead(session);
         let Some(transaction) = session.transaction.as_ref() else {
-            return (Vec::new(), Err("MALFORMED"));
+            return refusal("MALFORMED");
         };
         if transaction.has_failed || (has_lost_lead && !transaction.writes.is_empty()) {
             session.transaction = None;
-            return (Vec::new(), Err("READONLY"));
+            return refusal("READONLY");
         }
         self.record_run(session, id, "COMMIT");
-        let writes = session.transaction.take().map(|it| it.writes).unwrap_or_default();
+        let writes = session
+            .transaction
+            .take()
+            .map(|it| it.writes)
+            .unwrap_or_default();
         if !writes.is_empty() {
-            self.state.lock().unwrap().log.push(writes);
+            self.append(session.server, writes)?;
+        }
+        Some((Vec::new(), Ok(self.signature())))
+    }
+
+    /// Commits writes, and waits until a replica has received them. Returns `None` if the server loses
+    /// the lead or crashes before: the commit then gets no answer.
+    fn append(&self, index: usize, writes: Vec<Entry>) -> Option<()> {
+        let (term, number) = {
+            let mut state = self.state();
+            if state.primary != index || !state.servers[index].is_running {
+                return None;
+            }
+            state.log.push((writes, Instant::now()));
+            (state.term, state.log.len())
+        };
+        loop {
+            {
+                let state = self.state();
+                if state.term != term || !state.servers[index].is_running {
+                    return None;
+                }
+                let mut others = state.servers.iter().enumerate();
+                if others.any(|(other, server)| other != index && server.received >= number) {
+                    return Some(());
+                }
+            }
+            thread::sleep(Duration::from_millis(1));
         }
-        (Vec::new(), Ok(self.signature()))
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod memory;
 mod record;
+mod restart;
 mod stop;
 mod store;
 
@@ -48,6 +49,7 @@
     let outcome = match case.as_str() {
         "stop" => stop::run(&setting),
         "memory" => memory::run(&setting),
+        "restart" => restart::run(&setting),
         other => {
             eprintln!("there is no case {other}");
             Outcome::NotRun
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -40,11 +40,19 @@
     let store = Store::start(record);
     let behaviour = Behaviour {
         work: Duration::from_millis(5),
-        report_rows: if setting.has_trouble { ROWS } else { ROWS_WITHOUT_TROUBLE },
+        report_rows: if setting.has_trouble {
+            ROWS
+        } else {
+            ROWS_WITHOUT_TROUBLE
+        },
         row_bytes: ROW_BYTES,
     };
     let _group = Group::start(&store, record, behaviour);
-    store.write("op", "config", Some(&fleet::configuration(7, 1_500, 1_000)));
+    store.write(
+        "op",
+        "config",
+        Some(&fleet::configuration(7, 1_500, 1_000, 400)),
+    );
     let hosts = fleet::start(&setting.folder, store.address, MEMORY_MB, record);
     if hosts.is_empty() || !fleet::wait_until_ready(&hosts) {
         record.tell("the hosts did not get ready");
@@ -54,7 +62,8 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let kills = Arc::new(Mutex::new(Vec::new()));
     let platform = {
-        let (is_over, kills, record) = (Arc::clone(&is_over), Arc::clone(&kills), Arc::clone(record));
+        let (is_over, kills, record) =
+            (Arc::clone(&is_over), Arc::clone(&kills), Arc::clone(record));
         thread::spawn(move || watch(hosts, &is_over, &kills, &record))
     };
     let lost = Arc::new(AtomicU32::new(0));
@@ -80,7 +89,9 @@
     drop(platform.join());
     let kills = kills.lock().unwrap().clone();
     let lost = lost.load(Ordering::Relaxed);
-    record.tell(&format!("processes over their memory: {kills:?}; answers that other clients never got: {lost}"));
+    record.tell(&format!(
+        "processes over their memory: {kills:?}; answers that other clients never got: {lost}"
+    ));
     let mut ends: BTreeMap<String, usize> = BTreeMap::new();
     for host in kills {
         *ends.entry(host).or_default() += 1;
@@ -93,7 +104,12 @@
 }
 
 /// Kills processes that exceed their memory, and starts them again.
-fn watch(mut hosts: Vec<Host>, is_over: &AtomicBool, kills: &Mutex<Vec<String>>, record: &Arc<Record>) {
+fn watch(
+    mut hosts: Vec<Host>,
+    is_over: &AtomicBool,
+    kills: &Mutex<Vec<String>>,
+    record: &Arc<Record>,
+) {
     let mut peaks = vec![0; hosts.len()];
     while !is_over.load(Ordering::Relaxed) {
         thread::sleep(CHECK_INTERVAL);
@@ -101,7 +117,11 @@
             let bytes = host.memory();
             *peak = bytes.max(*peak);
             if bytes > MEMORY_MB * BYTES_PER_MB {
-                record.tell(&format!("host {} has {} MB, more than its {MEMORY_MB} MB; killed", host.name, bytes / BYTES_PER_MB));
+                record.tell(&format!(
+                    "host {} has {} MB, more than its {MEMORY_MB} MB; killed",
+                    host.name,
+                    bytes / BYTES_PER_MB
+                ));
                 kills.lock().unwrap().push(host.name.clone());
                 host.kill();
                 thread::sleep(RESTART_DELAY);
@@ -110,12 +130,22 @@
         }
     }
     for (host, peak) in hosts.iter().zip(peaks) {
-        record.tell(&format!("host {}: {} MB at most", host.name, peak / BYTES_PER_MB));
+        record.tell(&format!(
+            "host {}: {} MB at most",
+            host.name,
+            peak / BYTES_PER_MB
+        ));
     }
 }
 
 /// Sends a write at a time, and counts those that are never answered.
-fn write_steadily(index: usize, front: SocketAddr, is_over: &AtomicBool, lost: &AtomicU32, record: &Arc<Record>) {
+fn write_steadily(
+    index: usize,
+    front: SocketAddr,
+    is_over: &AtomicBool,
+    lost: &AtomicU32,
+    record: &Arc<Record>,
+) {
     let name = format!("writer-{index}");
     let mut number = 0;
     while !is_over.load(Ordering::Relaxed) {
--- a/review/standin-2/stop.rs
+++ b/review/standin-2/stop.rs
@@ -49,7 +49,11 @@
         row_bytes: 10,
     };
     let group = Group::start(&store, record, behaviour);
-    store.write("op", "config", Some(&fleet::configuration(7, 800, 1_000)));
+    store.write(
+        "op",
+        "config",
+        Some(&fleet::configuration(7, 800, 1_000, 400)),
+    );
     let hosts = fleet::start(&setting.folder, store.address, 260, record);
     if hosts.is_empty() || !fleet::wait_until_ready(&hosts) {
         record.tell("the hosts did not get ready");
@@ -59,21 +63,33 @@
         record.tell("no host runs the statements of the service");
         return Outcome::NotRun;
     };
-    record.tell(&format!("{} runs the statements of the service", hosts[holder].name));
+    record.tell(&format!(
+        "{} runs the statements of the service",
+        hosts[holder].name
+    ));
     let stopped_at = Instant::now() + Duration::from_millis(600);
     let mut clients = Vec::new();
-    for (index, host) in hosts.iter().enumerate().filter(|(index, _)| *index != holder) {
+    for (index, host) in hosts
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| *index != holder)
+    {
         for number in 0..CLIENTS_PER_HOST {
             let name = format!("client-{index}-{number}");
             let (front, record) = (host.front(), Arc::clone(record));
-            clients.push(thread::spawn(move || transact(&name, front, stopped_at, &record)));
+            clients.push(thread::spawn(move || {
+                transact(&name, front, stopped_at, &record)
+            }));
         }
     }
     sleep_until(stopped_at);
     if setting.has_trouble {
         hosts[holder].signal(SIGTERM);
     }
-    let seen: Vec<Seen> = clients.into_iter().filter_map(|client| client.join().ok()?).collect();
+    let seen: Vec<Seen> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok()?)
+        .collect();
     thread::sleep(Duration::from_millis(500));
     if seen.is_empty() {
         record.tell("no client could begin a transaction");
@@ -88,10 +104,14 @@
         let mut client = Client::open("probe", host.front(), "current", "u3f1", record).ok()?;
         client.run("READ nothing").ok()?;
     }
-    let opened = hosts.iter().map(|host| host.metric("fulmargw_pool_connections_opened_total"));
+    let opened = hosts
+        .iter()
+        .map(|host| host.metric("fulmargw_pool_connections_opened_total"));
     let opened: Vec<f64> = opened.collect();
     let most = opened.iter().copied().fold(0.0, f64::max);
-    opened.iter().position(|count| *count > 0.0 && *count >= most)
+    opened
+        .iter()
+        .position(|count| *count > 0.0 && *count >= most)
 }
 
 fn sleep_until(at: Instant) {
@@ -101,7 +121,12 @@
 /// Runs one transaction: a write, three reads with pauses, six writes without pauses, and COMMIT.
 ///
 /// The client goes on with its transaction after each success, and ends it after an error.
-fn transact(name: &str, front: SocketAddr, stopped_at: Instant, record: &Arc<Record>) -> Option<Seen> {
+fn transact(
+    name: &str,
+    front: SocketAddr,
+    stopped_at: Instant,
+    record: &Arc<Record>,
+) -> Option<Seen> {
     let mut client = Client::open(name, front, "current", "u3f1", record).ok()?;
     sleep_until(stopped_at - Duration::from_millis(300));
     let begun = client.run("BEGIN").ok()?;
@@ -114,10 +139,19 @@
         has_committed: false,
         lapse: None,
     };
-    let early = EARLY.map(|at| (stopped_at + Duration::from_millis(at), format!("READ {name}-0")));
+    let early = EARLY.map(|at| {
+        (
+            stopped_at + Duration::from_millis(at),
+            format!("READ {name}-0"),
+        )
+    });
     let late = stopped_at + HALF_GRACE - LEAD;
-    let writes = (1..=LATE_WRITES).map(|number| (late, format!("WRITE {name}-{number} part-{number}")));
-    let first = (stopped_at - Duration::from_millis(200), format!("WRITE {name}-0 part-0"));
+    let writes =
+        (1..=LATE_WRITES).map(|number| (late, format!("WRITE {name}-{number} part-{number}")));
+    let first = (
+        stopped_at - Duration::from_millis(200),
+        format!("WRITE {name}-0 part-0"),
+    );
     for (at, text) in [first].into_iter().chain(early).chain(writes) {
         sleep_until(at);
         let reply = client.run(&text).ok()?;
@@ -141,18 +175,25 @@
 /// PINNED: a statement runs outside its own transaction.
 fn judge(group: &Arc<Group>, seen: &[Seen], record: &Arc<Record>) -> Outcome {
     let runs = group.runs();
-    let kept: BTreeSet<String> = group.log().into_iter().flatten().map(|entry| entry.id).collect();
+    let kept: BTreeSet<String> = group.kept().into_iter().collect();
     let mut is_broken = false;
     for transaction in seen {
         let mut numbers = BTreeSet::new();
         let mut outside = Vec::new();
-        for run in runs.iter().filter(|run| transaction.inside.contains(&run.id)) {
+        for run in runs
+            .iter()
+            .filter(|run| transaction.inside.contains(&run.id))
+        {
             match run.transaction {
                 Some(number) => drop(numbers.insert(number)),
                 None => outside.push(run.id.clone()),
             }
         }
-        let kept = transaction.inside.iter().filter(|id| kept.contains(*id)).count();
+        let kept = transaction
+            .inside
+            .iter()
+            .filter(|id| kept.contains(*id))
+            .count();
         record.tell(&format!(
             "{}: {} statements sent inside its transaction, {} ran outside of it, {kept} writes kept, committed: {}, success with state I in the middle: {}",
             transaction.name, transaction.inside.len(), outside.len(), transaction.has_committed,
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -14,6 +14,10 @@
     time::{Duration, Instant},
 };
 
+/// Time that an answer and a transaction take, as on the sheets.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+const TRANSACTION_TIME: Duration = Duration::from_millis(3);
+
 /// Row: its version, and its value in base64; `None` if it was removed.
 type Row = (u64, Option<String>);
 
@@ -32,6 +36,8 @@
     group: Mutex<Weak<Group>>,
     /// Largest fencing token seen, by service.
     tokens: Mutex<BTreeMap<String, u64>>,
+    /// Host that sent the last promotion call.
+    last_promoter: Mutex<String>,
     record: Arc<Record>,
 }
 
@@ -53,6 +59,7 @@
             changed: Condvar::new(),
             group: Mutex::new(Weak::new()),
             tokens: Mutex::default(),
+            last_promoter: Mutex::default(),
             record: Arc::clone(record),
         });
         let served = Arc::clone(&store);
@@ -65,6 +72,10 @@
         store
     }
 
+    pub fn last_promoter(&self) -> String {
+        self.last_promoter.lock().unwrap().clone()
+    }
+
     pub fn set_group(&self, group: &Arc<Group>) {
         *self.group.lock().unwrap() = Arc::downgrade(group);
     }
@@ -94,7 +105,10 @@
                 body.len()
             );
             let sent = output.write_all(head.as_bytes());
-            if sent.and_then(|()| output.write_all(body.as_bytes())).is_err() {
+            if sent
+                .and_then(|()| output.write_all(body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -104,6 +118,7 @@
         let parameter = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/api/rows-get") => {
+                thread::sleep(ANSWER_TIME);
                 let to = request.query.get("to").cloned();
                 (200, self.list(&parameter("table"), &parameter("from"), to))
             }
@@ -168,8 +183,7 @@
     }
 
     fn commit(&self, body: &[u8]) -> (u16, String) {
-        // A transaction takes 3 ms.
-        thread::sleep(Duration::from_millis(3));
+        thread::sleep(TRANSACTION_TIME);
         let Some(body) = json::parse(body) else {
             return (400, "{}".into());
         };
@@ -198,7 +212,13 @@
         }
         drop(rows);
         self.changed.notify_all();
-        (200, format!("{{\"rowVersion\":{version},\"nowMs\":{}}}", self.started.elapsed().as_millis()))
+        (
+            200,
+            format!(
+                "{{\"rowVersion\":{version},\"nowMs\":{}}}",
+                self.started.elapsed().as_millis()
+            ),
+        )
     }
 
     fn promote(&self, request: &Request) -> (u16, String) {
@@ -215,7 +235,10 @@
             *seen = token;
         }
         let holder = header("x-fulmargw-duty-holder");
-        self.record.line(&format!("promotion of {id} asked by {holder} with token {token}"));
+        self.last_promoter.lock().unwrap().clone_from(&holder);
+        self.record.line(&format!(
+            "promotion of {id} asked by {holder} with token {token}"
+        ));
         let group = self.group.lock().unwrap().upgrade();
         let is_accepted = group.is_some_and(|group| group.promote(id));
         (if is_accepted { 200 } else { 409 }, "{}".into())
@@ -241,7 +264,9 @@
         let (name, value) = line.split_once(':')?;
         headers.insert(name.to_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|length| length.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     input.read_exact(&mut body).ok()?;
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
