--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -169,13 +169,13 @@
         }
     }
 
-    /// Returns the memory of the process, in bytes.
+    /// Returns the most memory that the process has had so far, in bytes.
     pub fn memory(&self) -> u64 {
         let Some(id) = self.process_id() else {
             return 0;
         };
         let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
         let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
         kib.unwrap_or(0) * 1024
     }
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -7,7 +7,7 @@
 use crate::{record::Record, store::Store};
 use std::{
     collections::BTreeMap,
-    io::{BufRead as _, BufReader, ErrorKind, Write as _},
+    io::{self, BufRead as _, BufReader, BufWriter, ErrorKind, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
@@ -136,7 +136,18 @@
 }
 
 /// Rows, and a signature or an error code; `None` if the server crashed.
-type Answer = Option<(Vec<String>, Result<String, &'static str>)>;
+type Answer = Option<(Vec<Arc<str>>, Result<String, &'static str>)>;
+
+fn send(output: &mut TcpStream, rows: &[Arc<str>], end: &str) -> io::Result<()> {
+    let mut output = BufWriter::with_capacity(64 * 1024, output);
+    for row in rows {
+        output.write_all(b"ROW ")?;
+        output.write_all(row.as_bytes())?;
+        output.write_all(b"\r\n")?;
+    }
+    output.write_all(end.as_bytes())?;
+    output.flush()
+}
 
 fn done() -> Answer {
     Some((Vec::new(), Ok("-".to_owned())))
@@ -398,19 +409,22 @@
             let response = match word {
                 "START" => {
                     has_started = self.accepts(index, rest);
-                    if has_started {
-                        Some(format!("READY I {}\r\n", self.position(index)))
+                    let position = self.position(index);
+                    let ready = format!("READY I {position}\r\n");
+                    let end = if has_started {
+                        ready
                     } else {
-                        Some("ERROR MISROUTED\r\n".to_owned())
-                    }
+                        "ERROR MISROUTED\r\n".to_owned()
+                    };
+                    Some((Vec::new(), end))
                 }
                 "QUERY" if has_started => self.respond(&mut session, rest),
                 _ => None,
             };
-            let Some(response) = response.filter(|_| self.is_running(index, crashes)) else {
+            let Some((rows, end)) = response.filter(|_| self.is_running(index, crashes)) else {
                 return;
             };
-            if output.write_all(response.as_bytes()).is_err() || !has_started {
+            if send(&mut output, &rows, &end).is_err() || !has_started {
                 return;
             }
         }
@@ -438,27 +452,21 @@
         format!("{}.{number}", state.term)
     }
 
-    fn respond(&self, session: &mut Session, fields: &str) -> Option<String> {
+    /// Runs a statement. Returns the rows and the lines after them.
+    fn respond(&self, session: &mut Session, fields: &str) -> Option<(Vec<Arc<str>>, String)> {
         let (id, query) = fields.split_once(' ').unwrap_or((fields, ""));
         let (rows, result) = self.run(session, id, query)?;
-        let mut response = String::new();
-        for row in rows {
-            response.extend(["ROW ", &row, "\r\n"]);
-        }
-        match result {
-            Ok(signature) => response.extend(["COMPLETE ", &signature, "\r\n"]),
-            Err(code) => response.extend(["ERROR ", code, "\r\n"]),
-        }
+        let result = match result {
+            Ok(signature) => format!("COMPLETE {signature}"),
+            Err(code) => format!("ERROR {code}"),
+        };
         let state = match &session.transaction {
             None => "I",
             Some(transaction) if transaction.has_failed => "E",
             Some(_) => "T",
         };
-        response.push_str(&format!(
-            "READY {state} {}\r\n",
-            self.position(session.server)
-        ));
-        Some(response)
+        let position = self.position(session.server);
+        Some((rows, format!("{result}\r\nREADY {state} {position}\r\n")))
     }
 
     /// Reports whether a server has received a log position.
@@ -567,7 +575,7 @@
         } = state.servers[index];
         let term = state.term;
         let row = format!("{role} {term} {term}.{received} {held_term} 0 1 1");
-        Some((vec![row], Ok("-".to_owned())))
+        Some((vec![row.into()], Ok("-".to_owned())))
     }
 
     fn begin(&self, session: &mut Session, is_read_only: bool) -> Answer {
@@ -625,7 +633,7 @@
         thread::sleep(self.behaviour.work);
         self.record_run(session, id, text);
         if item == "report" {
-            let row = "x".repeat(self.behaviour.row_bytes);
+            let row: Arc<str> = "x".repeat(self.behaviour.row_bytes).into();
             return Some((vec![row; self.behaviour.report_rows], Ok(self.signature())));
         }
         let own = session.transaction.iter().flat_map(|it| &it.writes);
@@ -640,7 +648,10 @@
             .flat_map(|(writes, _)| writes)
             .chain(own);
         let found = entries.filter(|entry| entry.item == item).last();
-        let rows = found.map(|entry| entry.data.clone()).into_iter().collect();
+        let rows = found
+            .map(|entry| entry.data.as_str().into())
+            .into_iter()
+            .collect();
         drop(state);
         Some((rows, Ok(self.signature())))
     }
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -16,7 +16,7 @@
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 const MEMORY_MB: u64 = 260;
@@ -111,21 +111,25 @@
     record: &Arc<Record>,
 ) {
     let mut peaks = vec![0; hosts.len()];
+    let mut restarts: Vec<Option<Instant>> = vec![None; hosts.len()];
     while !is_over.load(Ordering::Relaxed) {
         thread::sleep(CHECK_INTERVAL);
-        for (host, peak) in hosts.iter_mut().zip(&mut peaks) {
+        for ((host, peak), restart) in hosts.iter_mut().zip(&mut peaks).zip(&mut restarts) {
+            if restart.is_some_and(|at| at <= Instant::now()) {
+                host.spawn();
+                *restart = None;
+            }
             let bytes = host.memory();
             *peak = bytes.max(*peak);
             if bytes > MEMORY_MB * BYTES_PER_MB {
+                let megabytes = bytes / BYTES_PER_MB;
                 record.tell(&format!(
-                    "host {} has {} MB, more than its {MEMORY_MB} MB; killed",
-                    host.name,
-                    bytes / BYTES_PER_MB
+                    "host {} has {megabytes} MB, more than its {MEMORY_MB} MB; killed",
+                    host.name
                 ));
                 kills.lock().unwrap().push(host.name.clone());
                 host.kill();
-                thread::sleep(RESTART_DELAY);
-                host.spawn();
+                *restart = Some(Instant::now() + RESTART_DELAY);
             }
         }
     }
