Tell callers when the executing host rolled their transaction back

At half of its grace period a caller of another host, whose transaction it runs, gets success with state I in the middle of the transaction. The next writes of the caller are committed one by one, its COMMIT gets MALFORMED.

Cause: the response between two hosts had one value, no transaction number, both for a transaction that the server has ended and for one that the executing host has rolled back. Executor::store sent it when the transactions had been closed while a statement ran, and the session took it for the end of the transaction. Ruled out: the server (its record shows the statement in its transaction, closed after it) and the host of the caller (no signal, no line transaction_aborted).

Change: the response names what became of the transaction: open with its number, rolled back with the cause, or ended by the server. The caller gets ABORTED with the statement under way, which is true, as the connection is closed. One function passes on the replies inside a transaction, and a success with which none is open does not get past it, also from a host of an earlier version.

--- a/fulmargw_model/src/lib.rs
+++ b/fulmargw_model/src/lib.rs
@@ -1,5 +1,6 @@
 //! Domain types shared by every crate, without any protocol encoding.
 
+pub mod abort;
 pub mod availability_zone;
 pub mod backend_server;
 pub mod client_account;
--- a/fulmargw_peer/src/forward.rs
+++ b/fulmargw_peer/src/forward.rs
@@ -10,6 +10,7 @@
 };
 use fulmargw_decision::placement::Obstacle;
 use fulmargw_model::{
+    abort,
     execution::{NotRun, Reply, Request, Trace},
     name::Name,
     position::Position,
@@ -20,6 +21,21 @@
 /// Number of an open transaction, unique on the connection between the two hosts.
 pub type TransactionId = u64;
 
+/// What has become of the transaction of a forwarded statement that a server has answered.
+///
+/// It is encoded as the number, the cause or nothing. Hosts of an earlier version send the number or nothing,
+/// and nothing also for a transaction that they have rolled back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Transaction {
+    /// It is open.
+    Open(TransactionId),
+    /// The host rolled it back while the statement ran.
+    RolledBack(abort::Cause),
+    /// None is open: the statement was one of its own, or the server has ended the transaction.
+    Ended,
+}
+
 /// Outcome of a forwarded statement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -30,8 +46,8 @@
         /// Where and under which conditions the statement ran.
         #[serde(rename = "place")]
         trace: Box<Trace>,
-        /// The transaction that is open after the statement, if there is one.
-        transaction: Option<TransactionId>,
+        /// What has become of the transaction of the statement.
+        transaction: Transaction,
     },
     /// The statement certainly did not run.
     NotRun(NotRun),
--- a/fulmargw_peer/src/forward/client.rs
+++ b/fulmargw_peer/src/forward/client.rs
@@ -1,6 +1,6 @@
 //! Calls to peers that run statements for this host.
 
-use super::{BarrierReport, ForwardClient, Outcome, Sample, TransactionId};
+use super::{BarrierReport, ForwardClient, Outcome, Sample, Transaction, TransactionId};
 use crate::{
     codec,
     connection::{Connection, Stub, Target},
@@ -142,7 +142,7 @@
         let outcome = peer.0.run(&stub, request, None).await?;
         let remote = match &outcome {
             Outcome::Answered {
-                transaction: Some(transaction),
+                transaction: Transaction::Open(transaction),
                 ..
             } => Some(RemoteTransaction {
                 host: host.clone(),
@@ -301,7 +301,7 @@
         let is_open = matches!(
             &outcome,
             Outcome::Answered {
-                transaction: Some(_),
+                transaction: Transaction::Open(_),
                 ..
             }
         );
--- a/fulmargw_peer/src/forward/size.rs
+++ b/fulmargw_peer/src/forward/size.rs
@@ -1,6 +1,6 @@
 //! Sizes of forwarded statements and of their responses.
 
-use super::Outcome;
+use super::{Outcome, Transaction};
 use crate::codec::MAX_FRAME_BYTES;
 use fulmargw_model::execution::{Code, Reply, Request, Text};
 
@@ -33,7 +33,7 @@
             transaction,
         } if rows_bytes(&reply) > MAX_ROWS_BYTES => {
             metrics::counter!("fulmargw_responses_too_large_total").increment(1);
-            let is_open = transaction.is_some();
+            let is_open = matches!(transaction, Transaction::Open(_));
             let code = if is_read || is_open {
                 Code::TooLarge
             } else {
--- a/fulmargw_peer/tests/forward.rs
+++ b/fulmargw_peer/tests/forward.rs
@@ -1,13 +1,16 @@
 //! Calls to the executor of a peer over loopback connections.
 
 use fulmargw_model::{
+    abort,
     execution::{Code, NotRun, Request},
     name::Name,
     position::{Position, Term},
 };
 use fulmargw_peer::{
     codec,
-    forward::{self, BarrierReport, Client, Executor, Handler, Outcome, Sample, TransactionId},
+    forward::{
+        self, BarrierReport, Client, Executor, Handler, Outcome, Sample, Transaction, TransactionId,
+    },
 };
 use std::{
     net::SocketAddr,
@@ -154,3 +157,29 @@
     let expected = [Call::Raise(service, 1, Duration::from_secs(10))];
     assert_eq!(recorder.calls(), expected);
 }
+
+/// Guards against a host that takes a transaction which a peer rolled back for one that has ended, and
+/// against hosts of an earlier version that cannot decode the numbers of open transactions.
+#[test]
+fn what_became_of_a_transaction_is_decoded_as_it_was_encoded() {
+    let causes = [
+        abort::Cause::Stopping,
+        abort::Cause::ZoneEvacuated,
+        abort::Cause::KeyWithdrawn,
+        abort::Cause::Idle,
+        abort::Cause::Disconnected,
+    ];
+    let rolled_back = causes.map(Transaction::RolledBack);
+    let all = [Transaction::Open(7), Transaction::Ended];
+
+    for transaction in all.into_iter().chain(rolled_back) {
+        let bytes = rmp_serde::to_vec(&transaction).expect("encodable");
+        let decoded: Transaction = rmp_serde::from_slice(&bytes).expect("decodable");
+        assert_eq!(decoded, transaction);
+    }
+
+    let encode = |transaction: &Transaction| rmp_serde::to_vec(transaction).expect("encodable");
+    let earlier = |number: Option<u64>| rmp_serde::to_vec(&number).expect("encodable");
+    assert_eq!(encode(&Transaction::Open(7)), earlier(Some(7)));
+    assert_eq!(encode(&Transaction::Ended), earlier(None));
+}
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -8,7 +8,7 @@
     configuration::Configuration,
     dialect::Dialect,
     freshness::Moment,
-    job::{Job, Outcome, Pin, PooledConnection},
+    job::{Job, Outcome, Pin, PooledConnection, Transaction},
     member::Members,
     placement::Placement,
     scheduling::Plan,
@@ -365,7 +365,11 @@
     /// Sends the outcome of a job to its submitter. If the submitter no longer waits for it, rolls
     /// back the open transaction.
     pub fn send_outcome(&self, job: Job<D>, done: Outcome<D>) {
-        if let Err(Outcome::Answered { pin: Some(pin), .. }) = job.reply.send(done) {
+        if let Err(Outcome::Answered {
+            transaction: Transaction::Open(pin),
+            ..
+        }) = job.reply.send(done)
+        {
             self.roll_back(pin);
         }
     }
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -16,7 +16,7 @@
     evacuation,
     freshness::Sample,
     health::{Health, Ticket},
-    job::{Job, Outcome, Pin, PooledConnection},
+    job::{Job, Outcome, Pin, PooledConnection, Transaction},
     scheduling,
     store::Platform,
     table::{
@@ -440,17 +440,17 @@
         server_id: trace.server_id.clone(),
         connection: Box::new(connection),
     };
-    let pin = if reply.state == TransactionState::Idle {
+    let transaction = if reply.state == TransactionState::Idle {
         core.return_connection(pooled);
-        None
+        Transaction::Ended
     } else if matches!(
         job.request.statement.kind,
         Kind::FirstInTransaction { .. } | Kind::InTransaction
     ) {
-        Some(Pin::Local(pooled))
+        Transaction::Open(Pin::Local(pooled))
     } else {
         core.close_connection(pooled);
-        None
+        Transaction::Ended
     };
     core.work_ready.notify_one();
     core.send_outcome(
@@ -458,7 +458,7 @@
         Outcome::Answered {
             reply,
             trace: Box::new(trace),
-            pin,
+            transaction,
         },
     );
 }
--- a/fulmargw_pool/src/forward.rs
+++ b/fulmargw_pool/src/forward.rs
@@ -18,7 +18,7 @@
     execution::{Kind, Request},
     name::Name,
 };
-use fulmargw_peer::forward::{Error, Outcome, RemoteTransaction};
+use fulmargw_peer::forward::{self, Error, Outcome, RemoteTransaction};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -132,10 +132,22 @@
 /// Converts the outcome that a peer reported.
 fn from_peer<D: Dialect>(outcome: Outcome, remote: Option<RemoteTransaction>) -> job::Outcome<D> {
     match outcome {
-        Outcome::Answered { reply, trace, .. } => job::Outcome::Answered {
+        Outcome::Answered {
             reply,
             trace,
-            pin: remote.map(|remote| Pin::Remote(Box::new(remote))),
+            transaction,
+        } => job::Outcome::Answered {
+            reply,
+            trace,
+            transaction: match (transaction, remote) {
+                (_, Some(remote)) => job::Transaction::Open(Pin::Remote(Box::new(remote))),
+                (forward::Transaction::RolledBack(cause), None) => {
+                    job::Transaction::RolledBack(cause)
+                }
+                (forward::Transaction::Open(_) | forward::Transaction::Ended, None) => {
+                    job::Transaction::Ended
+                }
+            },
         },
         Outcome::NotRun(not_run) => job::Outcome::NotRun(not_run),
         Outcome::Lost { server, timed_out } => job::Outcome::Lost { server, timed_out },
--- a/fulmargw_pool/src/forward/executor.rs
+++ b/fulmargw_pool/src/forward/executor.rs
@@ -12,12 +12,13 @@
     store::Platform,
 };
 use fulmargw_model::{
+    abort,
     execution::{Code, NotRun, Request},
     lock::{Mutex, Rank},
     name::Name,
     position::Position,
 };
-use fulmargw_peer::forward::{self, BarrierReport, Outcome, TransactionId};
+use fulmargw_peer::forward::{self, BarrierReport, Outcome, Transaction, TransactionId};
 use std::{
     collections::BTreeMap,
     mem,
@@ -61,7 +62,8 @@
 /// Open transactions of one connection.
 #[derive(Debug)]
 struct Transactions<D: Dialect> {
-    is_closed: bool,
+    /// Why no transaction may be open any more.
+    closed: Option<abort::Cause>,
     next: TransactionId,
     open: BTreeMap<TransactionId, OpenTransaction<D>>,
 }
@@ -78,7 +80,7 @@
 impl<D: Dialect> Default for Transactions<D> {
     fn default() -> Self {
         Self {
-            is_closed: false,
+            closed: None,
             next: 0,
             open: BTreeMap::new(),
         }
@@ -118,10 +120,18 @@
             log::info!(event = "order_not_run", request:% = statement.request(), code = code.label(); "forwarded statement not run");
         }
         match outcome {
-            job::Outcome::Answered { reply, trace, pin } => Outcome::Answered {
+            job::Outcome::Answered {
                 reply,
                 trace,
-                transaction: pin.and_then(|pin| self.store(pin, transaction)),
+                transaction: outcome,
+            } => Outcome::Answered {
+                reply,
+                trace,
+                transaction: match outcome {
+                    job::Transaction::Open(pin) => self.store(pin, transaction),
+                    job::Transaction::RolledBack(cause) => Transaction::RolledBack(cause),
+                    job::Transaction::Ended => Transaction::Ended,
+                },
             },
             job::Outcome::NotRun(not_run) => Outcome::NotRun(not_run),
             job::Outcome::Lost { server, timed_out } => Outcome::Lost { server, timed_out },
@@ -178,34 +188,34 @@
     }
 
     fn close(&self) {
-        close_all(&self.core, &self.transactions);
+        close_all(&self.core, &self.transactions, abort::Cause::Disconnected);
     }
 }
 
 impl<D: Dialect, P: Platform> Executor<D, P> {
-    /// Stores an open transaction until its next statement and returns its number; `None` if the
-    /// connection has ended.
-    fn store(&self, pin: Pin<D>, number: Option<TransactionId>) -> Option<TransactionId> {
+    /// Stores an open transaction until its next statement, unless it has to be rolled back: this host has
+    /// rolled back all of them while the statement ran, or the connection must not be used any more.
+    fn store(&self, pin: Pin<D>, number: Option<TransactionId>) -> Transaction {
         let Pin::Local(pooled) = pin else {
+            // Statements of peers are not passed on to a third host.
             self.core.roll_back(pin);
-            return None;
+            return Transaction::RolledBack(abort::Cause::Disconnected);
         };
         let mut transactions = self.transactions.lock();
-        if transactions.is_closed {
+        let is_evacuated = pooled.connection.is_closed();
+        let cause = transactions
+            .closed
+            .or(is_evacuated.then_some(abort::Cause::ZoneEvacuated));
+        if let Some(cause) = cause {
             drop(transactions);
+            log::info!(event = "forwarded_transaction_aborted", server = pooled.server_id.server.as_str(), cause = cause.text(); "rolling back a transaction of a peer whose statement was under way");
             self.core.close_connection(pooled);
-            return None;
+            return Transaction::RolledBack(cause);
         }
         let transaction = number.unwrap_or_else(|| {
             transactions.next += 1;
             transactions.next
         });
-        if pooled.connection.is_closed() {
-            // The next statement finds no transaction, which tells the caller.
-            drop(transactions);
-            self.core.close_connection(pooled);
-            return Some(transaction);
-        }
         let entry = OpenTransaction {
             pooled,
             idle_since: Instant::now(),
@@ -215,7 +225,7 @@
             ],
         };
         transactions.open.insert(transaction, entry);
-        Some(transaction)
+        Transaction::Open(transaction)
     }
 
     /// Rolls back transactions that the peer has abandoned.
@@ -256,7 +266,7 @@
             return;
         };
         if is_aborting {
-            return close_all(&core, &transactions);
+            return close_all(&core, &transactions, abort::Cause::Stopping);
         }
         close_evacuated(&core, &transactions);
     }
@@ -280,10 +290,15 @@
     }
 }
 
-fn close_all<D: Dialect, P: Platform>(core: &Core<D, P>, transactions: &Mutex<Transactions<D>>) {
+/// Rolls back all transactions, and those whose statement is under way once that has been answered.
+fn close_all<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    transactions: &Mutex<Transactions<D>>,
+    cause: abort::Cause,
+) {
     let open = {
         let mut transactions = transactions.lock();
-        transactions.is_closed = true;
+        transactions.closed.get_or_insert(cause);
         mem::take(&mut transactions.open)
     };
     for entry in open.into_values() {
--- a/fulmargw_pool/src/job.rs
+++ b/fulmargw_pool/src/job.rs
@@ -2,6 +2,7 @@
 
 use crate::{connection::Connection, dialect::Dialect};
 use fulmargw_model::{
+    abort,
     execution::{NotRun, Reply, Request, ServerId, Trace},
     name::Name,
 };
@@ -51,6 +52,31 @@
     Remote(Box<RemoteTransaction>),
 }
 
+/// What has become of the transaction of a statement that a server has answered.
+#[derive(Debug)]
+pub enum Transaction<D: Dialect> {
+    /// It is open, on this connection.
+    Open(Pin<D>),
+    /// A host rolled it back while the statement ran.
+    RolledBack(abort::Cause),
+    /// None is open: the statement was one of its own, or the server has ended the transaction.
+    Ended,
+}
+
+impl<D: Dialect> Transaction<D> {
+    /// Returns what has become of the transaction of a statement that does not end it.
+    ///
+    /// A success with which no transaction is open is no success for a caller, which would go on as if
+    /// its transaction was open. A host of an earlier version sends it when it has rolled the transaction back.
+    #[must_use]
+    pub fn after_inner_statement(self, succeeded: bool) -> Self {
+        match self {
+            Self::Ended if succeeded => Self::RolledBack(abort::Cause::Disconnected),
+            transaction => transaction,
+        }
+    }
+}
+
 /// How the execution of a statement ended.
 #[derive(Debug)]
 pub enum Outcome<D: Dialect> {
@@ -60,8 +86,8 @@
         reply: Reply,
         /// Where and under which conditions the statement ran.
         trace: Box<Trace>,
-        /// Connection of the transaction, if it is still open.
-        pin: Option<Pin<D>>,
+        /// What has become of its transaction.
+        transaction: Transaction<D>,
     },
     /// The statement certainly did not run.
     NotRun(NotRun),
--- a/fulmargw_pool/src/session.rs
+++ b/fulmargw_pool/src/session.rs
@@ -18,7 +18,7 @@
     failure::Failure,
     kept::Kept,
     response::send,
-    state::{AbortCause, Session},
+    state::Session,
     step::Step,
     trace::count_error,
 };
@@ -32,6 +32,7 @@
 };
 use fulmargw_budget::{session, slot::Slot};
 use fulmargw_model::{
+    abort,
     client_account::Digest,
     execution::{Code, Text, TransactionState},
     name::Name,
@@ -49,8 +50,6 @@
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Retry delay that a refused caller is given if no better one is known.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Why a session whose API key is no longer valid for its account is refused.
-const KEY_WITHDRAWN: &str = "the API key was withdrawn";
 
 /// Responses to one statement.
 struct Output {
@@ -203,16 +202,16 @@
                 request = channel.next(&core.budget, callers) => return request,
                 () = core.closing_idle.cancelled(), if self.session.transaction.is_none() => return Ok(None),
                 () = core.aborting.cancelled(), if self.session.has_live_transaction() => {
-                    self.abort(AbortCause::Stopping);
+                    self.abort(abort::Cause::Stopping);
                 }
                 () = self.connection_closed(), if self.session.has_live_transaction() => {
-                    self.abort(AbortCause::ZoneEvacuated);
+                    self.abort(abort::Cause::ZoneEvacuated);
                 }
                 () = self.key_withdrawn(), if self.session.has_live_transaction() => {
-                    self.abort(AbortCause::KeyWithdrawn);
+                    self.abort(abort::Cause::KeyWithdrawn);
                 }
                 () = sleep_until(idle_deadline), if self.session.has_live_transaction() => {
-                    self.abort(AbortCause::Idle);
+                    self.abort(abort::Cause::Idle);
                 }
             }
         }
--- a/fulmargw_pool/src/session/access.rs
+++ b/fulmargw_pool/src/session/access.rs
@@ -2,7 +2,7 @@
 
 use super::{failure::Failure, state::Caller};
 use crate::{catalog::Route, configuration::Configuration};
-use fulmargw_model::{client_account::Digest, execution::Code, name::Name};
+use fulmargw_model::{abort, client_account::Digest, execution::Code, name::Name};
 
 /// Why a caller may not run statements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,7 +29,7 @@
     pub(super) fn of_statement(self) -> Failure {
         match self {
             Self::UnknownDatabase => Failure::new(Code::UnknownDatabase, "the route was removed"),
-            Self::InvalidKey => Failure::new(Code::Denied, super::KEY_WITHDRAWN),
+            Self::InvalidKey => Failure::new(Code::Denied, abort::Cause::KeyWithdrawn.text()),
         }
     }
 }
--- a/fulmargw_pool/src/session/execute.rs
+++ b/fulmargw_pool/src/session/execute.rs
@@ -12,12 +12,13 @@
     dialect::Dialect,
     dispatch::{self, RETRY_FRACTION},
     evacuation, forward,
-    job::{Outcome, Pin},
+    job::{Outcome, Pin, Transaction},
     message::Response,
     statement::Query,
     store::Platform,
 };
 use fulmargw_model::{
+    abort,
     execution::{
         Code, Kind, NotRun, Reply, Request, Statement, Template, Text, Trace, TransactionState,
         Visibility,
@@ -95,20 +96,16 @@
         configuration: &Configuration,
     ) -> Output {
         match outcome {
-            Outcome::Answered { reply, trace, pin } => {
+            Outcome::Answered {
+                reply,
+                trace,
+                transaction,
+            } => {
                 self.log_reply(query, &trace, &reply, received, configuration);
-                match (&mut self.session.transaction, pin) {
-                    (Some(transaction), Some(pin)) => {
-                        transaction.has_failed = reply.state == TransactionState::Failed;
-                        transaction.pin = Some(pin);
-                    }
-                    _ => self.session.transaction = None,
-                }
-                self.relay(reply)
+                self.relay_inner(query, reply, transaction, configuration)
             }
             Outcome::NotRun(_) => {
-                self.session.transaction = None;
-                self.refuse(&Failure::new(Code::Aborted, "the connection was lost"))
+                self.report_abort(query, abort::Cause::Disconnected, configuration)
             }
             Outcome::Lost { server, timed_out } => {
                 self.session.transaction = None;
@@ -167,13 +164,14 @@
                 )
                 .await;
             match outcome {
-                Outcome::Answered { reply, trace, pin } => {
-                    let is_rejected = match &reply.result {
-                        Err((code, _)) => code.is_not_run(),
-                        Ok(_) => false,
-                    };
+                Outcome::Answered {
+                    reply,
+                    trace,
+                    transaction,
+                } => {
+                    let is_rejected = matches!(&reply.result, Err((code, _)) if code.is_not_run());
                     if is_rejected && Instant::now() < retry_until {
-                        if let Some(pin) = pin {
+                        if let Transaction::Open(pin) = transaction {
                             self.core.roll_back(pin);
                         }
                         let is_lagging = matches!(&reply.result, Err((Code::Lagging, _)));
@@ -188,7 +186,7 @@
                         &statement,
                         reply,
                         &trace,
-                        pin,
+                        transaction,
                         received,
                         configuration,
                     );
@@ -243,7 +241,7 @@
         statement: &Statement,
         reply: Reply,
         trace: &Trace,
-        pin: Option<Pin<D>>,
+        transaction: Transaction<D>,
         received: Instant,
         configuration: &Configuration,
     ) -> Output {
@@ -251,13 +249,41 @@
         if statement.kind == Kind::Write && reply.result.is_ok() {
             self.record_commit(&trace.server_id.service, reply.position);
         }
-        if let Some(transaction) = &mut self.session.transaction {
-            transaction.has_failed = reply.state == TransactionState::Failed;
-            transaction.pin = pin;
-            if transaction.pin.is_none() {
-                self.session.transaction = None;
+        if self.session.transaction.is_some() {
+            return self.relay_inner(query, reply, transaction, configuration);
+        }
+        if let Transaction::Open(pin) = transaction {
+            self.core.roll_back(pin);
+        }
+        self.relay(reply)
+    }
+
+    /// Passes on the reply to a statement of the open transaction that does not end it, or reports that
+    /// the transaction was rolled back. The caller is never told a success with which none is open.
+    fn relay_inner(
+        &mut self,
+        query: &Query,
+        reply: Reply,
+        transaction: Transaction<D>,
+        configuration: &Configuration,
+    ) -> Output {
+        let succeeded = reply.result.is_ok();
+        match transaction.after_inner_statement(succeeded) {
+            Transaction::Open(pin) => {
+                if let Some(open) = &mut self.session.transaction {
+                    open.has_failed = reply.state == TransactionState::Failed;
+                    open.pin = Some(pin);
+                }
+            }
+            Transaction::RolledBack(cause) => {
+                return self.report_abort(query, cause, configuration);
             }
+            Transaction::Ended => self.session.transaction = None,
         }
+        debug_assert!(
+            !succeeded || self.session.transaction.is_some(),
+            "a success inside a transaction leaves it open"
+        );
         self.relay(reply)
     }
 
--- a/fulmargw_pool/src/session/state.rs
+++ b/fulmargw_pool/src/session/state.rs
@@ -1,8 +1,8 @@
 //! State that a session keeps between statements.
 
-use super::KEY_WITHDRAWN;
 use crate::{catalog::Keyring, dialect::Dialect, job::Pin};
 use fulmargw_model::{
+    abort,
     client_account::Digest,
     execution::{Consistency, Template, Text, Variables},
     name::Name,
@@ -50,43 +50,6 @@
     }
 }
 
-/// Why this host rolls back an open transaction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AbortCause {
-    /// The host is stopping.
-    Stopping,
-    /// The zone of the backend server is evacuated.
-    ZoneEvacuated,
-    /// The API key no longer belongs to the account for which the transaction was admitted.
-    KeyWithdrawn,
-    /// The caller sent nothing for the idle timeout.
-    Idle,
-}
-
-impl AbortCause {
-    /// Returns the name for metrics.
-    #[must_use]
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Stopping => "stopping",
-            Self::ZoneEvacuated => "zone_evacuated",
-            Self::KeyWithdrawn => "key_withdrawn",
-            Self::Idle => "idle",
-        }
-    }
-
-    /// Returns the text that the caller is told.
-    #[must_use]
-    pub fn text(self) -> &'static str {
-        match self {
-            Self::Stopping => "the host is stopping",
-            Self::ZoneEvacuated => "the zone of the backend server is evacuated",
-            Self::KeyWithdrawn => KEY_WITHDRAWN,
-            Self::Idle => "the transaction was idle for too long",
-        }
-    }
-}
-
 /// State of one session.
 #[derive(Debug)]
 pub struct Session<D: Dialect> {
@@ -126,7 +89,7 @@
     /// Whether a statement failed.
     pub has_failed: bool,
     /// Why the transaction was rolled back, until the caller is notified.
-    pub abort_cause: Option<AbortCause>,
+    pub abort_cause: Option<abort::Cause>,
     /// Connection to which the transaction is pinned, once it has begun on a backend server.
     pub pin: Option<Pin<D>>,
     /// Counts the transaction while it is open.
--- a/fulmargw_pool/src/session/step.rs
+++ b/fulmargw_pool/src/session/step.rs
@@ -3,16 +3,19 @@
 use super::{
     access::{self, Denial},
     failure::Failure,
-    state::{AbortCause, Session},
+    state::Session,
 };
 use crate::{configuration::Configuration, dialect::Dialect, statement::Statement};
-use fulmargw_model::execution::{Code, Kind, Template, Text};
+use fulmargw_model::{
+    abort,
+    execution::{Code, Kind, Template, Text},
+};
 
 /// What a session does with a statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
     /// Reports that the open transaction was rolled back, which is done first if it still has to be.
-    ReportAbort(AbortCause),
+    ReportAbort(abort::Cause),
     /// Refuses the statement.
     Refuse(Failure),
     /// Refuses the statement and ends the session.
@@ -112,12 +115,12 @@
 fn abort_cause<D: Dialect>(
     session: &Session<D>,
     configuration: &Configuration,
-) -> Option<AbortCause> {
+) -> Option<abort::Cause> {
     let transaction = session.transaction.as_ref()?;
     let is_withdrawn = !session.may_continue(&configuration.keys);
     transaction
         .abort_cause
-        .or(is_withdrawn.then_some(AbortCause::KeyWithdrawn))
+        .or(is_withdrawn.then_some(abort::Cause::KeyWithdrawn))
 }
 
 /// Reports whether this host responds to a statement itself, outside of a transaction. Others are
--- a/fulmargw_pool/src/session/transaction.rs
+++ b/fulmargw_pool/src/session/transaction.rs
@@ -4,17 +4,18 @@
     Driver, Output, START_TIMEOUT,
     access::{self, Denial},
     failure::Failure,
-    state::{AbortCause, Caller, OpenTransaction},
+    state::{Caller, OpenTransaction},
 };
 use crate::{
     borrow,
     configuration::Configuration,
     dialect::Dialect,
-    job::{Outcome, Pin},
+    job::{Outcome, Pin, Transaction},
     statement::{self, Query},
     store::Platform,
 };
 use fulmargw_model::{
+    abort,
     execution::{Code, Kind, Statement, Visibility},
     name::Name,
     position::Position,
@@ -118,9 +119,13 @@
             )
             .await;
         match outcome {
-            Outcome::Answered { reply, trace, pin } => {
+            Outcome::Answered {
+                reply,
+                trace,
+                transaction: remaining,
+            } => {
                 // The transaction is over for the caller, whatever its state on the server.
-                if let Some(pin) = pin {
+                if let Transaction::Open(pin) = remaining {
                     self.core.roll_back(pin);
                 }
                 if kind == Kind::Commit && transaction.has_written && reply.result.is_ok() {
@@ -155,7 +160,7 @@
     }
 
     /// Rolls back the open transaction. The response to its next statement notifies the caller.
-    pub(super) fn abort(&mut self, cause: AbortCause) {
+    pub(super) fn abort(&mut self, cause: abort::Cause) {
         self.log_abort(cause);
         if let Some(transaction) = &mut self.session.transaction {
             if let Some(pin) = transaction.pin.take() {
@@ -169,7 +174,7 @@
     pub(super) fn report_abort(
         &mut self,
         query: &Query,
-        cause: AbortCause,
+        cause: abort::Cause,
         configuration: &Configuration,
     ) -> Output {
         if self.session.has_live_transaction() {
--- a/fulmargw_pool/src/session/withdrawal.rs
+++ b/fulmargw_pool/src/session/withdrawal.rs
@@ -1,8 +1,9 @@
 //! Records what becomes of transactions whose API key is withdrawn, and checks that nothing runs for
 //! such a key.
 
-use super::{Driver, state::AbortCause, trace::display_id};
+use super::{Driver, trace::display_id};
 use crate::{clock::millis, dialect::Dialect, statement::Query, store::Platform};
+use fulmargw_model::abort;
 use tokio::time::Instant;
 
 /// Registers the counter that must stay 0, so that it is served before it counts anything.
@@ -12,7 +13,7 @@
 
 impl<D: Dialect, P: Platform> Driver<D, P> {
     /// Records that the open transaction is rolled back by this host.
-    pub(super) fn log_abort(&self, cause: AbortCause) {
+    pub(super) fn log_abort(&self, cause: abort::Cause) {
         metrics::counter!("fulmargw_pool_transactions_aborted_total", "cause" => cause.label())
             .increment(1);
         let transaction = self.session.transaction.as_ref();
