Apply a promotion that is known before the registry is read

Its peers tell it of the promotion a millisecond after its start, before it has read the registry. It never acts on it: it takes the primary from the registry and commits there, and the promoted server lacks these commits.

Cause: the promotion was recorded as known in the table of the hosts, and set_primary did nothing as there was no group yet. Nothing applied it once the registry was read, and later reports of it were not newer. The same held for a promoted server that is registered after the promotion is known.

Change: what a host knows of the replacement of primaries (latest promotion, commit barrier) is kept by service beside the groups (table::handover). Promotion and barrier are now under one lock.

--- a/fulmargw_pool/src/barrier.rs
+++ b/fulmargw_pool/src/barrier.rs
@@ -47,8 +47,8 @@
 pub(crate) fn lift<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name, token: u64) {
     let ended = {
         let mut servers = core.servers.lock();
-        let group = servers.groups.get_mut(service);
-        group.and_then(|group| group.barrier.lift(token))
+        let handover = servers.handovers.get_mut(service);
+        handover.and_then(|handover| handover.barrier.lift(token))
     };
     record_end(core, service, ended, "lifted");
 }
@@ -58,9 +58,9 @@
     let now = Instant::now();
     let ended: Vec<(Name, Ended)> = {
         let mut servers = core.servers.lock();
-        let groups = servers.groups.iter_mut();
-        let ended = groups.filter_map(|(service, group)| {
-            let ended = group.barrier.expire(now)?;
+        let handovers = servers.handovers.iter_mut();
+        let ended = handovers.filter_map(|(service, handover)| {
+            let ended = handover.barrier.expire(now)?;
             Some((service.clone(), ended))
         });
         ended.collect()
@@ -101,17 +101,15 @@
     period: Duration,
     now: Instant,
 ) -> Raised {
-    // Held together with the servers, so that a promotion that becomes known ends the barrier.
-    let members = core.members.lock();
-    let promotion = members.promotions.get(service);
+    let mut servers = core.servers.lock();
+    let promotion = servers.promotion(service);
     if promotion.is_some_and(|promotion| promotion.token >= token) {
         return Raised::Refused;
     }
-    let mut servers = core.servers.lock();
-    let Some(group) = servers.groups.get_mut(service) else {
+    if !servers.groups.contains_key(service) {
         return Raised::NoServers;
-    };
-    if group.barrier.raise(token, period, now) {
+    }
+    if servers.handover(service).barrier.raise(token, period, now) {
         Raised::Up
     } else {
         Raised::Refused
@@ -145,10 +143,14 @@
     token: u64,
 ) -> Option<BarrierReport> {
     let mut servers = core.servers.lock();
-    let group = servers.groups.get_mut(service)?;
-    if !group.barrier.seal(token, Instant::now()) {
+    if !servers
+        .handover(service)
+        .barrier
+        .seal(token, Instant::now())
+    {
         return None;
     }
+    let group = servers.groups.get(service)?;
     Some(BarrierReport {
         acknowledged: group.acknowledged,
         is_settled: !group.has_outstanding_commit(),
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -340,9 +340,9 @@
         let now = Instant::now();
         let servers = self.servers.lock();
         let group = servers.groups.get(service);
-        let is_barred = group.is_some_and(|group| group.barrier.is_up(now));
+        let is_held = servers.holds_commits(service, now);
         let primary = group.and_then(|group| group.primary());
-        is_barred || primary.is_none_or(|primary| !primary.health.is_usable(now))
+        is_held || primary.is_none_or(|primary| !primary.health.is_usable(now))
     }
 
     /// Returns for how long this host has known no primary, if only the primary can run the
--- a/fulmargw_pool/src/dump.rs
+++ b/fulmargw_pool/src/dump.rs
@@ -10,7 +10,7 @@
     member::{Executor, Members},
     scheduling::Load,
     store::Platform,
-    table::{self, Group},
+    table::{self, Group, barrier},
 };
 use fulmargw_budget::memory::Summary;
 use fulmargw_decision::work;
@@ -231,7 +231,9 @@
         let parts = names.into_iter().zip(holders).zip(waiting);
         let described = parts.filter_map(|((name, holders), (waiting, works))| {
             let group = servers.groups.get(&name)?;
-            let mut service = service(name, holders, waiting, group, now);
+            let handover = servers.handovers.get(&name);
+            let barrier = handover.and_then(|it| it.barrier.state(now));
+            let mut service = service(name, holders, waiting, (group, barrier), now);
             for server in &mut service.servers {
                 let works = works.get(&server.server.id).cloned();
                 (server.reserved, server.work) = works.unwrap_or_default();
@@ -337,7 +339,7 @@
     name: Name,
     holders: Holders,
     waiting: usize,
-    group: &Group<D>,
+    (group, barrier): (&Group<D>, Option<barrier::State>),
     now: Instant,
 ) -> Service {
     Service {
@@ -347,7 +349,7 @@
         waiting,
         primary: group.primary_id.clone(),
         acknowledged: group.acknowledged,
-        barrier: group.barrier.state(now).map(|state| Barrier {
+        barrier: barrier.map(|state| Barrier {
             token: state.token,
             remaining_ms: millis(state.remaining),
             is_sealed: state.is_sealed,
--- a/fulmargw_pool/src/exchange/commit.rs
+++ b/fulmargw_pool/src/exchange/commit.rs
@@ -6,7 +6,7 @@
     health::{Health, Ticket},
     job::Job,
     store::Platform,
-    table::{Group, barrier::Wait},
+    table::{Handover, Servers, barrier::Wait},
 };
 use fulmargw_model::execution::{Reply, ServerId, Trace};
 use tokio::time::Instant;
@@ -74,14 +74,15 @@
 ) -> Clearance {
     let now = Instant::now();
     let mut servers = core.servers.lock();
-    if commits && let Some(group) = servers.groups.get_mut(&id.service) {
-        if let Some(wait) = group.barrier.wait(now) {
+    if commits {
+        if let Some(wait) = servers.wait(&id.service, now) {
             if !was_held {
-                count_held(group);
+                count_held(servers.handover(&id.service));
             }
             return Clearance::Held(wait);
         }
-        if group.has_other_primary(&id.server) {
+        let group = servers.groups.get(&id.service);
+        if group.is_some_and(|group| group.has_other_primary(&id.server)) {
             return Clearance::Superseded;
         }
     }
@@ -96,8 +97,8 @@
     })
 }
 
-fn count_held<D: Dialect>(group: &mut Group<D>) {
-    group.barrier.record_held();
+fn count_held(handover: &mut Handover) {
+    handover.barrier.record_held();
     metrics::counter!("fulmargw_pool_commits_held_total").increment(1);
 }
 
@@ -152,20 +153,24 @@
 ) -> Checked {
     let now = Instant::now();
     let mut servers = core.servers.lock();
-    let Some(group) = servers.groups.get_mut(&id.service) else {
+    let Servers {
+        groups, handovers, ..
+    } = &mut *servers;
+    let Some(group) = groups.get_mut(&id.service) else {
         return Checked::Confirmed;
     };
-    if let Some(wait) = group.barrier.wait_sealed(now) {
+    let handover = handovers.entry(id.service.clone()).or_default();
+    if let Some(wait) = handover.barrier.wait_sealed(now) {
         if is_first {
-            count_held(group);
+            count_held(handover);
         }
         return Checked::Kept(wait);
     }
     // The barrier may have ended before the response came: the old primary leads until the promotion
     // takes effect, which is some hundred milliseconds after its acceptance.
     // A barrier that expired leaves open what became of its promotion, as after a host was frozen.
-    let is_unclear = group.has_other_primary(&id.server) || group.barrier.has_unlifted_seal();
-    if group.barrier.was_sealed_since(sent.at) && is_unclear {
+    let is_unclear = group.has_other_primary(&id.server) || handover.barrier.has_unlifted_seal();
+    if handover.barrier.was_sealed_since(sent.at) && is_unclear {
         return Checked::Superseded;
     }
     if let Some(position) = reply.position {
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -28,10 +28,11 @@
     promotion::{Unresolved, Waits, attempt::Completeness},
     sampling,
     store::Platform,
-    table::Backend,
+    table::{Backend, handover::Applied},
 };
 use fulmargw_decision::evacuation::{Exclusion, needs_successor};
 use fulmargw_model::name::Name;
+use fulmargw_peer::report::Promotion;
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -289,8 +290,7 @@
 
 /// Returns the token of the latest promotion of a service that this host knows to be accepted.
 fn accepted_token<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<u64> {
-    let members = core.members.lock();
-    Some(members.promotions.get(service)?.token)
+    Some(core.servers.lock().promotion(service)?.token)
 }
 
 /// Returns why the primary of a service should be replaced; `None` if it should not.
@@ -335,36 +335,54 @@
     (age >= timeout).then_some(Reason::Trouble(trouble))
 }
 
-/// Makes a server the assumed primary of a service because it was promoted. `source` names how this
-/// host learned of the promotion. Ends the commit barrier of the service if the latest promotion of
-/// the service is the one for which it was raised, or a later one.
-pub fn set_primary<D: Dialect, P: Platform>(
+/// Records a promotion and applies it as soon as the promoted server is registered. `source` names how
+/// this host learned of it.
+pub(crate) fn record_promotion<D: Dialect, P: Platform>(
     core: &Core<D, P>,
-    service: &Name,
-    server: &Name,
+    promotion: &Promotion,
     source: &'static str,
 ) {
-    let token = {
-        let members = core.members.lock();
-        let promotion = members.promotions.get(service);
-        promotion
-            .filter(|it| it.server == *server)
-            .map(|it| it.token)
-    };
-    let (is_new, ended) = {
+    let Promotion {
+        service, server, ..
+    } = promotion;
+    let now = Instant::now();
+    let applied = core.servers.lock().record_promotion(promotion, now);
+    if let Some(applied) = applied {
+        log_applied(core, service, server, applied, source);
+    }
+}
+
+/// Makes a server the assumed primary of a service because it has been found to lead. Ends the commit
+/// barrier of the service if it was raised for the latest promotion of the service, or an earlier one.
+fn set_primary<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name, server: &Name) {
+    let applied = {
         let mut servers = core.servers.lock();
         let Some(group) = servers.groups.get_mut(service) else {
             return;
         };
-        let is_new = group.set_promoted(server, Instant::now());
-        // While the promoted server is not registered, the assumed primary is still the old one.
-        // The barrier stays up, so that nothing is committed there.
+        let is_new_primary = group.set_promoted(server, Instant::now());
         let is_primary = group.primary_id.as_ref() == Some(server);
-        let token = token.filter(|_| is_primary);
-        (is_new, token.and_then(|token| group.barrier.lift(token)))
+        let handover = servers.handover(service);
+        let promotion = handover.promotion().filter(|it| it.server == *server);
+        let token = promotion.filter(|_| is_primary).map(|it| it.token);
+        Applied {
+            is_new_primary,
+            ended: token.and_then(|token| handover.barrier.lift(token)),
+        }
     };
-    barrier::record_end(core, service, ended, "promoted");
-    if is_new {
+    log_applied(core, service, server, applied, "survey");
+}
+
+/// Logs what a promotion has changed, and wakes the workers.
+fn log_applied<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    server: &Name,
+    applied: Applied,
+    source: &'static str,
+) {
+    barrier::record_end(core, service, applied.ended, "promoted");
+    if applied.is_new_primary {
         log::info!(event = "primary_believed", service = service.as_str(), server = server.as_str(), source; "another server is the assumed primary");
         core.work_ready.notify_one();
     }
--- a/fulmargw_pool/src/failover/barriers.rs
+++ b/fulmargw_pool/src/failover/barriers.rs
@@ -1,17 +1,14 @@
 //! Raises and lifts the commit barrier of a service on all hosts.
 
 use super::reach::{PEER_REQUEST_TIMEOUT, Peer, live_peers};
-use crate::{barrier, clock::millis, core::Core, dialect::Dialect, store::Platform};
+use crate::{
+    barrier, clock::millis, core::Core, dialect::Dialect, store::Platform, table::barrier::PERIOD,
+};
 use fulmargw_model::{name::Name, position::Position};
 use fulmargw_peer::forward::BarrierReport;
 use futures::future::join_all;
-use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time for which a barrier stays up unless it is lifted. A promotion call that was accepted takes
-/// effect within it, and a host that ends during an attempt does not hold commits for longer.
-const BARRIER_PERIOD: Duration = Duration::from_secs(4);
-
 /// Raises the barrier on this host and on `peers`. Returns the latest position that these hosts know to
 /// be acknowledged; `None` if one of them knows a later claim or promotion.
 ///
@@ -28,7 +25,7 @@
             *address,
             service.clone(),
             token,
-            BARRIER_PERIOD,
+            PERIOD,
             PEER_REQUEST_TIMEOUT,
         );
         raised.await.inspect_err(|cause| {
@@ -36,7 +33,7 @@
         })
     });
     let (own, responses) = tokio::join!(
-        barrier::raise(core, service, token, BARRIER_PERIOD),
+        barrier::raise(core, service, token, PERIOD),
         join_all(requests)
     );
     let unconfirmed = responses
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -5,7 +5,7 @@
     barriers::{lift_barriers, raise_barriers},
     claim::{KEY_PREFIX, claim, is_excluded, may_be_promoted, previous_claim},
     reach::{Peer, acknowledged, find_witness, live_peers},
-    recording, set_primary,
+    record_promotion, recording, set_primary,
     survey::{Probe, pause, query, query_replicas, resume_replicas, return_connections},
 };
 use crate::{
@@ -325,14 +325,13 @@
                     server: server.clone(),
                     token: self.claimed.fencing_token(),
                 };
-                self.core.members.lock().record_promotion(&promotion);
-                set_primary(self.core, self.service, &server, "own order");
+                record_promotion(self.core, &promotion, "own order");
                 self.core.report_now.notify_one();
                 Ok(server)
             }
             End::Obstacle(obstacle) => {
                 if let Obstacle::AlreadyPrimary(server, _) = &obstacle {
-                    set_primary(self.core, self.service, server, "survey");
+                    set_primary(self.core, self.service, server);
                 }
                 Err(Failure::Obstacle(obstacle))
             }
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -5,7 +5,9 @@
     entries::{EXPIRED_ENTRY_GRACE, Entries},
     restored_since, revision_after_failure, watch_timeout,
 };
-use crate::{clock, core::Core, dialect::Dialect, evacuation, store::Platform, table::Change};
+use crate::{
+    barrier, clock, core::Core, dialect::Dialect, evacuation, store::Platform, table::Change,
+};
 use fulmargw_decision::store_clock::StoreClock;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -105,7 +107,7 @@
     };
     core.members.lock().placement.set_zones(zones);
     for change in &changes {
-        log_change(change);
+        log_change(core, change);
     }
     if !changes.is_empty() {
         core.work_ready.notify_one();
@@ -117,12 +119,19 @@
     });
 }
 
-fn log_change(change: &Change) {
+fn log_change<D: Dialect, P: Platform>(core: &Core<D, P>, change: &Change) {
     let (event, server) = match change {
         Change::Added(server) => ("server_added", server),
         Change::Changed(server) => ("server_changed", server),
         Change::Removed(server) => ("server_gone", server),
         Change::PrimaryChanged(server) => ("primary_registered", server),
+        Change::PrimaryPromoted(server) => {
+            log::info!(event = "primary_believed", service = server.service.as_str(), server = server.id.as_str(), source = "earlier promotion"; "another server is the assumed primary");
+            return;
+        }
+        Change::BarrierEnded(service, ended) => {
+            return barrier::record_end(core, service, Some(*ended), "promoted");
+        }
         Change::PrimaryRemoved(id) => {
             log::info!(event = "primary_gone", server = id.as_str(); "the primary is no longer registered");
             return;
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -89,17 +89,13 @@
     for (service, position) in &report.acknowledged_positions {
         core.learn_acknowledged(service, *position);
     }
-    let (is_changed, newer_promotions, knows_all_hosts) = {
+    let (is_changed, knows_all_hosts) = {
         let mut members = core.members.lock();
         let lists_hosts = !report.members.is_empty();
         let digest = report.members_digest;
-        let newer_promotions: Vec<_> = promotions
-            .into_iter()
-            .filter(|promotion| members.record_promotion(promotion))
-            .collect();
         let is_changed = members.record_report(report, Instant::now());
         let knows_all_hosts = lists_hosts || digest == members.digest();
-        (is_changed, newer_promotions, knows_all_hosts)
+        (is_changed, knows_all_hosts)
     };
     if is_changed {
         apply_membership(core);
@@ -107,8 +103,8 @@
     if knows_all_hosts {
         core.hosts_known.send_replace(true);
     }
-    for promotion in newer_promotions {
-        failover::set_primary(core, &promotion.service, &promotion.server, "peer");
+    for promotion in &promotions {
+        failover::record_promotion(core, promotion, "peer");
     }
 }
 
@@ -119,16 +115,15 @@
         .configuration()
         .map_or(0, |configuration| configuration.catalog.version);
     let host = &core.settings.host;
-    let (members_digest, members, ages, promotions) = {
+    let (members_digest, members, ages) = {
         let table = core.members.lock();
         let peers = table.peers.iter();
         let members = peers.map(|(name, peer)| (name.clone(), peer.endpoint.clone()));
         let mut members: Vec<_> = members.collect();
         members.push((host.name.clone(), core.settings.endpoint()));
-        let promotions = table.promotions.values().cloned().collect();
-        (table.digest(), members, table.ages(now), promotions)
+        (table.digest(), members, table.ages(now))
     };
-    let (responsive_primaries, acknowledged_positions) = {
+    let (responsive_primaries, acknowledged_positions, promotions) = {
         let servers = core.servers.lock();
         let groups = servers.groups.iter();
         let known = groups.filter_map(|(service, group)| {
@@ -142,7 +137,8 @@
         let responsive_primaries = responsive
             .map(|primary| primary.server.id.clone())
             .collect();
-        (responsive_primaries, acknowledged_positions)
+        let promotions = servers.promotions().cloned().collect();
+        (responsive_primaries, acknowledged_positions, promotions)
     };
     Report {
         host: host.name.clone(),
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -12,7 +12,7 @@
 };
 use fulmargw_decision::gossip::{self, Age, FANOUT, Rotation, Timing};
 use fulmargw_model::name::Name;
-use fulmargw_peer::report::{Endpoint, Promotion, Report};
+use fulmargw_peer::report::{Endpoint, Report};
 use std::{
     collections::BTreeMap,
     hash::{DefaultHasher, Hash as _, Hasher as _},
@@ -95,8 +95,6 @@
     /// Time at which this host's member row was first written, or at which a peer first reported
     /// that it counts this host.
     pub joined_at: Option<Instant>,
-    /// Latest known promotions by service.
-    pub promotions: BTreeMap<Name, Promotion>,
     /// Whether this host is stopping.
     pub is_stopping: bool,
     /// Choice of the hosts that run the statements of services.
@@ -170,7 +168,6 @@
             peers: BTreeMap::new(),
             renewed_at: None,
             joined_at: None,
-            promotions: BTreeMap::new(),
             is_stopping: false,
             holders: Holders::new(),
             placement: Placement::default(),
@@ -484,17 +481,6 @@
         now.saturating_duration_since(since)
     }
 
-    /// Records a promotion. Returns whether it is newer than the latest known one of its service.
-    pub fn record_promotion(&mut self, promoted: &Promotion) -> bool {
-        let known = self.promotions.get(&promoted.service);
-        if known.is_some_and(|known| known.token >= promoted.token) {
-            return false;
-        }
-        self.promotions
-            .insert(promoted.service.clone(), promoted.clone());
-        true
-    }
-
     /// Reports whether a primary has responded to a peer recently.
     #[must_use]
     pub fn responds_to_peers(&self, server: &Name, now: Instant) -> bool {
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -4,12 +4,13 @@
 mod backend;
 pub mod barrier;
 mod exclusion;
+pub mod handover;
 mod queues;
 mod succession;
 
 pub use self::{
     backend::{Backend, Checkout, Share, Shares},
-    barrier::Barrier,
+    handover::Handover,
     queues::Queues,
     succession::{Effect, Succession},
 };
@@ -44,6 +45,8 @@
 pub struct Servers<D: Dialect> {
     /// Groups by the name of their service.
     pub groups: BTreeMap<Name, Group<D>>,
+    /// What is known of the replacement of primaries, by the name of the service.
+    pub handovers: BTreeMap<Name, Handover>,
     /// Zones whose servers get nothing.
     exclusion: Exclusion,
 }
@@ -82,8 +85,6 @@
     last_used: Option<Instant>,
     /// Mean duration of the statements that this host runs.
     pub pace: Pace,
-    /// Holds the commits of the service while its primary is replaced.
-    pub barrier: Barrier,
     /// Servers by identifier.
     pub backends: BTreeMap<Name, Backend<D>>,
 }
@@ -94,6 +95,7 @@
     pub fn new() -> Self {
         Self {
             groups: BTreeMap::new(),
+            handovers: BTreeMap::new(),
             exclusion: Exclusion::default(),
         }
     }
@@ -149,6 +151,7 @@
             });
             group.replace_removed_primary(&mut changes);
         }
+        self.apply_promotions(Instant::now(), &mut changes);
         // A server that is new, or registered in another zone from now on, may be excluded.
         self.apply_exclusion();
         changes
@@ -174,6 +177,10 @@
     PrimaryChanged(Server),
     /// The assumed primary is no longer registered.
     PrimaryRemoved(Name),
+    /// The server is the assumed primary from now on, because it was promoted before it was registered.
+    PrimaryPromoted(Server),
+    /// The commit barrier of the service has ended, because the promoted server is registered.
+    BarrierEnded(Name, barrier::Ended),
 }
 
 impl<D: Dialect> Default for Group<D> {
@@ -193,7 +200,6 @@
             sample_needed: None,
             last_used: None,
             pace: Pace::default(),
-            barrier: Barrier::default(),
             backends: BTreeMap::new(),
         }
     }
--- a/fulmargw_pool/src/table/barrier.rs
+++ b/fulmargw_pool/src/table/barrier.rs
@@ -4,6 +4,10 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+/// Time for which a barrier stays up unless it is lifted. A promotion call that was accepted takes
+/// effect within it, and a host that ends during an attempt does not hold commits for longer.
+pub const PERIOD: Duration = Duration::from_secs(4);
+
 /// The commit barrier of a service, which is up or not.
 ///
 /// Each one that is raised has the fencing token of the promotion for which it is raised.
--- a/fulmargw_pool/src/worker.rs
+++ b/fulmargw_pool/src/worker.rs
@@ -64,6 +64,7 @@
     }
     let mut servers = core.servers.lock();
     for name in queues.rotation() {
+        let is_held = servers.holds_commits(&name, moment.now);
         let Some(group) = servers.groups.get_mut(&name) else {
             continue;
         };
@@ -76,7 +77,6 @@
         let (load, queue) = queues.load(&name);
         let mut lowest = load.lowest_level(&plan, &name, &candidates, moment.now);
         let bound = scheduling::connection_bound(&plan, group, queue);
-        let is_barred = group.barrier.is_up(moment.now);
         let choose = |job: &Job<D>| {
             let Request {
                 account,
@@ -91,7 +91,7 @@
                 }
                 _ => (&mut candidates, free_slots),
             };
-            if is_barred && job.request.statement.kind.needs_primary() {
+            if is_held && job.request.statement.kind.needs_primary() {
                 return None;
             }
             if !free_slots.may_take(job.request.needs_primary()) {
--- a/fulmargw_pool/tests/member.rs
+++ b/fulmargw_pool/tests/member.rs
@@ -6,7 +6,7 @@
     gossip::{Age, MIN_PEER_TIMEOUT, Timing},
 };
 use fulmargw_model::name::Name;
-use fulmargw_peer::report::{Endpoint, Promotion, Report};
+use fulmargw_peer::report::{Endpoint, Report};
 use fulmargw_pool::{
     member::{JOIN_DELAY, Members, Timeouts, rows::Record},
     store::{Era, Revision, Row},
@@ -200,22 +200,6 @@
     assert_eq!(members.expired_rows(base + removal), []);
 }
 
-/// Guards against an older promotion that replaces a newer one.
-#[tokio::test(start_paused = true)]
-async fn only_newer_promotions_are_recorded() {
-    let mut members = Members::new("a".into());
-    let promoted = |server: &str, token| Promotion {
-        service: "s".into(),
-        server: server.into(),
-        token,
-    };
-
-    assert!(members.record_promotion(&promoted("x", 5)));
-    assert!(!members.record_promotion(&promoted("y", 5)));
-    assert!(!members.record_promotion(&promoted("y", 4)));
-    assert!(members.record_promotion(&promoted("y", 6)));
-}
-
 /// Guards against two hosts that replace a primary in turn: the age of a claim starts anew with
 /// each revision.
 #[tokio::test(start_paused = true)]
