Hold commits for a barrier that comes before the registry is read

Cause: a host that knew no server of a service confirmed its commit barrier as settled and kept nothing. If it reads the registry a moment later, it sends commits while the others hold theirs, and the host that replaces the primary counts it among those that confirmed.

It ends after its period like any other, so a barrier for a service that does not exist holds nothing back for long.

Evidence: platform/tests/start.rs raises a barrier on a host before it can read the registry.

--- a/fulmargw_pool/src/barrier.rs
+++ b/fulmargw_pool/src/barrier.rs
@@ -20,14 +20,7 @@
     period: Duration,
 ) -> Option<BarrierReport> {
     let started = Instant::now();
-    let raised = register(core, service, token, period, started);
-    if raised == Raised::NoServers {
-        return Some(BarrierReport {
-            acknowledged: None,
-            is_settled: true,
-        });
-    }
-    let report = if raised == Raised::Up {
+    let report = if register(core, service, token, period, started) {
         settle(core, service, started + SETTLE_TIMEOUT).await;
         seal(core, service, token)
     } else {
@@ -84,36 +77,19 @@
     core.work_ready.notify_one();
 }
 
-/// Whether a barrier was raised.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Raised {
-    Up,
-    /// A later barrier or promotion is known.
-    Refused,
-    /// This host knows no servers of the service, so it has sent no commits.
-    NoServers,
-}
-
+/// Raises the barrier, also if this host knows no servers of the service yet: it may learn of them while the
+/// others hold their commits. Returns `false` if a later barrier or promotion is known.
 fn register<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
     token: u64,
     period: Duration,
     now: Instant,
-) -> Raised {
+) -> bool {
     let mut servers = core.servers.lock();
     let promotion = servers.promotion(service);
-    if promotion.is_some_and(|promotion| promotion.token >= token) {
-        return Raised::Refused;
-    }
-    if !servers.groups.contains_key(service) {
-        return Raised::NoServers;
-    }
-    if servers.handover(service).barrier.raise(token, period, now) {
-        Raised::Up
-    } else {
-        Raised::Refused
-    }
+    let is_late = promotion.is_some_and(|promotion| promotion.token >= token);
+    !is_late && servers.handover(service).barrier.raise(token, period, now)
 }
 
 /// Waits until no commit of the service is without a response, except on servers that have failed.
@@ -150,9 +126,10 @@
     {
         return None;
     }
-    let group = servers.groups.get(service)?;
+    // A host that knows no servers of the service has sent no commits.
+    let group = servers.groups.get(service);
     Some(BarrierReport {
-        acknowledged: group.acknowledged,
-        is_settled: !group.has_outstanding_commit(),
+        acknowledged: group.and_then(|group| group.acknowledged),
+        is_settled: group.is_none_or(|group| !group.has_outstanding_commit()),
     })
 }
