Hold the first commits of a process until the claims are known

Cause: a barrier lives in the memory of the process that confirmed it. The next process held nothing and took the primary from the registry. The claim in the store names the server of the promotion, but was used only by attempts, and it was written at the same time as the barrier was raised, so it could be too late.

Change: a process passes on its first commits once it has read the claims, which it does when it registers itself (no further call to the store). The host that replaces a primary writes the claim before it raises the barrier. Lines start_unverified, start_verified and start_claimed, metric fulmargw_pool_starts_during_promotion_total.

--- a/fulmargw_pool/src/barrier.rs
+++ b/fulmargw_pool/src/barrier.rs
@@ -41,7 +41,7 @@
     let ended = {
         let mut servers = core.servers.lock();
         let handover = servers.handovers.get_mut(service);
-        handover.and_then(|handover| handover.barrier.lift(token))
+        handover.and_then(|handover| handover.lift(token))
     };
     record_end(core, service, ended, "lifted");
 }
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -7,7 +7,7 @@
 mod replacement;
 mod survey;
 
-pub(crate) use claim::KEY_PREFIX;
+pub(crate) use claim::{KEY_PREFIX, verify_start};
 pub(crate) use reach::reaches;
 pub(crate) use survey::connect;
 
@@ -363,11 +363,10 @@
         let is_new_primary = group.set_promoted(server, Instant::now());
         let is_primary = group.primary_id.as_ref() == Some(server);
         let handover = servers.handover(service);
-        let promotion = handover.promotion().filter(|it| it.server == *server);
-        let token = promotion.filter(|_| is_primary).map(|it| it.token);
+        let token = handover.token_of(server).filter(|_| is_primary);
         Applied {
             is_new_primary,
-            ended: token.and_then(|token| handover.barrier.lift(token)),
+            ended: token.and_then(|token| handover.lift(token)),
         }
     };
     log_applied(core, service, server, applied, "survey");
--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -4,8 +4,9 @@
 use crate::{
     core::Core,
     dialect::Dialect,
-    store::{Condition, Platform, Revision},
-    table::Backend,
+    follow::registry,
+    store::{Condition, Platform, Revision, Row},
+    table::{Backend, start},
 };
 use fulmargw_model::name::Name;
 use serde::{Deserialize, Serialize};
@@ -68,6 +69,38 @@
     rmp_serde::to_vec(&claim).map_err(|cause| Failure::Encode(cause.to_string()))
 }
 
+/// Lets the first commits pass, now that the claims are known, but for those of services with a promotion that
+/// may be about to take effect.
+pub(crate) fn verify_start<D: Dialect, P: Platform>(core: &Core<D, P>, rows: &[Row]) {
+    let claims: Vec<start::Claim> = rows.iter().filter_map(named_candidate).collect();
+    let named = claims.len();
+    let changes = core.servers.lock().verify_start(claims, Instant::now());
+    let Some(changes) = changes else {
+        return;
+    };
+    log::info!(event = "start_verified", named; "the claims are known; passing on commits");
+    for change in &changes {
+        registry::log_change(core, change);
+    }
+    core.work_ready.notify_one();
+}
+
+/// Returns the claim in a row, if it names a candidate.
+fn named_candidate(row: &Row) -> Option<start::Claim> {
+    let service = row.key.strip_prefix(KEY_PREFIX)?;
+    match rmp_serde::from_slice::<Claim>(&row.value) {
+        Ok(claim) => Some(start::Claim {
+            service: Name::new(service),
+            candidate: claim.candidate?,
+            token: row.revision.fencing_token(),
+        }),
+        Err(cause) => {
+            log::warn!(event = "row_undecodable", key = row.key.as_str(), cause:% = cause; "ignoring a claim row that cannot be decoded");
+            None
+        }
+    }
+}
+
 /// Returns the claim that may be replaced. A claim of another host may be replaced only some time
 /// after it was last written, so this waits until then.
 ///
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -258,15 +258,11 @@
         // The claim may have been written although the store did not respond.
         self.is_candidate_claimed = true;
         let expected = Condition::Unchanged(self.claimed);
-        let named = claim(self.core, self.service, Some(candidate), expected);
-        let (claimed, raised) = tokio::join!(named, self.raise_barriers());
-        match (claimed, raised) {
-            (Ok(claimed), raised) => {
-                self.claimed = claimed;
-                raised.map_err(|failure| self.open_call_or(failure))
-            }
-            (Err(failure), _) => Err(self.open_call_or(failure)),
-        }
+        let named = claim(self.core, self.service, Some(candidate), expected).await;
+        self.claimed = named.map_err(|failure| self.open_call_or(failure))?;
+        // A process that starts after the one before it has confirmed the barrier finds the claim.
+        let raised = self.raise_barriers().await;
+        raised.map_err(|failure| self.open_call_or(failure))
     }
 
     async fn raise_barriers(&mut self) -> Result<Option<Position>, Failure> {
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -118,6 +118,7 @@
         None => write_row(core, &key, value).await?,
     };
     let rows = core.platform.rows().await?;
+    failover::verify_start(core, &rows);
     let mut records = BTreeMap::new();
     for row in &rows {
         if row.key.starts_with(failover::KEY_PREFIX) {
--- a/fulmargw_pool/src/follow/registry.rs
+++ b/fulmargw_pool/src/follow/registry.rs
@@ -112,14 +112,18 @@
     if !changes.is_empty() {
         core.work_ready.notify_one();
     }
+    let is_start_held = core.servers.lock().start.holds_commits(Instant::now());
     core.registry_read.send_if_modified(|is_read| {
         let is_first = !*is_read && !all.is_empty();
         *is_read |= is_first;
+        if is_first && is_start_held {
+            log::info!(event = "start_unverified"; "the servers are known before the claims; holding commits until these are");
+        }
         is_first
     });
 }
 
-fn log_change<D: Dialect, P: Platform>(core: &Core<D, P>, change: &Change) {
+pub(crate) fn log_change<D: Dialect, P: Platform>(core: &Core<D, P>, change: &Change) {
     let (event, server) = match change {
         Change::Added(server) => ("server_added", server),
         Change::Changed(server) => ("server_changed", server),
@@ -129,6 +133,11 @@
             log::info!(event = "primary_believed", service = server.service.as_str(), server = server.id.as_str(), source = "earlier promotion"; "another server is the assumed primary");
             return;
         }
+        Change::Claimed(claim) => {
+            metrics::counter!("fulmargw_pool_starts_during_promotion_total").increment(1);
+            log::info!(event = "start_claimed", service = claim.service.as_str(), server = claim.candidate.as_str(), token = claim.token; "a promotion was under way when this process started; holding the commits of the service");
+            return;
+        }
         Change::BarrierEnded(service, ended) => {
             return barrier::record_end(core, service, Some(*ended), "promoted");
         }
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -6,6 +6,7 @@
 mod exclusion;
 pub mod handover;
 mod queues;
+pub mod start;
 mod succession;
 
 pub use self::{
@@ -45,6 +46,8 @@
 pub struct Servers<D: Dialect> {
     /// Groups by the name of their service.
     pub groups: BTreeMap<Name, Group<D>>,
+    /// Whether the process knows what it has to know before it passes on commits.
+    pub start: start::Start,
     /// What is known of the replacement of primaries, by the name of the service.
     pub handovers: BTreeMap<Name, Handover>,
     /// Zones whose servers get nothing.
@@ -95,6 +98,7 @@
     pub fn new() -> Self {
         Self {
             groups: BTreeMap::new(),
+            start: start::Start::new(Instant::now()),
             handovers: BTreeMap::new(),
             exclusion: Exclusion::default(),
         }
@@ -151,7 +155,9 @@
             });
             group.replace_removed_primary(&mut changes);
         }
-        self.apply_promotions(Instant::now(), &mut changes);
+        let now = Instant::now();
+        self.apply_promotions(now, &mut changes);
+        self.settle_claims(now, &mut changes);
         // A server that is new, or registered in another zone from now on, may be excluded.
         self.apply_exclusion();
         changes
@@ -179,6 +185,8 @@
     PrimaryRemoved(Name),
     /// The server is the assumed primary from now on, because it was promoted before it was registered.
     PrimaryPromoted(Server),
+    /// Commits of the service are held, because a promotion may be about to take effect.
+    Claimed(start::Claim),
     /// The commit barrier of the service has ended, because the promoted server is registered.
     BarrierEnded(Name, barrier::Ended),
 }
--- a/fulmargw_pool/src/table/barrier.rs
+++ b/fulmargw_pool/src/table/barrier.rs
@@ -58,6 +58,11 @@
 }
 
 impl Wait {
+    /// Returns a wait until a token is cancelled, or until a time.
+    pub(super) fn new(ends_at: Instant, ended: CancellationToken) -> Self {
+        Self { ends_at, ended }
+    }
+
     /// Waits until the barrier was ended, or its period or the deadline has passed. The period may
     /// have been extended by then, so the barrier has to be checked again. Returns `false` if the
     /// deadline has passed.
--- a/fulmargw_pool/src/table/handover.rs
+++ b/fulmargw_pool/src/table/handover.rs
@@ -6,6 +6,7 @@
 use super::{
     Change, Group, PROMOTION_GRACE, Servers,
     barrier::{Barrier, Ended, Wait},
+    start::Claim,
 };
 use crate::dialect::Dialect;
 use fulmargw_model::name::Name;
@@ -20,6 +21,8 @@
     pub barrier: Barrier,
     /// Latest known promotion.
     latest: Option<Latest>,
+    /// Claim that was open when the process started.
+    pub(super) claim: Option<Claim>,
 }
 
 /// The latest known promotion of a service.
@@ -47,11 +50,26 @@
         self.latest.as_ref().map(|latest| &latest.promotion)
     }
 
+    /// Returns the fencing token of the latest promotion or of the open claim, if it is for a server.
+    #[must_use]
+    pub fn token_of(&self, server: &Name) -> Option<u64> {
+        let promotion = self.promotion().filter(|it| it.server == *server);
+        let claim = self.claim.as_ref().filter(|it| it.candidate == *server);
+        promotion.map(|it| it.token).max(claim.map(|it| it.token))
+    }
+
+    /// Ends the barrier and the claim, unless they have a greater token.
+    pub fn lift(&mut self, token: u64) -> Option<Ended> {
+        self.claim.take_if(|claim| claim.token <= token);
+        self.barrier.lift(token)
+    }
+
     /// Makes the promoted server the assumed primary of its group once it is registered, and ends the barrier
     /// then. While it is not registered, the assumed primary is still the old one, so commits are held.
     fn apply<D: Dialect>(&mut self, group: &mut Group<D>, now: Instant) -> Option<Applied> {
         let latest = self.latest.as_mut().filter(|latest| latest.is_pending)?;
         let Promotion { server, token, .. } = &latest.promotion;
+        let token = *token;
         if !group.backends.contains_key(server) {
             // A server that registers later than this is a new process under the same identifier.
             let since = latest.known_at.max(group.known_since);
@@ -59,14 +77,14 @@
             latest.is_pending = !left.is_zero();
             if latest.is_pending {
                 // A barrier with a greater token holds the commits as well.
-                let _ = self.barrier.raise(*token, left, now);
+                let _ = self.barrier.raise(token, left, now);
             }
             return None;
         }
         latest.is_pending = false;
         Some(Applied {
             is_new_primary: group.set_promoted(server, now),
-            ended: self.barrier.lift(*token),
+            ended: self.lift(token),
         })
     }
 }
@@ -132,7 +150,9 @@
     /// Returns what the commits of a service wait for; `None` if they may be sent.
     #[must_use]
     pub fn wait(&self, service: &Name, now: Instant) -> Option<Wait> {
-        self.handovers.get(service)?.barrier.wait(now)
+        let handover = self.handovers.get(service);
+        let barrier = handover.and_then(|it| it.barrier.wait(now));
+        barrier.or_else(|| self.start.wait(now))
     }
 
     /// Reports whether the commits of a service have to wait.
