Settle an open promotion call once its server leads

Seen: all hosts are killed after a promotion call was accepted and start again.

Cause: a host that finds a claim with a candidate and cannot finish its attempt keeps the call as unresolved, and has the commits of the service held for it, until a call with a greater token is accepted. That the named server is the primary by now did not count, as nobody who knew of the promotion was left.

Change: a call whose server is the assumed primary, and registered as such, is settled: a call for the primary changes nothing. The host tells all others of the promotion, so that their barriers end with it. Calls for another server stay open.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -18,6 +18,7 @@
     replacement::{Failure, attempt},
 };
 use crate::{
+    backend::Role,
     barrier,
     clock::millis,
     core::Core,
@@ -223,8 +224,9 @@
             Ok(_) => self.end_wait(service, started),
             Err(_) => {}
         }
-        if let Err(Failure::Unresolved(token)) = result {
-            self.unresolved.record(service, *token, Instant::now());
+        if let Err(Failure::Unresolved(server, token)) = result {
+            let now = Instant::now();
+            self.unresolved.record(service, server, *token, now);
         }
     }
 }
@@ -234,6 +236,28 @@
 }
 
 impl Monitor {
+    /// Settles the promotion calls of a service whose results are unknown once their server leads, and tells all
+    /// hosts of the promotion. Nobody else may know of it, so that its commits would be held for a long time.
+    fn settle_leading<D: Dialect, P: Platform>(&self, core: &Core<D, P>, service: &Name) {
+        let Some(server) = registered_primary(core, service) else {
+            return;
+        };
+        let settled = lock(&self.attempts)
+            .unresolved
+            .settle_leading(service, &server);
+        let Some(token) = settled else {
+            return;
+        };
+        log::info!(event = "order_settled", service = service.as_str(), server = server.as_str(), token; "the server of a promotion call whose result was unknown leads");
+        let promotion = Promotion {
+            service: service.clone(),
+            server,
+            token,
+        };
+        record_promotion(core, &promotion, "registry");
+        core.report_now.notify_one();
+    }
+
     /// Returns the services whose primaries have to be replaced now, with the reasons, and marks
     /// their attempts as running.
     fn start_due<D: Dialect, P: Platform>(&mut self, core: &Core<D, P>) -> Vec<(Name, Reason)> {
@@ -254,6 +278,7 @@
         };
         let mut due = Vec::new();
         for service in names {
+            self.settle_leading(core, &service);
             let reason = assess(core, &service, now);
             let accepted = accepted_token(core, &service);
             let mut attempts = lock(&self.attempts);
@@ -284,6 +309,14 @@
     }
 }
 
+/// Returns the assumed primary of a service if it is registered as the primary.
+fn registered_primary<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<Name> {
+    let servers = core.servers.lock();
+    let primary = servers.groups.get(service)?.primary()?;
+    let leads = primary.server.role == Role::Primary;
+    leads.then(|| primary.server.id.clone())
+}
+
 fn assumed_primary<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Option<Name> {
     core.servers.lock().groups.get(service)?.primary_id.clone()
 }
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -60,9 +60,9 @@
     Obstacle(Obstacle),
     /// the platform rejected the promotion
     Rejected,
-    /// the result of a promotion call with token {0} or a smaller one is unknown; it may take effect
-    /// later
-    Unresolved(u64),
+    /// the result of a promotion call for server {0} with token {1} or a smaller one is unknown; it may
+    /// take effect later
+    Unresolved(Name, u64),
     /// the claim cannot be encoded: {0}
     Encode(String),
 }
@@ -106,7 +106,7 @@
         service,
         claimed,
         may_hold,
-        is_candidate_claimed: earlier_candidate.is_some(),
+        named: earlier_candidate.clone(),
         earlier_candidate,
         probes: Vec::new(),
         responsive: Vec::new(),
@@ -135,8 +135,8 @@
     earlier_candidate: Option<Name>,
     /// Whether commits may be held because of a call that may still take effect.
     may_hold: bool,
-    /// Whether the claim names a candidate.
-    is_candidate_claimed: bool,
+    /// Server that the claim names.
+    named: Option<Name>,
     /// The servers that were asked.
     probes: Vec<Probe<D>>,
     /// Hosts that responded to the survey.
@@ -256,7 +256,7 @@
     async fn secure(&mut self, candidate: &Name) -> Result<Option<Position>, Failure> {
         log::info!(event = "promotion_candidate", service = self.service.as_str(), server = candidate.as_str(), revision:% = self.claimed; "replica with every acknowledged commit");
         // The claim may have been written although the store did not respond.
-        self.is_candidate_claimed = true;
+        self.named = Some(candidate.clone());
         let expected = Condition::Unchanged(self.claimed);
         let named = claim(self.core, self.service, Some(candidate), expected).await;
         self.claimed = named.map_err(|failure| self.open_call_or(failure))?;
@@ -338,11 +338,11 @@
 
     /// Returns that the result of a promotion call is unknown if there is such a call, else `failure`.
     fn open_call_or(&self, failure: Failure) -> Failure {
-        let Some(token) = self.lost_token else {
+        let (Some(token), Some(server)) = (self.lost_token, self.named.clone()) else {
             return failure;
         };
         log::warn!(event = "order_open", service = self.service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
-        Failure::Unresolved(token)
+        Failure::Unresolved(server, token)
     }
 
     /// Ends the barrier and the pauses of an attempt without a new primary, unless a promotion call
@@ -352,19 +352,20 @@
         attempt: &Attempt,
         result: Result<Name, Failure>,
     ) -> Result<Name, Failure> {
-        let result = match result {
-            Err(failure) if self.leaves_call_open(&failure) => {
+        let open_call = result.as_ref().err().and_then(|it| self.left_open(it));
+        let result = match (result, open_call) {
+            (Err(failure), Some(server)) => {
                 let token = self.claimed.fencing_token();
                 log::info!(event = "order_open", service = self.service.as_str(), revision:% = self.claimed, cause:% = failure; "an earlier promotion call may still take effect");
-                Err(Failure::Unresolved(token))
+                Err(Failure::Unresolved(server, token))
             }
-            result => result,
+            (result, _) => result,
         };
         match &result {
             Ok(_) => return result,
             // The replicas stay paused and the barriers up. Then the candidate of the call still
             // receives every commit that is acknowledged.
-            Err(Failure::Unresolved(_)) => {
+            Err(Failure::Unresolved(..)) => {
                 if !self.may_hold {
                     self.lift_barriers().await;
                 }
@@ -387,12 +388,13 @@
         }
     }
 
-    fn leaves_call_open(&self, failure: &Failure) -> bool {
+    /// Returns the server of an earlier promotion call that may still take effect after a failure.
+    fn left_open(&self, failure: &Failure) -> Option<Name> {
         let is_settled = matches!(
             failure,
-            Failure::Unresolved(_) | Failure::Obstacle(Obstacle::AlreadyPrimary(..))
+            Failure::Unresolved(..) | Failure::Obstacle(Obstacle::AlreadyPrimary(..))
         );
-        self.earlier_candidate.is_some() && !is_settled
+        self.earlier_candidate.clone().filter(|_| !is_settled)
     }
 
     /// Resumes the replicas that are paused, if the claim is still that of this host.
@@ -401,7 +403,7 @@
     /// are resumed: a replica that the next holder has paused must stay paused.
     async fn resume(&mut self, attempt: &Attempt) {
         let paused = attempt.paused_servers();
-        if paused.is_empty() && !self.is_candidate_claimed {
+        if paused.is_empty() && self.named.is_none() {
             return;
         }
         let renewed_at = clock::since_boot();
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -8,7 +8,10 @@
     name::Name,
     position::{Position, Term},
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// A replica and the status that it reported.
@@ -246,6 +249,8 @@
 struct OpenCall {
     /// Greatest token that they have used.
     token: u64,
+    /// Servers that they name.
+    servers: BTreeSet<Name>,
     /// Time at which the first one was recorded.
     since: Instant,
     /// Time at which the barrier was last raised for them.
@@ -253,14 +258,16 @@
 }
 
 impl Unresolved {
-    /// Records a call with `token`, or one with a smaller token.
-    pub fn record(&mut self, service: &Name, token: u64, now: Instant) {
+    /// Records a call for `server` with `token`, or one with a smaller token.
+    pub fn record(&mut self, service: &Name, server: &Name, token: u64, now: Instant) {
         let known = self.calls.entry(service.clone()).or_insert(OpenCall {
             token,
+            servers: BTreeSet::new(),
             since: now,
             held_at: now,
         });
         known.token = token.max(known.token);
+        known.servers.insert(server.clone());
     }
 
     /// Reports whether commits are held because of a call of a service, or may be: there is none, or not
@@ -295,6 +302,17 @@
         is_settled
     }
 
+    /// Records that a server leads. Returns the token of the calls that this settles: all of them were for this
+    /// server, and a call for the primary changes nothing.
+    pub fn settle_leading(&mut self, service: &Name, server: &Name) -> Option<u64> {
+        let call = self.calls.get_mut(service)?;
+        call.servers.remove(server);
+        if !call.servers.is_empty() {
+            return None;
+        }
+        self.calls.remove(service).map(|call| call.token)
+    }
+
     /// Reports whether a call of a service may still take effect.
     #[must_use]
     pub fn contains(&self, service: &Name) -> bool {
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -197,8 +197,8 @@
     let (service, other) = ("s".into(), "other".into());
     let mut unresolved = Unresolved::default();
     let now = Instant::now();
-    unresolved.record(&service, 7, now);
-    unresolved.record(&service, 5, now);
+    unresolved.record(&service, &"a".into(), 7, now);
+    unresolved.record(&service, &"a".into(), 5, now);
 
     let by_older = unresolved.settle(&service, 6);
     let by_same = unresolved.settle(&service, 7);
@@ -210,6 +210,25 @@
     assert!(!unresolved.contains(&service));
 }
 
+/// Guards against writes that are held although the promoted server leads, because nobody who knows of the
+/// promotion is left, and against commits that pass while a call for another server may take effect.
+#[test]
+fn calls_are_settled_once_the_only_server_that_they_name_leads() {
+    let (service, first, second) = ("s".into(), "first".into(), "second".into());
+    let mut unresolved = Unresolved::default();
+    let now = Instant::now();
+    unresolved.record(&service, &first, 7, now);
+    unresolved.record(&service, &second, 9, now);
+
+    let by_other = unresolved.settle_leading(&service, &"other".into());
+    let by_one = unresolved.settle_leading(&service, &first);
+    assert_eq!((by_other, by_one), (None, None));
+    assert!(unresolved.contains(&service));
+
+    assert_eq!(unresolved.settle_leading(&service, &second), Some(9));
+    assert!(!unresolved.contains(&service));
+}
+
 /// Guards against a commit that is acknowledged while a promotion call without a response may take effect,
 /// and against writes that are held for ever because the platform is away.
 #[test]
@@ -218,8 +237,8 @@
     let start = Instant::now();
     let after = |seconds| start + Duration::from_secs(seconds);
     let mut unresolved = Unresolved::default();
-    unresolved.record(&service, 7, start);
-    unresolved.record(&service, 9, after(14));
+    unresolved.record(&service, &"a".into(), 7, start);
+    unresolved.record(&service, &"a".into(), 9, after(14));
 
     let at_once = unresolved.due_barriers(start);
     let later = unresolved.due_barriers(after(2));
