Do not take an open promotion call for settled while another server leads

Seen: in one of two runs of platform/tests/start.rs a host that had made a promotion call was killed and started again. It raised the barrier for the open call, then found that the old primary still led, lifted the barrier, resumed the replicas and went back to that server.

Cause: that any server leads counted as proof that the earlier call can no longer take effect. The old primary was asked because a peer's report of the promotion had arrived during the attempt.

Change: only the server that the call names settles it by leading. Otherwise the call stays open, with its barriers and pauses, until it is settled. And a server that reports to lead does not become the assumed primary while the promotion of another one is about to take effect.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -393,7 +393,7 @@
         let Some(group) = servers.groups.get_mut(service) else {
             return;
         };
-        let is_new_primary = group.set_promoted(server, Instant::now());
+        let is_new_primary = group.set_leading(server, Instant::now());
         let is_primary = group.primary_id.as_ref() == Some(server);
         let handover = servers.handover(service);
         let token = handover.token_of(server).filter(|_| is_primary);
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -390,11 +390,13 @@
 
     /// Returns the server of an earlier promotion call that may still take effect after a failure.
     fn left_open(&self, failure: &Failure) -> Option<Name> {
-        let is_settled = matches!(
-            failure,
-            Failure::Unresolved(..) | Failure::Obstacle(Obstacle::AlreadyPrimary(..))
-        );
-        self.earlier_candidate.clone().filter(|_| !is_settled)
+        let server = self.earlier_candidate.clone()?;
+        let is_settled = match failure {
+            Failure::Unresolved(..) => true,
+            Failure::Obstacle(obstacle) => obstacle.settles_call_for(&server),
+            _ => false,
+        };
+        (!is_settled).then_some(server)
     }
 
     /// Resumes the replicas that are paused, if the claim is still that of this host.
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -50,6 +50,13 @@
     pub fn awaits_primary(&self) -> bool {
         matches!(self, Self::MissingCommits(..) | Self::UnknownCommits(..))
     }
+
+    /// Reports whether an earlier promotion call for `server` can no longer change anything, because that server
+    /// leads. Another server that leads may be the one that it replaces.
+    #[must_use]
+    pub fn settles_call_for(&self, server: &Name) -> bool {
+        matches!(self, Self::AlreadyPrimary(leader, _) if leader == server)
+    }
 }
 
 /// Why the logs of the replicas may lack an acknowledged commit.
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -391,6 +391,12 @@
         is_new
     }
 
+    /// Makes a server the assumed primary because it reported to lead. Returns whether this changed the
+    /// assumed primary. Until a promotion takes effect, the server that it replaces still leads.
+    pub fn set_leading(&mut self, server: &Name, now: Instant) -> bool {
+        !self.is_being_promoted(now) && self.set_promoted(server, now)
+    }
+
     /// Records that the assumed primary reported to be a replica. Returns the server that replaces
     /// it: another one that is registered as the primary and has not failed.
     pub fn reject_primary(&mut self, server: &Name, now: Instant) -> Option<Name> {
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -1,6 +1,9 @@
 //! Choice of the replica that is promoted to primary.
 
-use fulmargw_model::position::{Position, Term};
+use fulmargw_model::{
+    name::Name,
+    position::{Position, Term},
+};
 use fulmargw_pool::{
     backend::{Role, Status},
     promotion::{self, Evidence, Gap, Obstacle, Replica, Unresolved, Waits, attempt::Completeness},
@@ -229,6 +232,18 @@
     assert!(!unresolved.contains(&service));
 }
 
+/// Guards against the loss of acknowledged commits because a call is taken for settled while the server that it
+/// replaces still leads: the barriers are lifted, and the call takes effect a moment later.
+#[test]
+fn only_the_server_of_a_call_settles_it_by_leading() {
+    let (candidate, replaced) = ("candidate".into(), "replaced".into());
+    let leads = |server: &Name| Obstacle::AlreadyPrimary(server.clone(), Term(1));
+
+    assert!(leads(&candidate).settles_call_for(&candidate));
+    assert!(!leads(&replaced).settles_call_for(&candidate));
+    assert!(!Obstacle::NoCandidate.settles_call_for(&candidate));
+}
+
 /// Guards against a commit that is acknowledged while a promotion call without a response may take effect,
 /// and against writes that are held for ever because the platform is away.
 #[test]
