Read the claims with the first call of a process that starts

Cause: the claims were taken from the rows that a process reads after it has written its member row, two calls to the store later than needed. Commits waited for as long. Change: they are taken from the rows that it reads first. A claim is written before its barrier is raised, so any read after the start is late enough.

--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -118,7 +118,6 @@
         None => write_row(core, &key, value).await?,
     };
     let rows = core.platform.rows().await?;
-    failover::verify_start(core, &rows);
     let mut records = BTreeMap::new();
     for row in &rows {
         if row.key.starts_with(failover::KEY_PREFIX) {
@@ -187,6 +186,8 @@
     value: Bytes,
 ) -> Result<Option<Revision>, Error> {
     let rows = core.platform.rows().await?;
+    // The first read after the start: commits wait for the claims.
+    failover::verify_start(core, &rows);
     let Some(row) = rows.into_iter().find(|row| row.key == key) else {
         return Ok(None);
     };
