--- a/fulmargw_pool/src/table/start.rs
+++ b/fulmargw_pool/src/table/start.rs
@@ -48,13 +48,13 @@
     /// Reports whether commits are held because the claims are not known.
     #[must_use]
     pub fn holds_commits(&self, now: Instant) -> bool {
-        !self.verified.is_cancelled() && now < self.ends_at
+        now < self.ends_at && !self.verified.is_cancelled()
     }
 
     /// Returns what the first commits wait for; `None` if the claims are known, or it has taken too long.
     pub(super) fn wait(&self, now: Instant) -> Option<Wait> {
-        let wait = Wait::new(self.ends_at, self.verified.clone());
-        self.holds_commits(now).then_some(wait)
+        let wait = || Wait::new(self.ends_at, self.verified.clone());
+        self.holds_commits(now).then(wait)
     }
 }
 
