Leave the barrier of a peer up when the time of a start is over

Found by reading the change. 4 s after the start of a process the claim that it had found was given up, and the barrier with its token was lifted with it. A peer with an open call raises the barrier for the same token again each second, so commits passed until it did so the next time; the line named "promoted" as the cause, which was not true.

Change: only the claim is given up. The barrier ends after its own period, which the peer may have extended.

Evidence: the_end_of_a_start_does_not_lift_the_barrier_of_a_peer in platform/tests/handover.rs fails without the change (a commit goes to the replaced primary) and passes with it, with the other eight tests of the file.

--- a/fulmargw_pool/src/table/start.rs
+++ b/fulmargw_pool/src/table/start.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Ends the claim if its candidate is the primary, or the time for which commits may be held is over.
-    /// Holds the commits otherwise.
+    /// Ends the claim and its barrier if the candidate is the primary, and the claim alone if the time for which
+    /// commits may be held is over. Holds the commits otherwise.
     fn settle_claim<D: Dialect>(
         &mut self,
         group: &mut Group<D>,
@@ -109,15 +109,18 @@
         let candidate = group.backends.get(&claim.candidate);
         let leads = candidate.is_some_and(|it| it.server.role == Role::Primary);
         let left = ends_at.saturating_duration_since(now);
+        if left.is_zero() && !leads {
+            // The barrier ends by itself. A peer may have raised it again since.
+            self.claim = None;
+            return;
+        }
         if leads {
             group.set_promoted(&claim.candidate, now);
-        }
-        if leads || left.is_zero() {
             let ended = self.lift(claim.token);
             changes.extend(ended.map(|ended| Change::BarrierEnded(claim.service, ended)));
             return;
         }
-        let is_held = self.barrier.state(now).is_some();
+        let is_held = self.barrier.is_up(now);
         // A barrier with a greater token holds the commits as well.
         let _ = self.barrier.raise(claim.token, left, now);
         if !is_held {
