--- a/review/standin-3/group.rs
+++ b/review/standin-3/group.rs
@@ -6,13 +6,16 @@
     collections::{BTreeMap, BTreeSet},
     io::{BufRead as _, BufReader, Write as _},
     net::{Shutdown, SocketAddr, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-/// Time that a read or write takes.
-const STATEMENT: Duration = Duration::from_millis(2);
+/// Times that statements take, one after the other.
+const WORK_MS: [u64; 7] = [2, 7, 1, 11, 4, 2, 5];
 /// Time from an accepted promotion until it takes effect (`promote_ms` of the site).
 const PROMOTE: Duration = Duration::from_millis(600);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -36,6 +39,9 @@
     /// Time from a commit until this replica receives it.
     delay: Duration,
     held: u64,
+    /// Whether it receives nothing.
+    is_deaf: bool,
+    is_draining: bool,
     term: u64,
     log: Vec<Entry>,
     born: u128,
@@ -62,6 +68,10 @@
     state: Mutex<State>,
     changed: Condvar,
     store_entries: Mutex<BTreeMap<String, Instant>>,
+    /// Number of statements that were run.
+    statements: AtomicUsize,
+    /// Greatest length of the log in an answer to a successful write or commit.
+    reported: AtomicUsize,
 }
 
 impl Group {
@@ -83,6 +93,8 @@
                 is_running: true,
                 delay: *delay,
                 held: 0,
+                is_deaf: false,
+                is_draining: false,
                 term: 1,
                 log: Vec::new(),
                 born: unix_ms(),
@@ -102,6 +114,8 @@
             }),
             changed: Condvar::new(),
             store_entries: Mutex::default(),
+            statements: AtomicUsize::new(0),
+            reported: AtomicUsize::new(0),
         });
         for index in 0..zones.len() {
             let served = Arc::clone(&group);
@@ -129,6 +143,27 @@
         ));
     }
 
+    /// Crashes the primary at a moment when it has given a position of its log that no replica has
+    /// received yet: that of other writes, which are under way. Returns whether there was one.
+    pub fn crash_with_writes_under_way(&self) -> bool {
+        let until = Instant::now() + Duration::from_secs(2);
+        while Instant::now() < until {
+            let state = self.state.lock().expect("state");
+            let primary = state.primary;
+            let replicas = state.servers.iter().enumerate();
+            let replicas = replicas.filter(|(index, _)| *index != primary);
+            let received = replicas.map(|(_, it)| it.log.len()).max();
+            let reported = self.reported.load(Ordering::Relaxed);
+            drop(state);
+            if received.is_some_and(|received| reported > received + 1) {
+                self.crash(primary);
+                return true;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        false
+    }
+
     /// Starts a crashed backend again, with its log.
     pub fn restart(&self, index: usize) {
         let mut state = self.state.lock().expect("state");
@@ -147,6 +182,59 @@
         state.acknowledged.insert(item.to_owned());
     }
 
+    /// Lets a replica receive nothing, or receive again.
+    pub fn set_deaf(&self, index: usize, is_deaf: bool) {
+        let mut state = self.state.lock().expect("state");
+        let server = &mut state.servers[index];
+        server.is_deaf = is_deaf;
+        record::say(&format!(
+            "backend {} receives nothing: {is_deaf}",
+            server.id
+        ));
+    }
+
+    /// Reports a backend as draining, or as ready again.
+    pub fn set_draining(&self, index: usize, is_draining: bool) {
+        let mut state = self.state.lock().expect("state");
+        let server = &mut state.servers[index];
+        server.is_draining = is_draining;
+        server.beat_at = None;
+        record::say(&format!("backend {} is draining: {is_draining}", server.id));
+    }
+
+    /// Lets all backends write their registry entries again.
+    pub fn register_again(&self) {
+        let mut state = self.state.lock().expect("state");
+        for server in &mut state.servers {
+            server.beat_at = None;
+        }
+    }
+
+    /// Returns the index of the primary.
+    pub fn primary(&self) -> usize {
+        self.state.lock().expect("state").primary
+    }
+
+    /// Returns the backends with their roles, the lengths of their logs and their pauses.
+    pub fn describe(&self) -> String {
+        let state = self.state.lock().expect("state");
+        let servers = state.servers.iter().enumerate().map(|(index, it)| {
+            let role = if index == state.primary {
+                "primary"
+            } else {
+                "replica"
+            };
+            format!(
+                "{} {role} log {} paused {} runs {}",
+                it.id,
+                it.log.len(),
+                it.held,
+                it.is_running
+            )
+        });
+        servers.collect::<Vec<_>>().join("; ")
+    }
+
     pub fn acknowledged(&self) -> usize {
         self.state.lock().expect("state").acknowledged.len()
     }
@@ -225,7 +313,7 @@
             }
             let log = std::mem::take(&mut state.servers[primary].log);
             for (index, server) in state.servers.iter_mut().enumerate() {
-                if index == primary || !server.is_running || server.held > 0 {
+                if index == primary || !server.is_running || server.held > 0 || server.is_deaf {
                     continue;
                 }
                 while server.log.last().is_some_and(|last| {
@@ -264,10 +352,15 @@
                         "replica"
                     };
                     let entry = format!(
-                        "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":5,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{},\"born\":{},\"databaseRole\":\"{role}\"}}",
+                        "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":5,\"state\":\"{}\",\"coldRemainingMs\":0,\"sequence\":{},\"born\":{},\"databaseRole\":\"{role}\"}}",
                         quote(&self.service),
                         server.address,
                         quote(&server.zone),
+                        if server.is_draining {
+                            "draining"
+                        } else {
+                            "ready"
+                        },
                         server.sequence,
                         server.born
                     );
@@ -367,8 +460,11 @@
 
     fn respond(&self, index: usize, session: &mut Session, id: &str, text: &str) -> String {
         let mut response = String::new();
+        let is_commit = session.open.is_none() && text.starts_with("WRITE");
+        let mut has_succeeded = false;
         match self.execute(index, session, id, text) {
             Ok(rows) => {
+                has_succeeded = true;
                 for row in rows {
                     response.push_str(&format!("ROW {row}\r\n"));
                 }
@@ -384,7 +480,16 @@
             Some(_) if session.has_failed => "E",
             Some(_) => "T",
         };
-        response.push_str(&format!("READY {state} {}\r\n", self.position(index)));
+        let position = self.position(index);
+        if is_commit && has_succeeded {
+            let length = position
+                .split('.')
+                .next_back()
+                .and_then(|it| it.parse().ok());
+            self.reported
+                .fetch_max(length.unwrap_or(0), Ordering::Relaxed);
+        }
+        response.push_str(&format!("READY {state} {position}\r\n"));
         response
     }
 
@@ -417,7 +522,8 @@
         if session.has_failed && !matches!(words[0], "COMMIT" | "ROLLBACK") {
             return Err("MALFORMED");
         }
-        thread::sleep(STATEMENT);
+        let number = self.statements.fetch_add(1, Ordering::Relaxed);
+        thread::sleep(Duration::from_millis(WORK_MS[number % WORK_MS.len()]));
         let term = {
             let state = self.state.lock().expect("state");
             (state.primary == index).then_some(state.term)
--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -17,6 +17,10 @@
     ready: SocketAddr,
     /// Address for reports that its peers know.
     pub control: SocketAddr,
+    file: PathBuf,
+    log: PathBuf,
+    zones: String,
+    net: Arc<Net>,
     child: Child,
 }
 
@@ -50,34 +54,41 @@
         );
         let file = site.folder.join(format!("{name}.toml"));
         fs::write(&file, settings).expect("write the settings");
-        let log = File::create(site.folder.join(format!("{name}.log"))).expect("create the log");
         let zones: Vec<String> = site
             .zones
             .iter()
             .map(|it| format!("\"{it}\":\"attica\""))
             .collect();
-        let child = Command::new(Path::new("target/release/fulmargw"))
-            .arg("pool")
-            .env("FULMARGW_NODE_FILE", &file)
-            .env("FULMARGW_CPU_SHARE", "0.25")
-            .env("FULMARGW_ZONES", format!("{{{}}}", zones.join(",")))
-            .env("FULMARGW_CONFIGURATION_APPLY_MS", "3000")
-            .env("FULMARGW_HEARTBEAT_INTERVAL_MS", "1200")
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn()
-            .expect("start the program");
-        site.net.add_process(child.id(), name);
+        let zones = format!("{{{}}}", zones.join(","));
+        let log = site.folder.join(format!("{name}.log"));
+        let child = spawn(name, &file, &log, &zones, &site.net);
         record::say(&format!("host {name} starts in {zone}"));
         Self {
             name: name.to_owned(),
             front,
             ready,
             control,
+            file,
+            log,
+            zones,
+            net: Arc::clone(&site.net),
             child,
         }
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        record::say(&format!("host {} is killed", self.name));
+    }
+
+    /// Starts the process again after it was killed.
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.name, &self.file, &self.log, &self.zones, &self.net);
+        record::say(&format!("host {} starts again", self.name));
+    }
+
     pub fn is_ready(&self) -> bool {
         get(self.ready, "/api/readiness").is_some_and(|it| it.starts_with("HTTP/1.1 200"))
     }
@@ -87,6 +98,23 @@
     }
 }
 
+fn spawn(name: &str, file: &Path, log: &Path, zones: &str, net: &Net) -> Child {
+    let log = File::options().create(true).append(true).open(log);
+    let child = Command::new(Path::new("target/release/fulmargw"))
+        .arg("pool")
+        .env("FULMARGW_NODE_FILE", file)
+        .env("FULMARGW_CPU_SHARE", "0.25")
+        .env("FULMARGW_ZONES", zones)
+        .env("FULMARGW_CONFIGURATION_APPLY_MS", "3000")
+        .env("FULMARGW_HEARTBEAT_INTERVAL_MS", "1200")
+        .stdin(Stdio::null())
+        .stdout(log.expect("open the log"))
+        .spawn()
+        .expect("start the program");
+    net.add_process(child.id(), name);
+    child
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod group;
+mod hang;
 mod host;
 mod json;
 mod lost;
@@ -80,6 +81,7 @@
 fn run(case: &str, folder: &PathBuf, has_trouble: bool) -> Verdict {
     match case {
         "lost" => lost::run(folder, has_trouble),
+        "hang" => hang::run(folder, has_trouble),
         "quota-zone" => quota::zone(folder, has_trouble),
         "quota-join" => quota::join(folder, has_trouble),
         _ => Verdict::NotRun,
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -9,7 +9,10 @@
     collections::BTreeMap,
     io::{BufRead as _, BufReader, Read as _, Write as _},
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Condvar, Mutex, OnceLock},
+    sync::{
+        Arc, Condvar, Mutex, OnceLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -17,8 +20,9 @@
 /// Time of a transaction.
 const TRANSACTION: Duration = Duration::from_millis(3);
 
-#[derive(Default)]
-struct Rows {
+/// The content of the store, which can be copied and restored.
+#[derive(Default, Clone)]
+pub struct Rows {
     version: u64,
     /// Version and content, in base64, by table and key; no content for a row that was dropped.
     by_key: BTreeMap<(String, String), (u64, Option<String>)>,
@@ -31,6 +35,10 @@
     /// Greatest fencing token so far, by service.
     tokens: Mutex<BTreeMap<String, u64>>,
     groups: OnceLock<Vec<Arc<Group>>>,
+    /// Number of restorations.
+    restorations: AtomicU64,
+    /// Whether all calls get 503.
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -65,6 +73,31 @@
         self.changed.notify_all();
     }
 
+    pub fn copy(&self) -> Rows {
+        self.rows.lock().expect("rows").clone()
+    }
+
+    /// Lets all calls get 503 from now on.
+    pub fn go_away(&self) {
+        record::say("the store is away");
+        self.is_away.store(true, Ordering::Relaxed);
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy. What was written since is lost, and versions are given out again.
+    pub fn come_back_from(&self, copy: Rows) {
+        let mut rows = self.rows.lock().expect("rows");
+        record::say(&format!(
+            "the store is back from a copy: version {} instead of {}",
+            copy.version, rows.version
+        ));
+        *rows = copy;
+        self.restorations.fetch_add(1, Ordering::Relaxed);
+        self.is_away.store(false, Ordering::Relaxed);
+        drop(rows);
+        self.changed.notify_all();
+    }
+
     /// Returns the version of a row.
     pub fn version(&self, table: &str, key: &str) -> u64 {
         let rows = self.rows.lock().expect("rows");
@@ -79,7 +112,8 @@
         while let Some(request) = Request::read(&mut reader) {
             let (status, body) = self.respond(&request);
             let response = format!(
-                "HTTP/1.1 {status} status\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} status\r\nContent-Type: application/json\r\nStore-Era: {}\r\nContent-Length: {}\r\n\r\n{body}",
+                self.restorations.load(Ordering::Relaxed) + 1,
                 body.len()
             );
             let mut writer = stream;
@@ -90,20 +124,26 @@
     }
 
     fn respond(&self, request: &Request) -> (u16, String) {
+        let is_away = self.is_away.load(Ordering::Relaxed);
         match request.path.as_str() {
+            path if is_away && path != "/promotion" => (503, "{}".to_owned()),
             "/api/rows-get" => {
                 thread::sleep(Duration::from_millis(1));
                 let rows = self.rows.lock().expect("rows");
                 (200, listing(&rows, request, None))
             }
-            "/api/rows-feed" => (200, self.feed(request)),
+            "/api/rows-feed" => match self.feed(request) {
+                Some(listing) => (200, listing),
+                None => (410, "{}".to_owned()),
+            },
             "/api/rows-tx" => self.transaction(request),
             "/promotion" => self.promotion(request),
             _ => (404, "{}".to_owned()),
         }
     }
 
-    fn feed(&self, request: &Request) -> String {
+    /// Returns the changes; `None` if the store does not have the version from which to watch.
+    fn feed(&self, request: &Request) -> Option<String> {
         let number = |name: &str| request.query.get(name).and_then(|it| it.parse().ok());
         let after: u64 = number("after").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
@@ -115,8 +155,11 @@
                 .iter()
                 .any(|((of, _), (version, _))| *of == table && *version > after);
             let left = until.saturating_duration_since(Instant::now());
+            if after > rows.version {
+                return None;
+            }
             if has_changes || left.is_zero() {
-                return listing(&rows, request, Some(after));
+                return Some(listing(&rows, request, Some(after)));
             }
             rows = self.changed.wait_timeout(rows, left).expect("rows").0;
         }
