--- a/review/standin-3/group.rs
+++ b/review/standin-3/group.rs
@@ -60,6 +60,8 @@
     /// Acknowledged items that the log of a promoted backend lacked.
     missing: BTreeSet<String>,
     promotions: usize,
+    /// Backends whose promotions were accepted and have not taken effect.
+    accepted: Vec<usize>,
 }
 
 #[derive(Debug)]
@@ -111,6 +113,7 @@
                 acknowledged: BTreeSet::new(),
                 missing: BTreeSet::new(),
                 promotions: 0,
+                accepted: Vec::new(),
             }),
             changed: Condvar::new(),
             store_entries: Mutex::default(),
@@ -210,6 +213,45 @@
         }
     }
 
+    /// Reports whether a promotion was accepted and has not taken effect.
+    pub fn has_accepted(&self) -> bool {
+        !self.state.lock().expect("state").accepted.is_empty()
+    }
+
+    /// Returns the backend whose promotion was accepted last and has not taken effect, or else the
+    /// primary.
+    pub fn candidate(&self) -> usize {
+        let state = self.state.lock().expect("state");
+        state.accepted.last().copied().unwrap_or(state.primary)
+    }
+
+    /// Starts a new replica in a zone. It gets the log of the primary and registers itself.
+    pub fn join(self: &Arc<Self>, zone: &str) {
+        let mut state = self.state.lock().expect("state");
+        let index = state.servers.len();
+        let id = format!("i-{}-{index}", self.service);
+        record::say(&format!("backend {id} starts as a new replica"));
+        state.servers.push(Server {
+            id,
+            zone: zone.to_owned(),
+            address: super::listen().local_addr().expect("address"),
+            is_running: true,
+            delay: Duration::from_millis(2),
+            held: 0,
+            is_deaf: false,
+            is_draining: false,
+            term: 1,
+            log: Vec::new(),
+            born: unix_ms(),
+            sequence: 0,
+            beat_at: None,
+            connections: Vec::new(),
+        });
+        drop(state);
+        let served = Arc::clone(self);
+        thread::spawn(move || served.accept(index));
+    }
+
     /// Returns the index of the primary.
     pub fn primary(&self) -> usize {
         self.state.lock().expect("state").primary
@@ -249,7 +291,7 @@
 
     /// Accepts a promotion of a backend that runs.
     pub fn promote(self: &Arc<Self>, id: &str) -> bool {
-        let state = self.state.lock().expect("state");
+        let mut state = self.state.lock().expect("state");
         let Some(index) = state
             .servers
             .iter()
@@ -260,6 +302,7 @@
         if index == state.primary {
             return true;
         }
+        state.accepted.push(index);
         drop(state);
         let group = Arc::clone(self);
         thread::spawn(move || {
@@ -271,6 +314,7 @@
 
     fn lead(&self, index: usize) {
         let mut state = self.state.lock().expect("state");
+        state.accepted.retain(|it| *it != index);
         if !state.servers[index].is_running {
             return;
         }
--- a/review/standin-3/hang.rs
+++ b/review/standin-3/hang.rs
@@ -70,12 +70,13 @@
         fleet.restore(copy);
     }
     thread::sleep(Duration::from_secs(8));
-    let before = fleet.share(Duration::from_secs(3));
+    let _ = fleet.share(Duration::from_secs(3));
     if has_trouble && !fleet.crash_while_deaf() {
         return Verdict::NotRun;
     }
     thread::sleep(Duration::from_secs(4));
     let _ = fleet.share(Duration::from_secs(3));
+    let before = fleet.share_so_far();
     // Final fault: all processes are killed.
     fleet.hosts.iter_mut().for_each(Host::kill);
     thread::sleep(Duration::from_secs(1));
@@ -185,6 +186,14 @@
         true
     }
 
+    /// Returns the share of all requests so far that were served.
+    fn share_so_far(&self) -> f64 {
+        let [sent, served] =
+            [&self.load.sent, &self.load.served].map(|it| it.load(Ordering::Relaxed));
+        record::say(&format!("{served} of {sent} requests were served so far"));
+        served as f64 / (sent as f64).max(1.0)
+    }
+
     /// Returns the share of requests that are served during a time.
     fn share(&self, during: Duration) -> f64 {
         let count = || [&self.load.sent, &self.load.served].map(|it| it.load(Ordering::Relaxed));
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 //! could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod client;
+mod cut;
 mod group;
 mod hang;
 mod host;
@@ -82,8 +83,8 @@
     match case {
         "lost" => lost::run(folder, has_trouble),
         "hang" => hang::run(folder, has_trouble),
-        "quota-zone" => quota::zone(folder, has_trouble),
-        "quota-join" => quota::join(folder, has_trouble),
+        "cut" => cut::run(folder, has_trouble),
+        "quota-join" => quota::run(folder, has_trouble),
         _ => Verdict::NotRun,
     }
 }
