--- a/review/standin-3/hang.rs
+++ b/review/standin-3/hang.rs
@@ -174,13 +174,15 @@
         // The replica that was the primary before.
         let replica = if primary == 0 { 1 } else { 0 };
         self.group.set_deaf(replica, true);
+        let deaf_since = Instant::now();
         thread::sleep(Duration::from_secs(2));
         if !self.group.crash_with_writes_under_way() {
             return false;
         }
-        thread::sleep(DEAF - Duration::from_secs(2));
+        let crashed_at = Instant::now();
+        thread::sleep(DEAF.saturating_sub(deaf_since.elapsed()));
         self.group.set_deaf(replica, false);
-        thread::sleep(AWAY + Duration::from_secs(2) - DEAF);
+        thread::sleep(AWAY.saturating_sub(crashed_at.elapsed()));
         self.group.restart(primary);
         record::say("all disruptions are over");
         true
