pool: a host that is cut off commits nothing on a primary that is being replaced

Cause: the commit barrier holds only the commits of hosts that can be asked. The promoter counted a host that did not respond and went on, because the pause of the replicas was to guard its commits. A replica that joins after the pause acknowledges them, and the candidate lacks them. A host that was stopped, and one that reached only the store, did the same.

Change: a host passes on a commit, and the response to one, only while it is in contact: a majority of the witnesses of the service have responded to it within 3 s, or it has written its contact row and read the claims after it. A promotion is called once at least half of the witnesses have confirmed the barrier, and every host that has not can no longer be in contact by what the witnesses responded before, or by the store. Each majority has a witness that confirmed, whose response tells of the barrier, so a host that stays in contact holds its commits.

--- a/fulmargw/src/pool/mod.rs
+++ b/fulmargw/src/pool/mod.rs
@@ -21,8 +21,8 @@
 use fulmargw_budget::http::Listener;
 use fulmargw_peer::{codec as peer, forward as statement, report};
 use fulmargw_pool::{
-    core::Core, dump, failover, follow, forward, listener, probe, settings::Settings, supervisor,
-    worker,
+    contact, core::Core, dump, failover, follow, forward, listener, probe, settings::Settings,
+    supervisor, worker,
 };
 use platform::{client::Client, codec};
 use serde::Serialize;
@@ -75,6 +75,7 @@
     supervise(&core, "membership", follow::membership::run);
     supervise(&core, "restorations", follow::restoration::run);
     supervise(&core, "reports", follow::report::run);
+    supervise(&core, "contact", contact::run);
     supervise(&core, "failover", failover::run);
     let reloading = reload::run(Arc::clone(&core), Arc::clone(progress), file.to_owned());
     tasks.spawn("settings", reloading);
--- a/fulmargw_decision/src/lib.rs
+++ b/fulmargw_decision/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod cold;
 pub mod concurrency;
+pub mod contact;
 mod decay;
 pub mod ejection;
 pub mod evacuation;
--- a/fulmargw_peer/src/report.rs
+++ b/fulmargw_peer/src/report.rs
@@ -1,4 +1,4 @@
-//! Status reports and token loans that hosts exchange over HTTP, encoded as MessagePack.
+//! Status reports, token loans and proofs of contact that hosts exchange over HTTP, encoded as MessagePack.
 
 use crate::message::{LoanRequest, LoanResponse};
 use axum::{Router, body::Bytes, extract::State, http::StatusCode, middleware, routing::post};
@@ -11,6 +11,7 @@
 
 const REPORT_PATH: &str = "/report";
 const LOAN_PATH: &str = "/loan";
+const CONTACT_PATH: &str = "/contact";
 /// Largest request body that the server accepts, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
@@ -112,13 +113,44 @@
     pub catalog: Option<Bytes>,
 }
 
-/// Handles the reports and loan requests of peers.
+/// Request to a witness of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ContactRequest {
+    /// Service whose commits the host passes on, or whose primary is to be replaced.
+    pub service: Name,
+    /// Host whose contact the response proves; `None` if the host that replaces the primary asks for the
+    /// contacts of the others.
+    pub host: Option<Name>,
+}
+
+/// What a witness knows of the replacement of the primary of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ContactResponse {
+    /// Fencing token of the commit barrier that is up, and the time until it ends by itself.
+    pub barrier: Option<(u64, Duration)>,
+    /// Last promotion.
+    pub promotion: Option<Promotion>,
+    /// How long ago each host has last sent a request that may still prove its contact. Empty in a
+    /// response that proves contact.
+    pub requests: Vec<(Name, Duration)>,
+    /// Time since the witness started. It knows nothing of earlier requests.
+    pub known_for: Duration,
+    /// Whether the witness knows the claims that were open when it started. It proves no contact before.
+    pub knows_claims: bool,
+}
+
+/// Handles the reports, loan requests and contact requests of peers.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Records the report of a peer and returns the report of this host.
     fn exchange(&self, report: Report) -> Response;
 
     /// Lends rate tokens.
     fn lend(&self, request: LoanRequest) -> LoanResponse;
+
+    /// Returns what this host knows as a witness of a service.
+    fn testify(&self, request: ContactRequest) -> ContactResponse;
 }
 
 /// A failed request to a peer.
@@ -135,7 +167,7 @@
 
 impl std::error::Error for Error {}
 
-/// HTTP client that sends reports and loan requests to peers.
+/// HTTP client that sends reports, loan requests and contact requests to peers.
 #[derive(Debug, Clone)]
 pub struct Client {
     http: reqwest::Client,
@@ -183,6 +215,19 @@
         self.call(peer, LOAN_PATH, request).await
     }
 
+    /// Asks a witness of a service. Returns its response, with the bytes of both.
+    ///
+    /// # Errors
+    ///
+    /// If there is no response in time, or it cannot be decoded.
+    pub async fn ask_witness(
+        &self,
+        peer: SocketAddr,
+        request: &ContactRequest,
+    ) -> Result<(ContactResponse, usize), Error> {
+        self.call(peer, CONTACT_PATH, request).await
+    }
+
     async fn call<Q: Serialize + Sync, A: DeserializeOwned>(
         &self,
         peer: SocketAddr,
@@ -206,7 +251,7 @@
     }
 }
 
-/// Serves reports and loan requests until `stop` is cancelled.
+/// Serves reports, loan requests and contact requests until `stop` is cancelled.
 ///
 /// # Errors
 ///
@@ -220,6 +265,7 @@
     let router = Router::new()
         .route(REPORT_PATH, post(report::<H>))
         .route(LOAN_PATH, post(loan::<H>))
+        .route(CONTACT_PATH, post(contact::<H>))
         .layer(axum::extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
         .layer(middleware::from_fn_with_state(bodies, http::reserve_body))
         .with_state(Arc::new(handler));
@@ -235,6 +281,10 @@
     encode(&handler.lend(decode(&body)?))
 }
 
+async fn contact<H: Handler>(State(handler): State<Arc<H>>, body: Bytes) -> EncodedResponse {
+    encode(&handler.testify(decode(&body)?))
+}
+
 /// An encoded response, or the status and text of an error.
 type EncodedResponse = Result<Vec<u8>, (StatusCode, String)>;
 
--- a/fulmargw_pool/src/core.rs
+++ b/fulmargw_pool/src/core.rs
@@ -84,6 +84,8 @@
     pub work_ready: Notify,
     /// Notified when a commit that was sent to a server got a response, or is given up.
     pub commit_ended: Notify,
+    /// Notified when a commit waits for contact with the others.
+    pub contact_wanted: Notify,
     /// Notified when a report should be sent to peers at once.
     pub report_now: Notify,
     /// Cancelled when the host stops accepting new sessions.
@@ -147,6 +149,7 @@
             servers: Mutex::new(Rank::Server, servers),
             work_ready: Notify::new(),
             commit_ended: Notify::new(),
+            contact_wanted: Notify::new(),
             report_now: Notify::new(),
             draining: CancellationToken::new(),
             closing_idle: CancellationToken::new(),
--- a/fulmargw_pool/src/exchange/commit.rs
+++ b/fulmargw_pool/src/exchange/commit.rs
@@ -1,6 +1,8 @@
-//! Holds commits, and the responses to them, while the commit barrier of their service is up.
+//! Holds commits, and the responses to them, while the commit barrier of their service is up or this host is
+//! not in contact with the others.
 
 use crate::{
+    clock,
     core::Core,
     dialect::Dialect,
     health::{Health, Ticket},
@@ -40,7 +42,8 @@
     },
 }
 
-/// Records a statement as sent. One that commits waits first while the barrier of its service is up.
+/// Records a statement as sent. One that commits waits first while the barrier of its service is up, or this
+/// host is not in contact.
 /// Returns `None` if it must not be sent: another server is the assumed primary, or the deadline has
 /// passed.
 pub(super) async fn send<D: Dialect, P: Platform>(
@@ -56,6 +59,7 @@
             Clearance::Superseded => return None,
             Clearance::Held(wait) => {
                 is_held = true;
+                core.contact_wanted.notify_one();
                 if !wait.wait(job.deadline).await {
                     return None;
                 }
@@ -81,6 +85,12 @@
             }
             return Clearance::Held(wait);
         }
+        let contact = &mut servers.handover(&id.service).contact;
+        let since_boot = clock::since_boot();
+        contact.want(since_boot);
+        if !contact.is_valid(since_boot) {
+            return Clearance::Held(contact.wait(now));
+        }
         let group = servers.groups.get(&id.service);
         if group.is_some_and(|group| group.has_other_primary(&id.server)) {
             return Clearance::Superseded;
@@ -102,7 +112,8 @@
     metrics::counter!("fulmargw_pool_commits_held_total").increment(1);
 }
 
-/// Decides on the successful response to a commit, which is kept while a sealed barrier is up.
+/// Decides on the successful response to a commit, which is kept while a sealed barrier is up or this host is
+/// not in contact.
 /// `record` records the response in the health of the server; it is called before the response is
 /// kept, and not at all for [`Confirmation::Immediate`].
 pub(super) async fn confirm<D: Dialect, P: Platform>(
@@ -166,11 +177,22 @@
         }
         return Checked::Kept(wait);
     }
+    // A promotion that this host does not know of may have been called since contact ended.
+    let since_boot = clock::since_boot();
+    handover.contact.want(since_boot);
+    if !handover.contact.is_valid(since_boot) {
+        if is_first {
+            count_held(handover);
+        }
+        return Checked::Kept(handover.contact.wait(now));
+    }
     // The barrier may have ended before the response came: the old primary leads until the promotion
     // takes effect, which is some hundred milliseconds after its acceptance.
     // A barrier that expired leaves open what became of its promotion, as after a host was frozen.
     let is_unclear = group.has_other_primary(&id.server) || handover.barrier.has_unlifted_seal();
-    if handover.barrier.was_sealed_since(sent.at) && is_unclear {
+    let was_held =
+        handover.barrier.was_sealed_since(sent.at) || handover.contact.was_regained_since(sent.at);
+    if was_held && is_unclear {
         return Checked::Superseded;
     }
     if let Some(position) = reply.position {
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -2,12 +2,13 @@
 
 mod barriers;
 mod claim;
+mod confirmation;
 mod reach;
 mod recording;
 mod replacement;
 mod survey;
 
-pub(crate) use claim::{KEY_PREFIX, verify_start};
+pub(crate) use claim::{KEY_PREFIX, hold_named, verify_start};
 pub(crate) use reach::reaches;
 pub(crate) use survey::connect;
 
--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -2,11 +2,13 @@
 
 use super::replacement::Failure;
 use crate::{
+    backend::Role,
+    barrier, contact,
     core::Core,
     dialect::Dialect,
     follow::registry,
     store::{Condition, Platform, Revision, Row},
-    table::{Backend, start},
+    table::{Backend, barrier::PERIOD, start},
 };
 use fulmargw_model::name::Name;
 use serde::{Deserialize, Serialize};
@@ -85,6 +87,37 @@
     core.work_ready.notify_one();
 }
 
+/// Time since a claim was first read for which a host that proves its contact by the store holds the commits
+/// of the service. The promotion call has been sent by then, or the claim is written again.
+const NAMED_PERIOD: Duration = Duration::from_secs(15);
+
+/// Raises the barrier of a service if a claim among `rows` names the server of a promotion that may be about
+/// to take effect. This host may not have been asked to raise it.
+pub(crate) async fn hold_named<D: Dialect, P: Platform>(
+    core: &Core<D, P>,
+    service: &Name,
+    rows: &[Row],
+) {
+    let key = format!("{KEY_PREFIX}{service}");
+    let Some(row) = rows.iter().find(|row| row.key == key) else {
+        return;
+    };
+    let age = core.members.lock().claim_age(row, Instant::now());
+    let Some(claim) = named_candidate(row).filter(|_| age < NAMED_PERIOD) else {
+        return;
+    };
+    let is_settled = {
+        let servers = core.servers.lock();
+        let group = servers.groups.get(service);
+        let candidate = group.and_then(|group| group.backends.get(&claim.candidate));
+        candidate.is_some_and(|it| it.server.role == Role::Primary)
+    };
+    if !is_settled {
+        // It is refused if a later barrier or promotion is known.
+        let _ = barrier::raise(core, service, claim.token, PERIOD).await;
+    }
+}
+
 /// Returns the claim in a row, if it names a candidate.
 fn named_candidate(row: &Row) -> Option<start::Claim> {
     let service = row.key.strip_prefix(KEY_PREFIX)?;
@@ -114,6 +147,7 @@
     let mut first_revision = None;
     loop {
         let rows = core.platform.rows().await.map_err(Failure::Store)?;
+        contact::apply_rows(core, &rows);
         let Some(row) = rows.into_iter().find(|row| row.key == key) else {
             return Ok(Previous {
                 row: Condition::Absent,
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -2,8 +2,9 @@
 
 use super::{
     Reason, assess,
-    barriers::{lift_barriers, raise_barriers},
+    barriers::{Raised, lift_barriers, raise_barriers},
     claim::{KEY_PREFIX, claim, is_excluded, may_be_promoted, previous_claim},
+    confirmation::{Confirmation, confirmation, joined},
     reach::{Peer, acknowledged, find_witness, live_peers},
     record_promotion, recording, set_primary,
     survey::{Probe, pause, query, query_replicas, resume_replicas, return_connections},
@@ -39,6 +40,9 @@
 /// Longest time between the raising of the barrier and a promotion call, so that the barrier is still
 /// up when the call takes effect.
 const MAX_BARRIER_AGE: Duration = Duration::from_secs(1);
+/// Number of times that an attempt waits for hosts which may not know of the barrier: once without holding
+/// commits, and once with the barrier up for a host that responds only to others.
+const MAX_WAITS: u32 = 2;
 /// Time after the renewal of a claim in which replicas may be resumed. It is shorter than the time for
 /// which a claim excludes other hosts.
 const RESUME_PERIOD: Duration = Duration::from_secs(3);
@@ -107,6 +111,7 @@
         claimed,
         may_hold,
         named: earlier_candidate.clone(),
+        named_at: None,
         earlier_candidate,
         probes: Vec::new(),
         responsive: Vec::new(),
@@ -137,6 +142,8 @@
     may_hold: bool,
     /// Server that the claim names.
     named: Option<Name>,
+    /// Time at which this attempt first wrote that name.
+    named_at: Option<Instant>,
     /// The servers that were asked.
     probes: Vec<Probe<D>>,
     /// Hosts that responded to the survey.
@@ -248,24 +255,71 @@
         join_all(looks).await
     }
 
-    /// Names the candidate in the claim and raises the barrier. Returns the latest position that the
-    /// hosts know to be acknowledged.
+    /// Names the candidate in the claim and raises the barrier, until no host can pass on commits without
+    /// knowing of it. Returns the latest position that the hosts know to be acknowledged.
     ///
     /// The claim names the candidate before the promotion call is sent. If the result of the call is
     /// unknown, another host that claims the service then chooses the same candidate.
     async fn secure(&mut self, candidate: &Name) -> Result<Option<Position>, Failure> {
         log::info!(event = "promotion_candidate", service = self.service.as_str(), server = candidate.as_str(), revision:% = self.claimed; "replica with every acknowledged commit");
+        let mut waits = 0;
+        loop {
+            let raised = self.name_and_raise(candidate).await;
+            let raised = raised.map_err(|failure| self.open_call_or(failure))?;
+            let named_at = *self.named_at.get_or_insert_with(Instant::now);
+            let confirmed =
+                confirmation(self.core, self.service, &raised.confirmed, named_at).await;
+            match confirmed.map_err(|failure| self.open_call_or(failure))? {
+                Confirmation::Complete => {
+                    if waits > 0 {
+                        let joined = self.check_joined().await;
+                        joined.map_err(|failure| self.open_call_or(failure))?;
+                    }
+                    return Ok(raised.acknowledged);
+                }
+                Confirmation::Waits(left, host) if waits < MAX_WAITS => {
+                    log::info!(event = "promotion_awaits_host", service = self.service.as_str(), host = host.as_ref().map(Name::as_str), left_ms = millis(left), holds_commits = waits > 0; "waiting until a host that has not confirmed the commit barrier passes on no commits");
+                    metrics::counter!("fulmargw_pool_promotion_waits_total").increment(1);
+                    if waits == 0 {
+                        self.lift_barriers().await;
+                    }
+                    waits += 1;
+                    sleep(left).await;
+                }
+                Confirmation::Waits(..) | Confirmation::Incomplete => {
+                    let failure = Failure::Obstacle(Obstacle::Unconfirmed);
+                    return Err(self.open_call_or(failure));
+                }
+            }
+        }
+    }
+
+    async fn name_and_raise(&mut self, candidate: &Name) -> Result<Raised, Failure> {
         // The claim may have been written although the store did not respond.
         self.named = Some(candidate.clone());
         let expected = Condition::Unchanged(self.claimed);
-        let named = claim(self.core, self.service, Some(candidate), expected).await;
-        self.claimed = named.map_err(|failure| self.open_call_or(failure))?;
+        self.claimed = claim(self.core, self.service, Some(candidate), expected).await?;
         // A process that starts after the one before it has confirmed the barrier finds the claim.
-        let raised = self.raise_barriers().await;
-        raised.map_err(|failure| self.open_call_or(failure))
+        self.raise_barriers().await
+    }
+
+    /// Checks that no replica has joined since the survey: one that is not paused may have let a host that
+    /// did not know of the barrier acknowledge commits.
+    async fn check_joined(&self) -> Result<(), Failure> {
+        let (registry, _) = self
+            .core
+            .platform
+            .registry()
+            .await
+            .map_err(Failure::Store)?;
+        let surveyed: Vec<&Name> = self.probes.iter().map(|it| &it.server.id).collect();
+        match joined(self.core, self.service, &registry, &surveyed) {
+            Some(server) => Err(Failure::Obstacle(Obstacle::Moved(server))),
+            None => Ok(()),
+        }
     }
 
-    async fn raise_barriers(&mut self) -> Result<Option<Position>, Failure> {
+    async fn raise_barriers(&mut self) -> Result<Raised, Failure> {
         self.barrier_raised = Some(clock::since_boot());
         let token = self.claimed.fencing_token();
         let raised = raise_barriers(self.core, self.service, token, &self.responsive).await;
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -2,6 +2,7 @@
 
 use super::{Dependency, apply_membership, restored_since};
 use crate::{
+    contact,
     core::Core,
     dialect::Dialect,
     failover,
@@ -118,6 +119,7 @@
         None => write_row(core, &key, value).await?,
     };
     let rows = core.platform.rows().await?;
+    contact::apply_rows(core, &rows);
     let mut records = BTreeMap::new();
     for row in &rows {
         if row.key.starts_with(failover::KEY_PREFIX) {
@@ -159,6 +161,11 @@
     for (name, revision) in expired {
         let key = format!("{}{name}", rows::KEY_PREFIX);
         let removed = core.platform.remove(&key, revision).await?;
+        let contact = core.members.lock().contact_row(&name);
+        if let Some(revision) = contact.filter(|_| removed) {
+            let key = format!("{}{name}", contact::KEY_PREFIX);
+            core.platform.remove(&key, revision).await?;
+        }
         log::info!(event = "host_removed", host = name.as_str(), removed; "host neither renewed its member row nor reported");
     }
     Ok(written)
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -2,12 +2,12 @@
 
 use super::{apply_membership, evacuation};
 use crate::{
-    catalog::Catalog, configuration::Source, core::Core, dialect::Dialect, failover,
+    catalog::Catalog, configuration::Source, contact, core::Core, dialect::Dialect, failover,
     store::Platform, traffic,
 };
 use fulmargw_peer::{
     message::{LoanRequest, LoanResponse},
-    report::{self, Report, Response},
+    report::{self, ContactRequest, ContactResponse, Report, Response},
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -205,4 +205,8 @@
             offered: 0.0,
         }
     }
+
+    fn testify(&self, request: ContactRequest) -> ContactResponse {
+        contact::testify(&self.0, request)
+    }
 }
--- a/fulmargw_pool/src/lib.rs
+++ b/fulmargw_pool/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod connection;
+pub mod contact;
 pub mod core;
 pub mod dialect;
 pub mod dispatch;
--- a/fulmargw_pool/src/member.rs
+++ b/fulmargw_pool/src/member.rs
@@ -105,6 +105,8 @@
     rows: Rows,
     /// Claim rows by key, and when this host first read them.
     claims: BTreeMap<String, (store::Row, Instant)>,
+    /// Revisions of the contact rows of hosts, and when this host first read them.
+    contacts: BTreeMap<Name, (Revision, Instant)>,
 }
 
 /// Returns a function that reports whether a host may run statements for others. One that was not
@@ -173,6 +175,7 @@
             placement: Placement::default(),
             rows: Rows::default(),
             claims: BTreeMap::new(),
+            contacts: BTreeMap::new(),
         };
         members.hosts_changed();
         members
@@ -481,6 +484,41 @@
         now.saturating_duration_since(since)
     }
 
+    /// Records the contact rows, given with their revisions.
+    pub fn apply_contacts(&mut self, rows: BTreeMap<Name, Revision>, now: Instant) {
+        let known = std::mem::take(&mut self.contacts);
+        let with_time = rows.into_iter().map(|(name, revision)| {
+            let known = known.get(&name).filter(|(known, _)| *known == revision);
+            let since = known.map_or(now, |(_, since)| *since);
+            (name, (revision, since))
+        });
+        self.contacts = with_time.collect();
+    }
+
+    /// Returns the revision of the contact row of a host, if it has one.
+    #[must_use]
+    pub fn contact_row(&self, host: &Name) -> Option<Revision> {
+        self.contacts.get(host).map(|(revision, _)| *revision)
+    }
+
+    /// Returns a host of which `is_confirmed` does not hold and that may have written its contact row within
+    /// the last `within`. After a restoration of the store this may be any peer: the row may be lost.
+    pub fn recent_contact(
+        &self,
+        within: Duration,
+        is_confirmed: impl Fn(&Name) -> bool,
+        now: Instant,
+    ) -> Option<Name> {
+        let is_recent = |since: Instant| now.saturating_duration_since(since) < within;
+        let rows = self.contacts.iter();
+        let recent = rows.filter(|(_, (_, since))| is_recent(*since));
+        let recent = recent.map(|(name, _)| name);
+        let is_restored = self.rows.era_since().is_none_or(is_recent);
+        let peers = self.peers.keys().filter(|_| is_restored);
+        let mut unconfirmed = recent.chain(peers).filter(|name| !is_confirmed(name));
+        unconfirmed.next().cloned()
+    }
+
     /// Reports whether a primary has responded to a peer recently.
     #[must_use]
     pub fn responds_to_peers(&self, server: &Name, now: Instant) -> bool {
--- a/fulmargw_pool/src/member/rows.rs
+++ b/fulmargw_pool/src/member/rows.rs
@@ -57,6 +57,11 @@
 }
 
 impl Rows {
+    /// Returns since when this host has read the rows in the present era of the store.
+    pub(super) fn era_since(&self) -> Option<Instant> {
+        self.era.map(|(_, since)| since)
+    }
+
     /// Starts to apply rows that were read, which include that of this host.
     pub(super) fn start(&mut self, rows: &BTreeMap<Name, (Record, Revision)>, now: Instant) {
         self.brought_back.clear();
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -42,6 +42,8 @@
     MissingCommits(Name, Position, Position),
     /// replica {0} may lack an acknowledged commit: {1}
     UnknownCommits(Name, Gap),
+    /// a host that may pass on commits may not know of the commit barrier
+    Unconfirmed,
 }
 
 impl Obstacle {
--- a/fulmargw_pool/src/table.rs
+++ b/fulmargw_pool/src/table.rs
@@ -3,6 +3,7 @@
 pub mod adaptive;
 mod backend;
 pub mod barrier;
+pub mod contact;
 mod exclusion;
 pub mod handover;
 mod queues;
--- a/fulmargw_pool/src/table/handover.rs
+++ b/fulmargw_pool/src/table/handover.rs
@@ -6,9 +6,11 @@
 use super::{
     Change, Group, PROMOTION_GRACE, Servers,
     barrier::{Barrier, Ended, Wait},
+    contact::Contact,
     start::Claim,
 };
-use crate::dialect::Dialect;
+use crate::{clock, dialect::Dialect};
+use fulmargw_decision::contact::Requests;
 use fulmargw_model::name::Name;
 use fulmargw_peer::report::Promotion;
 use tokio::time::Instant;
@@ -23,6 +25,10 @@
     latest: Option<Latest>,
     /// Claim that was open when the process started.
     pub(super) claim: Option<Claim>,
+    /// Contact of this host with the witnesses of the service.
+    pub contact: Contact,
+    /// Requests that this host has had as a witness of the service.
+    pub requests: Requests,
 }
 
 /// The latest known promotion of a service.
@@ -158,6 +164,9 @@
     /// Reports whether the commits of a service have to wait.
     #[must_use]
     pub fn holds_commits(&self, service: &Name, now: Instant) -> bool {
-        self.wait(service, now).is_some()
+        let handover = self.handovers.get(service);
+        let has_lost_contact =
+            || handover.is_some_and(|it| it.contact.is_lost(clock::since_boot()));
+        self.wait(service, now).is_some() || has_lost_contact()
     }
 }
--- a/fulmargw_pool/src/table/start.rs
+++ b/fulmargw_pool/src/table/start.rs
@@ -11,6 +11,7 @@
 };
 use crate::{backend::Role, dialect::Dialect};
 use fulmargw_model::name::Name;
+use std::time::Duration;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -51,6 +52,12 @@
         now < self.ends_at && !self.verified.is_cancelled()
     }
 
+    /// Returns the time since the process started; longer times than [`PERIOD`] are not told apart.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        PERIOD.saturating_sub(self.ends_at.saturating_duration_since(now))
+    }
+
     /// Returns what the first commits wait for; `None` if the claims are known, or it has taken too long.
     pub(super) fn wait(&self, now: Instant) -> Option<Wait> {
         let wait = || Wait::new(self.ends_at, self.verified.clone());
