pool: replicas do not stay paused for good

Cause: a claim keeps the server that it names after its promotion has taken effect. The restoration brought back the claim of an earlier promotion, and its server counted as that of a call that may still take effect. Each attempt had to choose it, paused it because it was behind, ended with missing commits, and left all replicas paused for the sake of that call. The pauses had no limit.

Why this is enough: a claim that came back is settled by the first survey, and whatever a claim says, an attempt ends with some replica that receives, or within the limit with all of them. The choice of the servers to resume is part of the pure state machine.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -225,9 +225,13 @@
             Ok(_) => self.end_wait(service, started),
             Err(_) => {}
         }
-        if let Err(Failure::Unresolved(server, token)) = result {
-            let now = Instant::now();
-            self.unresolved.record(service, server, *token, now);
+        match result {
+            Err(Failure::Unresolved(server, token)) => {
+                let now = Instant::now();
+                self.unresolved.record(service, server, *token, now);
+            }
+            Err(Failure::Abandoned(..)) => self.unresolved.abandon(service),
+            _ => {}
         }
     }
 }
--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -7,10 +7,11 @@
     core::Core,
     dialect::Dialect,
     follow::registry,
+    promotion::attempt::OpenCall,
     store::{Condition, Platform, Revision, Row},
     table::{Backend, barrier::PERIOD, start},
 };
-use fulmargw_model::name::Name;
+use fulmargw_model::{name::Name, position::Term};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -31,6 +32,17 @@
     holder: Name,
     /// Server for which a promotion call was or will be sent.
     candidate: Option<Name>,
+    /// Term that its promotion begins, at least. It is the last field and left out if it is unknown, as in the
+    /// claims of hosts of an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    term: Option<Term>,
+}
+
+impl Claim {
+    fn open_call(self) -> Option<OpenCall> {
+        let term = self.term;
+        self.candidate.map(|server| OpenCall { server, term })
+    }
 }
 
 /// An earlier claim that may be replaced.
@@ -39,7 +51,7 @@
     /// State of its row.
     pub(super) row: Condition,
     /// Server that it named as the candidate.
-    pub(super) candidate: Option<Name>,
+    pub(super) candidate: Option<OpenCall>,
 }
 
 /// Claims a service if the claim row is still in the state `expected`. Returns the revision of the
@@ -47,7 +59,7 @@
 pub(super) async fn claim<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
-    candidate: Option<&Name>,
+    candidate: Option<&OpenCall>,
     expected: Condition,
 ) -> Result<Revision, Failure> {
     let key = format!("{KEY_PREFIX}{service}");
@@ -62,11 +74,12 @@
 
 fn encode<D: Dialect, P: Platform>(
     core: &Core<D, P>,
-    candidate: Option<&Name>,
+    candidate: Option<&OpenCall>,
 ) -> Result<Vec<u8>, Failure> {
     let claim = Claim {
         holder: core.settings.host.name.clone(),
-        candidate: candidate.cloned(),
+        candidate: candidate.map(|it| it.server.clone()),
+        term: candidate.and_then(|it| it.term),
     };
     rmp_serde::to_vec(&claim).map_err(|cause| Failure::Encode(cause.to_string()))
 }
@@ -172,7 +185,7 @@
         if is_own || age >= CLAIM_VALIDITY {
             return Ok(Previous {
                 row: Condition::Unchanged(row.revision),
-                candidate: claim.and_then(|claim| claim.candidate),
+                candidate: claim.and_then(Claim::open_call),
             });
         }
         sleep(CLAIM_POLL_INTERVAL).await;
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -18,7 +18,7 @@
     message::Command,
     promotion::{
         Evidence, Obstacle, Replica,
-        attempt::{Attempt, Call, Completeness, End, Look, Step, Survey},
+        attempt::{Attempt, Call, Completeness, End, Look, OpenCall, Step, Survey},
     },
     store::{self, Condition, Outcome, Platform, Revision},
 };
@@ -67,6 +67,9 @@
     /// the result of a promotion call for server {0} with token {1} or a smaller one is unknown; it may
     /// take effect later
     Unresolved(Name, u64),
+    /// the result of a promotion call for server {0} with token {1} or a smaller one has been unknown for so
+    /// long that it counts as over
+    Abandoned(Name, u64),
     /// the claim cannot be encoded: {0}
     Encode(String),
 }
@@ -100,19 +103,21 @@
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
         return Err(Failure::Recovered);
     }
-    let earlier_candidate = previous
+    let earlier_call = previous
         .candidate
-        .filter(|candidate| may_be_promoted(core, service, candidate));
-    let claimed = claim(core, service, earlier_candidate.as_ref(), previous.row).await?;
-    log::info!(event = "promotion_claimed", service = service.as_str(), revision:% = claimed, reason:? = reason, ordered:? = earlier_candidate.as_ref().map(Name::as_str); "replacing a primary");
+        .filter(|call| may_be_promoted(core, service, &call.server));
+    let claimed = claim(core, service, earlier_call.as_ref(), previous.row).await?;
+    let ordered = earlier_call.as_ref().map(|call| call.server.as_str());
+    let ordered_term = earlier_call.as_ref().and_then(|call| call.term);
+    log::info!(event = "promotion_claimed", service = service.as_str(), revision:% = claimed, reason:? = reason, ordered:? = ordered, ordered_term = ordered_term.map(|term| term.0); "replacing a primary");
     let replacement = Replacement {
         core,
         service,
         claimed,
         may_hold,
-        named: earlier_candidate.clone(),
+        named: earlier_call.clone(),
         named_at: None,
-        earlier_candidate,
+        earlier_call,
         probes: Vec::new(),
         responsive: Vec::new(),
         barrier_raised: None,
@@ -136,12 +141,12 @@
     service: &'a Name,
     /// Revision of the claim as this host last wrote it.
     claimed: Revision,
-    /// Server for which an earlier promotion call was sent that may still take effect.
-    earlier_candidate: Option<Name>,
+    /// Earlier promotion call that may still take effect.
+    earlier_call: Option<OpenCall>,
     /// Whether commits may be held because of a call that may still take effect.
     may_hold: bool,
-    /// Server that the claim names.
-    named: Option<Name>,
+    /// Promotion call that the claim names.
+    named: Option<OpenCall>,
     /// Time at which this attempt first wrote that name.
     named_at: Option<Instant>,
     /// The servers that were asked.
@@ -156,8 +161,8 @@
 
 impl<D: Dialect, P: Platform> Replacement<'_, D, P> {
     async fn carry_out(mut self, completeness: Completeness) -> Result<Name, Failure> {
-        let earlier = self.earlier_candidate.clone();
-        let earlier = earlier.filter(|server| !is_excluded(self.core, self.service, server));
+        let earlier = self.earlier_call.clone();
+        let earlier = earlier.filter(|call| !is_excluded(self.core, self.service, &call.server));
         let mut attempt = Attempt::new(completeness, earlier);
         let result = self.run(&mut attempt).await;
         self.clean_up(&attempt, result).await
@@ -165,7 +170,7 @@
 
     /// Carries out the steps until the attempt ends.
     async fn run(&mut self, attempt: &mut Attempt) -> Result<Name, Failure> {
-        if self.earlier_candidate.is_some() && self.may_hold {
+        if self.earlier_call.is_some() && self.may_hold {
             // The earlier call may take effect at any time.
             self.responsive = live_peers(self.core);
             self.raise_barriers().await?;
@@ -173,7 +178,11 @@
         let mut step = Step::Survey;
         loop {
             step = match step {
-                Step::Survey => attempt.surveyed(self.survey().await?),
+                Step::Survey => {
+                    let next = attempt.surveyed(self.survey().await?);
+                    self.drop_settled_call(attempt);
+                    next
+                }
                 Step::Pause(servers, term) => {
                     let looks = self.pause(&servers, term).await;
                     attempt.paused(looks, Instant::now())
@@ -183,7 +192,10 @@
                     let status = self.query(&server).await;
                     attempt.queried(status, Instant::now())
                 }
-                Step::Secure(candidate) => attempt.secured(self.secure(&candidate).await?),
+                Step::Secure(server) => {
+                    let term = attempt.term();
+                    attempt.secured(self.secure(OpenCall { server, term }).await?)
+                }
                 Step::Verify => attempt.verified(&self.look_at_all().await),
                 Step::Call(candidate) => attempt.called(self.call(&candidate).await),
                 Step::End(end) => return self.end(end),
@@ -191,6 +203,17 @@
         }
     }
 
+    /// Forgets the earlier promotion call if the survey has shown that it is settled. The claim may be one that
+    /// a restoration of the store brought back.
+    fn drop_settled_call(&mut self, attempt: &Attempt) {
+        let is_settled = |call: &mut OpenCall| {
+            attempt.earlier_call().is_none() && !is_excluded(self.core, self.service, &call.server)
+        };
+        if let Some(OpenCall { server, term }) = self.earlier_call.take_if(is_settled) {
+            log::info!(event = "order_settled", service = self.service.as_str(), server = server.as_str(), term = term.map(|term| term.0); "a server knows the term of a promotion call that a claim names, or a later one");
+        }
+    }
+
     /// Asks the servers for their logs, and the hosts and the store for what was acknowledged.
     async fn survey(&mut self) -> Result<Survey, Failure> {
         let asked_at = Instant::now();
@@ -260,11 +283,11 @@
     ///
     /// The claim names the candidate before the promotion call is sent. If the result of the call is
     /// unknown, another host that claims the service then chooses the same candidate.
-    async fn secure(&mut self, candidate: &Name) -> Result<Option<Position>, Failure> {
-        log::info!(event = "promotion_candidate", service = self.service.as_str(), server = candidate.as_str(), revision:% = self.claimed; "replica with every acknowledged commit");
+    async fn secure(&mut self, call: OpenCall) -> Result<Option<Position>, Failure> {
+        log::info!(event = "promotion_candidate", service = self.service.as_str(), server = call.server.as_str(), revision:% = self.claimed; "replica with every acknowledged commit");
         let mut waits = 0;
         loop {
-            let raised = self.name_and_raise(candidate).await;
+            let raised = self.name_and_raise(&call).await;
             let raised = raised.map_err(|failure| self.open_call_or(failure))?;
             let named_at = *self.named_at.get_or_insert_with(Instant::now);
             let confirmed =
@@ -294,11 +317,11 @@
         }
     }
 
-    async fn name_and_raise(&mut self, candidate: &Name) -> Result<Raised, Failure> {
+    async fn name_and_raise(&mut self, call: &OpenCall) -> Result<Raised, Failure> {
         // The claim may have been written although the store did not respond.
-        self.named = Some(candidate.clone());
+        self.named = Some(call.clone());
         let expected = Condition::Unchanged(self.claimed);
-        self.claimed = claim(self.core, self.service, Some(candidate), expected).await?;
+        self.claimed = claim(self.core, self.service, Some(call), expected).await?;
         // A process that starts after the one before it has confirmed the barrier finds the claim.
         self.raise_barriers().await
     }
@@ -392,9 +415,10 @@
 
     /// Returns that the result of a promotion call is unknown if there is such a call, else `failure`.
     fn open_call_or(&self, failure: Failure) -> Failure {
-        let (Some(token), Some(server)) = (self.lost_token, self.named.clone()) else {
+        let (Some(token), Some(call)) = (self.lost_token, &self.named) else {
             return failure;
         };
+        let server = call.server.clone();
         log::warn!(event = "order_open", service = self.service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
         Failure::Unresolved(server, token)
     }
@@ -415,23 +439,43 @@
             }
             (result, _) => result,
         };
-        match &result {
-            Ok(_) => return result,
-            // The replicas stay paused and the barriers up. Then the candidate of the call still
-            // receives every commit that is acknowledged.
-            Err(Failure::Unresolved(..)) => {
-                if !self.may_hold {
-                    self.lift_barriers().await;
+        let result = match result {
+            Ok(server) => return Ok(server),
+            // The barriers stay up, and the replicas paused but for the server of the call. So it receives
+            // every commit that is acknowledged.
+            Err(Failure::Unresolved(server, token)) if self.may_hold => {
+                let servers = attempt.servers_to_resume(Some(&server), true);
+                if !servers.is_empty() {
+                    let call = self.named.clone().filter(|call| call.server == server);
+                    self.resume(&servers, call.as_ref()).await;
+                }
+                Err(Failure::Unresolved(server, token))
+            }
+            // The call has been open for so long that it counts as over: the writes of a primary that works
+            // must not wait for ever.
+            Err(Failure::Unresolved(server, token)) => {
+                self.lift_barriers().await;
+                let servers = attempt.servers_to_resume(Some(&server), false);
+                if self.resume(&servers, None).await {
+                    metrics::counter!("fulmargw_pool_promotion_calls_abandoned_total").increment(1);
+                    log::warn!(event = "order_abandoned", service = self.service.as_str(), server = server.as_str(), token; "a promotion call has been open for so long that it counts as over; the replicas are resumed");
+                    Err(Failure::Abandoned(server, token))
+                } else {
+                    Err(Failure::Unresolved(server, token))
                 }
             }
             Err(failure) => {
                 self.lift_barriers().await;
+                let servers = attempt.servers_to_resume(None, self.may_hold);
                 // Another host that has the claim may rely on the pauses.
-                if !matches!(failure, Failure::Claimed) {
-                    self.resume(attempt).await;
+                if !matches!(failure, Failure::Claimed)
+                    && (!servers.is_empty() || self.named.is_some())
+                {
+                    self.resume(&servers, None).await;
                 }
+                Err(failure)
             }
-        }
+        };
         return_connections(self.core, self.probes);
         result
     }
@@ -444,7 +488,7 @@
 
     /// Returns the server of an earlier promotion call that may still take effect after a failure.
     fn left_open(&self, failure: &Failure) -> Option<Name> {
-        let server = self.earlier_candidate.clone()?;
+        let server = self.earlier_call.as_ref()?.server.clone();
         let is_settled = match failure {
             Failure::Unresolved(..) => true,
             Failure::Obstacle(obstacle) => obstacle.settles_call_for(&server),
@@ -453,26 +497,25 @@
         (!is_settled).then_some(server)
     }
 
-    /// Resumes the replicas that are paused, if the claim is still that of this host.
+    /// Resumes replicas, if the claim is still that of this host. Returns whether it is.
     ///
-    /// The claim is renewed, without a candidate, so that no other host can have it while the replicas
-    /// are resumed: a replica that the next holder has paused must stay paused.
-    async fn resume(&mut self, attempt: &Attempt) {
-        let paused = attempt.paused_servers();
-        if paused.is_empty() && self.named.is_none() {
-            return;
-        }
+    /// The claim is renewed with `named`, so that no other host can have it while the replicas are resumed: a
+    /// replica that the next holder has paused must stay paused.
+    async fn resume(&mut self, servers: &[Name], named: Option<&OpenCall>) -> bool {
         let renewed_at = clock::since_boot();
         let expected = Condition::Unchanged(self.claimed);
-        match claim(self.core, self.service, None, expected).await {
+        match claim(self.core, self.service, named, expected).await {
             Ok(claimed) => {
+                self.claimed = claimed;
                 let until = renewed_at + RESUME_PERIOD;
                 let probes = self.probes.iter_mut();
-                let paused = probes.filter(|probe| paused.contains(&probe.server.id));
+                let paused = probes.filter(|probe| servers.contains(&probe.server.id));
                 resume_replicas(paused, claimed, until).await;
+                true
             }
             Err(failure) => {
                 log::info!(event = "replicas_left_paused", service = self.service.as_str(), cause:% = failure; "the claim could not be renewed");
+                false
             }
         }
     }
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -311,6 +311,11 @@
         is_settled
     }
 
+    /// Forgets the calls of a service, which have been open for so long that they count as over.
+    pub fn abandon(&mut self, service: &Name) {
+        self.calls.remove(service);
+    }
+
     /// Records that a server leads. Returns the token of the calls that this settles: all of them were for this
     /// server, and a call for the primary changes nothing.
     pub fn settle_leading(&mut self, service: &Name, server: &Name) -> Option<u64> {
--- a/fulmargw_pool/src/promotion/attempt.rs
+++ b/fulmargw_pool/src/promotion/attempt.rs
@@ -60,6 +60,25 @@
     Unresolved,
 }
 
+/// A promotion call that was sent, or is about to be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OpenCall {
+    /// Server that it names.
+    pub server: Name,
+    /// Term that the promotion begins, at least; `None` if a host of an earlier version has sent it.
+    pub term: Option<Term>,
+}
+
+impl OpenCall {
+    /// Reports whether the call can no longer change anything, because this promotion or a later one has
+    /// taken effect: a server knows its term or a later one.
+    fn is_settled(&self, replicas: &[Replica]) -> bool {
+        let statuses = replicas.iter().filter_map(|replica| replica.status);
+        let newest = statuses.map(|status| status.term).max();
+        self.term.is_some_and(|term| newest >= Some(term))
+    }
+}
+
 /// What the survey found.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Survey {
@@ -89,8 +108,8 @@
 #[derive(Debug)]
 pub struct Attempt {
     completeness: Completeness,
-    /// Server for which an earlier promotion call was sent that may still take effect.
-    earlier_candidate: Option<Name>,
+    /// Earlier promotion call that may still take effect.
+    earlier_call: Option<OpenCall>,
     replicas: Vec<Replica>,
     evidence: Evidence,
     candidate: Option<Candidate>,
@@ -109,10 +128,10 @@
 impl Attempt {
     /// Creates an attempt; its first step is [`Step::Survey`].
     #[must_use]
-    pub fn new(completeness: Completeness, earlier_candidate: Option<Name>) -> Self {
+    pub fn new(completeness: Completeness, earlier_call: Option<OpenCall>) -> Self {
         Self {
             completeness,
-            earlier_candidate,
+            earlier_call,
             replicas: Vec::new(),
             evidence: Evidence::default(),
             candidate: None,
@@ -132,7 +151,9 @@
     pub fn surveyed(&mut self, survey: Survey) -> Step {
         self.evidence = survey.evidence;
         self.replicas = survey.replicas;
-        let earlier = self.earlier_candidate.as_ref();
+        let replicas = &self.replicas;
+        self.earlier_call.take_if(|call| call.is_settled(replicas));
+        let earlier = self.earlier_call.as_ref().map(|call| &call.server);
         let candidate = match choose_candidate(&self.replicas, Term(0), earlier) {
             Ok(candidate) => candidate,
             Err(obstacle) => return Self::stop(obstacle),
@@ -304,10 +325,38 @@
         }
     }
 
-    /// Returns the servers to resume if the attempt ends with an obstacle: those that it paused, and
-    /// those that an earlier claim left paused.
+    /// Returns the earlier promotion call that may still take effect; `None` if there is none, or the survey
+    /// has shown that it is settled.
+    #[must_use]
+    pub fn earlier_call(&self) -> Option<&OpenCall> {
+        self.earlier_call.as_ref()
+    }
+
+    /// Returns the term that the promotion of the candidate begins, at least.
+    #[must_use]
+    pub fn term(&self) -> Option<Term> {
+        let acknowledged = self.evidence.acknowledged;
+        let after_acknowledged = acknowledged.map(|position| Term(position.term.0 + 1));
+        let candidate = self.candidate.as_ref()?;
+        after_acknowledged.max(Some(candidate.pause_term))
+    }
+
+    /// Returns the servers to resume when the attempt has ended without a new primary. `open` is the server
+    /// of a promotion call that may still take effect.
+    ///
+    /// With such a call only its own server is resumed, so that every commit that is acknowledged reaches
+    /// it. Without `may_hold` the call has been open for so long that it counts as over.
     #[must_use]
-    pub fn paused_servers(&self) -> Vec<Name> {
+    pub fn servers_to_resume(&self, open: Option<&Name>, may_hold: bool) -> Vec<Name> {
+        let mut servers = self.paused_servers();
+        if let Some(open) = open.filter(|_| may_hold) {
+            servers.retain(|server| server == open);
+        }
+        servers
+    }
+
+    /// Returns the servers that the attempt paused, and those that an earlier claim left paused.
+    fn paused_servers(&self) -> Vec<Name> {
         let is_held = |replica: &&Replica| replica.status.is_some_and(|it| it.held.is_some());
         let held = self.replicas.iter().filter(is_held);
         let held = held.map(|replica| &replica.server);
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -193,6 +193,20 @@
     assert_eq!(candidate.expect("a candidate").server, "b".into());
 }
 
+/// Guards against attempts without end for a call that counts as over, each of which pauses the replicas.
+#[test]
+fn an_abandoned_call_is_forgotten() {
+    let (service, server) = ("ledger".into(), "a".into());
+    let now = Instant::now();
+    let mut unresolved = Unresolved::default();
+    unresolved.record(&service, &server, 5, now);
+
+    unresolved.abandon(&service);
+
+    assert!(!unresolved.contains(&service));
+    assert!(unresolved.may_hold(&service, now));
+}
+
 /// Guards against the replacement of a working primary: a promotion call of this host without a response
 /// stayed unresolved after another host had promoted a server with a greater token.
 #[test]
