pool: a barrier that was lifted is not raised again by a late response

A witness that has not heard yet that the barrier of a failed attempt was lifted may still tell a host that it is up. It now remembers the greatest token with which a barrier was lifted.

--- a/fulmargw_pool/src/contact.rs
+++ b/fulmargw_pool/src/contact.rs
@@ -166,7 +166,14 @@
     if let Some(promotion) = &response.promotion {
         failover::record_promotion(core, promotion, "witness");
     }
-    if let Some((token, remaining)) = response.barrier {
+    let Some((token, remaining)) = response.barrier else {
+        return;
+    };
+    let was_lifted = {
+        let mut servers = core.servers.lock();
+        servers.handover(service).barrier.was_lifted(token)
+    };
+    if !was_lifted {
         // A later barrier or promotion is known if it is refused.
         let _ = barrier::raise(core, service, token, remaining).await;
     }
--- a/fulmargw_pool/src/table/barrier.rs
+++ b/fulmargw_pool/src/table/barrier.rs
@@ -18,6 +18,8 @@
     sealed_at: Option<Instant>,
     /// Whether that one was lifted, so that its promotion does not take effect, or is known.
     is_seal_lifted: bool,
+    /// Greatest token with which a barrier was lifted.
+    lifted_token: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -122,11 +124,19 @@
 
     /// Ends the barrier, unless it has a greater token.
     pub fn lift(&mut self, token: u64) -> Option<Ended> {
+        self.lifted_token = self.lifted_token.max(Some(token));
         self.raised.as_ref().filter(|it| it.token <= token)?;
         self.is_seal_lifted = true;
         self.end()
     }
 
+    /// Reports whether the barrier with this token, or a later one, was lifted. A peer that has not heard of it
+    /// yet may still say that the barrier is up.
+    #[must_use]
+    pub fn was_lifted(&self, token: u64) -> bool {
+        self.lifted_token >= Some(token)
+    }
+
     /// Ends the barrier if its period has passed.
     pub fn expire(&mut self, now: Instant) -> Option<Ended> {
         self.raised.as_ref().filter(|it| it.ends_at <= now)?;
--- a/fulmargw_pool/tests/barrier.rs
+++ b/fulmargw_pool/tests/barrier.rs
@@ -75,6 +75,19 @@
     assert!(barrier.wait_sealed(now).is_some());
 }
 
+/// Guards against a barrier that a host raises again because a peer, which has not heard that it was lifted,
+/// says that it is up.
+#[tokio::test(start_paused = true)]
+async fn a_lifted_token_is_remembered() {
+    let mut barrier = raised(5, Instant::now());
+
+    barrier.lift(5);
+
+    assert!(barrier.was_lifted(4) && barrier.was_lifted(5));
+    assert!(!barrier.was_lifted(6));
+    assert!(!Barrier::default().was_lifted(0));
+}
+
 /// Guards against writes that stay held after the barrier is lifted.
 #[tokio::test(start_paused = true)]
 async fn lifting_wakes_what_waits() {
