pool: a claim whose term is known holds nothing on hosts that reach only the store

A host that proves its contact by the store holds the commits of a service while a claim names a server. It now counts as over once the host knows an acknowledged position of its term, as in an attempt.

--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -116,35 +116,43 @@
         return;
     };
     let age = core.members.lock().claim_age(row, Instant::now());
-    let Some(claim) = named_candidate(row).filter(|_| age < NAMED_PERIOD) else {
+    let Some(call) = decode(row).and_then(Claim::open_call) else {
         return;
     };
     let is_settled = {
         let servers = core.servers.lock();
         let group = servers.groups.get(service);
-        let candidate = group.and_then(|group| group.backends.get(&claim.candidate));
-        candidate.is_some_and(|it| it.server.role == Role::Primary)
+        let server = group.and_then(|group| group.backends.get(&call.server));
+        let acknowledged = group.and_then(|group| group.acknowledged);
+        let newest = acknowledged.map(|position| position.term);
+        // A restoration may have brought the claim back.
+        let is_over = call.term.is_some_and(|term| newest >= Some(term));
+        is_over || server.is_some_and(|it| it.server.role == Role::Primary)
     };
-    if !is_settled {
+    if !is_settled && age < NAMED_PERIOD {
         // It is refused if a later barrier or promotion is known.
-        let _ = barrier::raise(core, service, claim.token, PERIOD).await;
+        let token = row.revision.fencing_token();
+        let _ = barrier::raise(core, service, token, PERIOD).await;
     }
 }
 
 /// Returns the claim in a row, if it names a candidate.
 fn named_candidate(row: &Row) -> Option<start::Claim> {
     let service = row.key.strip_prefix(KEY_PREFIX)?;
-    match rmp_serde::from_slice::<Claim>(&row.value) {
-        Ok(claim) => Some(start::Claim {
-            service: Name::new(service),
-            candidate: claim.candidate?,
-            token: row.revision.fencing_token(),
-        }),
-        Err(cause) => {
-            log::warn!(event = "row_undecodable", key = row.key.as_str(), cause:% = cause; "ignoring a claim row that cannot be decoded");
-            None
-        }
-    }
+    Some(start::Claim {
+        service: Name::new(service),
+        candidate: decode(row)?.candidate?,
+        token: row.revision.fencing_token(),
+    })
+}
+
+/// Returns the claim in a row; `None` if it cannot be decoded.
+fn decode(row: &Row) -> Option<Claim> {
+    let decoded = rmp_serde::from_slice(&row.value);
+    let decoded = decoded.inspect_err(|cause| {
+        log::warn!(event = "row_undecodable", key = row.key.as_str(), cause:% = cause; "ignoring a claim row that cannot be decoded");
+    });
+    decoded.ok()
 }
 
 /// Returns the claim that may be replaced. A claim of another host may be replaced only some time
@@ -172,13 +180,7 @@
         }
         let now = Instant::now();
         let age = core.members.lock().claim_age(&row, now);
-        let claim = match rmp_serde::from_slice::<Claim>(&row.value) {
-            Ok(claim) => Some(claim),
-            Err(cause) => {
-                log::warn!(event = "row_undecodable", key, cause:% = cause; "replacing a claim row that cannot be decoded");
-                None
-            }
-        };
+        let claim = decode(&row);
         let is_own = claim
             .as_ref()
             .is_some_and(|claim| claim.holder == core.settings.host.name);
