pool: a promotion call that may have been sent lately is not taken for over

An attempt that waits for a host which has not confirmed the barrier lifted the barriers for the first wait, also while a call without a response, its own or an earlier one, might take effect. They stay up then.

A call counted as over 15 s after the first one was recorded, although the attempts since may each have sent another one, the last just before. The time now counts from the last call that this host may have sent, or that another host may have sent whose claim it has replaced, and an attempt that sent a call abandons nothing.

--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -16,7 +16,7 @@
     barriers::raise_barriers,
     reach::live_peers,
     recording::Recorder,
-    replacement::{Failure, attempt},
+    replacement::{Failure, Latest, Permissions, attempt},
 };
 use crate::{
     backend::Role,
@@ -105,12 +105,10 @@
                     .waits
                     .completeness(&service, primary.as_ref(), now)
             };
-            let may_hold = lock(&attempts)
-                .unresolved
-                .may_hold(&service, Instant::now());
+            let permissions = lock(&attempts).permissions(&service, Instant::now());
             tasks.spawn(async move {
                 let started = Instant::now();
-                let result = attempt(&core, &service, reason, completeness, may_hold).await;
+                let result = attempt(&core, &service, reason, completeness, permissions).await;
                 log_result(&service, reason, started, &result);
                 lock(&attempts).record_result(&service, primary.as_ref(), &result, started);
                 let delay = match &result {
@@ -211,6 +209,13 @@
         }
     }
 
+    fn permissions(&self, service: &Name, now: Instant) -> Permissions {
+        Permissions {
+            may_hold: self.unresolved.may_hold(service, now),
+            may_abandon: self.unresolved.may_abandon(service, now),
+        }
+    }
+
     fn record_result(
         &mut self,
         service: &Name,
@@ -226,9 +231,12 @@
             Err(_) => {}
         }
         match result {
-            Err(Failure::Unresolved(server, token)) => {
+            Err(Failure::Unresolved(server, token, latest)) => {
                 let now = Instant::now();
                 self.unresolved.record(service, server, *token, now);
+                if *latest == Latest::Now {
+                    self.unresolved.record_sent(service, now);
+                }
             }
             Err(Failure::Abandoned(..)) => self.unresolved.abandon(service),
             _ => {}
--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -50,8 +50,10 @@
 pub(super) struct Previous {
     /// State of its row.
     pub(super) row: Condition,
-    /// Server that it named as the candidate.
+    /// Promotion call that it named.
     pub(super) candidate: Option<OpenCall>,
+    /// Whether this host wrote it, or there is none.
+    pub(super) is_own: bool,
 }
 
 /// Claims a service if the claim row is still in the state `expected`. Returns the revision of the
@@ -173,6 +175,7 @@
             return Ok(Previous {
                 row: Condition::Absent,
                 candidate: None,
+                is_own: true,
             });
         };
         if *first_revision.get_or_insert(row.revision) != row.revision {
@@ -188,6 +191,7 @@
             return Ok(Previous {
                 row: Condition::Unchanged(row.revision),
                 candidate: claim.and_then(Claim::open_call),
+                is_own,
             });
         }
         sleep(CLAIM_POLL_INTERVAL).await;
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -47,6 +47,15 @@
 /// which a claim excludes other hosts.
 const RESUME_PERIOD: Duration = Duration::from_secs(3);
 
+/// When a promotion call without a response may have been sent last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Latest {
+    /// In this attempt, or by another host before it.
+    Now,
+    /// In an earlier attempt of this host.
+    Before,
+}
+
 /// Why an attempt ended without a new primary.
 #[derive(Debug, displaydoc::Display)]
 pub(super) enum Failure {
@@ -66,7 +75,7 @@
     Rejected,
     /// the result of a promotion call for server {0} with token {1} or a smaller one is unknown; it may
     /// take effect later
-    Unresolved(Name, u64),
+    Unresolved(Name, u64, Latest),
     /// the result of a promotion call for server {0} with token {1} or a smaller one has been unknown for so
     /// long that it counts as over
     Abandoned(Name, u64),
@@ -74,8 +83,16 @@
     Encode(String),
 }
 
-/// Replaces the primary of a service and returns the new one. Without `may_hold`, commits are not held
-/// because of an earlier promotion call that may still take effect.
+/// What an attempt may do about a promotion call that may still take effect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Permissions {
+    /// Whether commits may be held because of it.
+    pub(super) may_hold: bool,
+    /// Whether it counts as over unless this attempt sends one.
+    pub(super) may_abandon: bool,
+}
+
+/// Replaces the primary of a service and returns the new one.
 ///
 /// # Errors
 ///
@@ -85,7 +102,7 @@
     service: &Name,
     reason: Reason,
     completeness: Completeness,
-    may_hold: bool,
+    permissions: Permissions,
 ) -> Result<Name, Failure> {
     wait_for_turn(core, service).await;
     if reason != Reason::Unsettled && assess(core, service, Instant::now()).is_none() {
@@ -114,7 +131,8 @@
         core,
         service,
         claimed,
-        may_hold,
+        permissions,
+        is_own_claim: previous.is_own,
         named: earlier_call.clone(),
         named_at: None,
         earlier_call,
@@ -143,8 +161,9 @@
     claimed: Revision,
     /// Earlier promotion call that may still take effect.
     earlier_call: Option<OpenCall>,
-    /// Whether commits may be held because of a call that may still take effect.
-    may_hold: bool,
+    permissions: Permissions,
+    /// Whether the claim before was one of this host, or there was none.
+    is_own_claim: bool,
     /// Promotion call that the claim names.
     named: Option<OpenCall>,
     /// Time at which this attempt first wrote that name.
@@ -170,7 +189,7 @@
 
     /// Carries out the steps until the attempt ends.
     async fn run(&mut self, attempt: &mut Attempt) -> Result<Name, Failure> {
-        if self.earlier_call.is_some() && self.may_hold {
+        if self.earlier_call.is_some() && self.permissions.may_hold {
             // The earlier call may take effect at any time.
             self.responsive = live_peers(self.core);
             self.raise_barriers().await?;
@@ -301,9 +320,11 @@
                     return Ok(raised.acknowledged);
                 }
                 Confirmation::Waits(left, host) if waits < MAX_WAITS => {
-                    log::info!(event = "promotion_awaits_host", service = self.service.as_str(), host = host.as_ref().map(Name::as_str), left_ms = millis(left), holds_commits = waits > 0; "waiting until a host that has not confirmed the commit barrier passes on no commits");
+                    log::info!(event = "promotion_awaits_host", service = self.service.as_str(), host = host.as_ref().map(Name::as_str), left_ms = millis(left), waits; "waiting until a host that has not confirmed the commit barrier passes on no commits");
                     metrics::counter!("fulmargw_pool_promotion_waits_total").increment(1);
-                    if waits == 0 {
+                    // A call that may take effect at any time needs them.
+                    let is_open = self.lost_token.is_some() || self.earlier_call.is_some();
+                    if waits == 0 && !is_open {
                         self.lift_barriers().await;
                     }
                     waits += 1;
@@ -420,7 +441,7 @@
         };
         let server = call.server.clone();
         log::warn!(event = "order_open", service = self.service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
-        Failure::Unresolved(server, token)
+        Failure::Unresolved(server, token, Latest::Now)
     }
 
     /// Ends the barrier and the pauses of an attempt without a new primary, unless a promotion call
@@ -435,38 +456,50 @@
             (Err(failure), Some(server)) => {
                 let token = self.claimed.fencing_token();
                 log::info!(event = "order_open", service = self.service.as_str(), revision:% = self.claimed, cause:% = failure; "an earlier promotion call may still take effect");
-                Err(Failure::Unresolved(server, token))
+                let is_before = self.lost_token.is_none() && self.is_own_claim;
+                let latest = if is_before {
+                    Latest::Before
+                } else {
+                    Latest::Now
+                };
+                Err(Failure::Unresolved(server, token, latest))
             }
             (result, _) => result,
         };
+        let Permissions {
+            may_hold,
+            may_abandon,
+        } = self.permissions;
         let result = match result {
             Ok(server) => return Ok(server),
-            // The barriers stay up, and the replicas paused but for the server of the call. So it receives
-            // every commit that is acknowledged.
-            Err(Failure::Unresolved(server, token)) if self.may_hold => {
-                let servers = attempt.servers_to_resume(Some(&server), true);
-                if !servers.is_empty() {
-                    let call = self.named.clone().filter(|call| call.server == server);
-                    self.resume(&servers, call.as_ref()).await;
-                }
-                Err(Failure::Unresolved(server, token))
-            }
-            // The call has been open for so long that it counts as over: the writes of a primary that works
-            // must not wait for ever.
-            Err(Failure::Unresolved(server, token)) => {
+            // The writes of a primary that works must not wait for ever.
+            Err(Failure::Unresolved(server, token, Latest::Before)) if may_abandon => {
                 self.lift_barriers().await;
-                let servers = attempt.servers_to_resume(Some(&server), false);
+                let servers = attempt.servers_to_resume(None);
                 if self.resume(&servers, None).await {
                     metrics::counter!("fulmargw_pool_promotion_calls_abandoned_total").increment(1);
                     log::warn!(event = "order_abandoned", service = self.service.as_str(), server = server.as_str(), token; "a promotion call has been open for so long that it counts as over; the replicas are resumed");
                     Err(Failure::Abandoned(server, token))
                 } else {
-                    Err(Failure::Unresolved(server, token))
+                    Err(Failure::Unresolved(server, token, Latest::Before))
+                }
+            }
+            // The replicas stay paused but for the server of the call. So it receives every commit that is
+            // acknowledged.
+            Err(Failure::Unresolved(server, token, latest)) => {
+                if !may_hold {
+                    self.lift_barriers().await;
+                }
+                let servers = attempt.servers_to_resume(Some(&server));
+                if !servers.is_empty() {
+                    let call = self.named.clone().filter(|call| call.server == server);
+                    self.resume(&servers, call.as_ref()).await;
                 }
+                Err(Failure::Unresolved(server, token, latest))
             }
             Err(failure) => {
                 self.lift_barriers().await;
-                let servers = attempt.servers_to_resume(None, self.may_hold);
+                let servers = attempt.servers_to_resume(None);
                 // Another host that has the claim may rely on the pauses.
                 if !matches!(failure, Failure::Claimed)
                     && (!servers.is_empty() || self.named.is_some())
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -262,6 +262,8 @@
     servers: BTreeSet<Name>,
     /// Time at which the first one was recorded.
     since: Instant,
+    /// Latest time at which one may have been sent.
+    sent_at: Instant,
     /// Time at which the barrier was last raised for them.
     held_at: Instant,
 }
@@ -273,12 +275,27 @@
             token,
             servers: BTreeSet::new(),
             since: now,
+            sent_at: now,
             held_at: now,
         });
         known.token = token.max(known.token);
         known.servers.insert(server.clone());
     }
 
+    /// Records that a call of a service may have been sent just now, again or by another host.
+    pub fn record_sent(&mut self, service: &Name, now: Instant) {
+        if let Some(call) = self.calls.get_mut(service) {
+            call.sent_at = now;
+        }
+    }
+
+    /// Reports whether the calls of a service have been open for so long that they count as over.
+    #[must_use]
+    pub fn may_abandon(&self, service: &Name, now: Instant) -> bool {
+        let call = self.calls.get(service);
+        call.is_some_and(|call| now.saturating_duration_since(call.sent_at) >= HOLD_PERIOD)
+    }
+
     /// Reports whether commits are held because of a call of a service, or may be: there is none, or not
     /// for too long.
     #[must_use]
--- a/fulmargw_pool/src/promotion/attempt.rs
+++ b/fulmargw_pool/src/promotion/attempt.rs
@@ -345,11 +345,11 @@
     /// of a promotion call that may still take effect.
     ///
     /// With such a call only its own server is resumed, so that every commit that is acknowledged reaches
-    /// it. Without `may_hold` the call has been open for so long that it counts as over.
+    /// it.
     #[must_use]
-    pub fn servers_to_resume(&self, open: Option<&Name>, may_hold: bool) -> Vec<Name> {
+    pub fn servers_to_resume(&self, open: Option<&Name>) -> Vec<Name> {
         let mut servers = self.paused_servers();
-        if let Some(open) = open.filter(|_| may_hold) {
+        if let Some(open) = open {
             servers.retain(|server| server == open);
         }
         servers
--- a/fulmargw_pool/tests/pause.rs
+++ b/fulmargw_pool/tests/pause.rs
@@ -137,8 +137,8 @@
 }
 
 /// Guards against replicas that stay paused for good, so that the writes of a primary that works hang: once no
-/// call is open, or one has been open for too long, every paused server is resumed. While one is open its
-/// server is, so that commits can be acknowledged.
+/// call is open, or it counts as over, every paused server is resumed. While one is open its server is, so that
+/// commits can be acknowledged.
 #[test]
 fn pauses_end_whatever_a_claim_names() {
     for seed in 0..GROUPS {
@@ -149,20 +149,16 @@
         let end = group.run(&mut attempt);
 
         let paused = group.paused();
-        let resumed = |open: Option<&Name>, may_hold| attempt.servers_to_resume(open, may_hold);
-        let ended = resumed(None, true);
-        let over = resumed(Some(&name(0)), false);
+        let ended = attempt.servers_to_resume(None);
         assert!(
-            paused
-                .iter()
-                .all(|it| ended.contains(it) && over.contains(it)),
-            "seed {seed}, {end:?}: {paused:?} paused, {ended:?} and {over:?} resumed"
+            paused.iter().all(|it| ended.contains(it)),
+            "seed {seed}, {end:?}: {paused:?} paused, {ended:?} resumed"
         );
         for open in (0..REPLICAS).map(name) {
-            let expected = paused.contains(&open);
-            let resumed = resumed(Some(&open), true);
+            let resumed = attempt.servers_to_resume(Some(&open));
             assert!(resumed.iter().all(|it| *it == open), "seed {seed}, {end:?}");
-            assert!(!expected || resumed.contains(&open), "seed {seed}, {end:?}");
+            let has_open = resumed.contains(&open);
+            assert!(!paused.contains(&open) || has_open, "seed {seed}, {end:?}");
         }
     }
 }
--- a/fulmargw_pool/tests/promotion.rs
+++ b/fulmargw_pool/tests/promotion.rs
@@ -193,6 +193,24 @@
     assert_eq!(candidate.expect("a candidate").server, "b".into());
 }
 
+/// Guards against replicas that are resumed while a call may take effect, because an earlier one of the same
+/// service has been open for long.
+#[test]
+fn a_call_counts_as_over_some_time_after_it_was_last_sent() {
+    let (service, server) = ("ledger".into(), "a".into());
+    let start = Instant::now();
+    let after = |seconds| start + Duration::from_secs(seconds);
+    let mut unresolved = Unresolved::default();
+    assert!(!unresolved.may_abandon(&service, start));
+    unresolved.record(&service, &server, 5, start);
+    unresolved.record_sent(&service, after(14));
+    unresolved.record(&service, &server, 6, after(20));
+
+    assert!(!unresolved.may_hold(&service, after(15)));
+    assert!(!unresolved.may_abandon(&service, after(28)));
+    assert!(unresolved.may_abandon(&service, after(29)));
+}
+
 /// Guards against attempts without end for a call that counts as over, each of which pauses the replicas.
 #[test]
 fn an_abandoned_call_is_forgotten() {
