pool: one piece of code for what contact and claims share, and plainer names

Shared: the timeout of a request to a peer (350 ms) and the limit of 15 s stood twice; the check that a term settles a call, and the check of contact before and after a commit, were written twice; check_joined rebuilt what assumed_primary and is_excluded tell; the sum of validity and margin stood in six places. A static assertion says what was only true by chance of the numbers: a witness knows its age for longer than a request proves contact.

Names: NamedCall (OpenCall stood for two things), LastSent, WitnessReport, Witnesses; contact and respond in place of testify.

Lines: commit_not_sent and commit_unconfirmed also name lack of contact; a claim that cannot be decoded is not ignored by an attempt, and the line no longer says so; too few witnesses have an obstacle of their own; host_removed is written before the contact row is removed, whose failure left it out. A commit that only the barrier holds no longer wakes the task that renews contact.

--- a/fulmargw_decision/src/contact.rs
+++ b/fulmargw_decision/src/contact.rs
@@ -15,6 +15,8 @@
 pub const VALIDITY: Duration = Duration::from_secs(3);
 /// Time that is added on the other side, for clocks that run at different rates.
 pub const MARGIN: Duration = Duration::from_millis(200);
+/// Time after which no host counts a request as a proof of its contact, as seen by the others.
+pub const LAPSE_TIME: Duration = VALIDITY.saturating_add(MARGIN);
 /// Maximum number of witnesses of a service: two of them may fail at the same time.
 const MAX_WITNESSES: usize = 5;
 
@@ -45,8 +47,7 @@
 impl Requests {
     /// Records a request of a host, and forgets those that prove nothing any more.
     pub fn record(&mut self, host: Name, now: Duration) {
-        self.0
-            .retain(|_, at| now.saturating_sub(*at) <= VALIDITY + MARGIN);
+        self.0.retain(|_, at| now.saturating_sub(*at) <= LAPSE_TIME);
         self.0.insert(host, now);
     }
 
@@ -55,13 +56,13 @@
     pub fn ages(&self, now: Duration) -> Vec<(Name, Duration)> {
         let requests = self.0.iter();
         let ages = requests.map(|(host, at)| (host.clone(), now.saturating_sub(*at)));
-        ages.filter(|(_, age)| *age <= VALIDITY + MARGIN).collect()
+        ages.filter(|(_, age)| *age <= LAPSE_TIME).collect()
     }
 }
 
 /// What a witness that has confirmed the barrier knows of the contacts of others.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Testimony {
+pub struct WitnessReport {
     /// How long ago each host has last sent a request.
     pub requests: Vec<(Name, Duration)>,
     /// Time since the witness started. It knows nothing of earlier requests.
@@ -74,17 +75,17 @@
 /// `hosts` are the known ones, and `is_confirmed` tells which have confirmed it.
 #[must_use]
 pub fn time_until_lapsed(
-    testimonies: &[Testimony],
+    reports: &[WitnessReport],
     hosts: &[Name],
     is_confirmed: impl Fn(&Name) -> bool,
 ) -> Option<(Duration, Option<Name>)> {
-    let left = |age: Duration| (VALIDITY + MARGIN).saturating_sub(age);
-    let by_host = testimonies.iter().flat_map(|it| &it.requests);
+    let left = |age: Duration| LAPSE_TIME.saturating_sub(age);
+    let by_host = reports.iter().flat_map(|it| &it.requests);
     let unconfirmed = by_host.filter(|(host, _)| !is_confirmed(host));
     let unconfirmed = unconfirmed.map(|(host, age)| (left(*age), Some(host.clone())));
     // A request that a witness has forgotten may be one of any host that has not confirmed.
     let all_confirmed = hosts.iter().all(&is_confirmed);
-    let forgetful = testimonies.iter().filter(|_| !all_confirmed);
+    let forgetful = reports.iter().filter(|_| !all_confirmed);
     let forgotten = forgetful.map(|it| (left(it.known_for), None));
     let waits = unconfirmed.chain(forgotten);
     let longest = waits.max_by_key(|(left, _)| *left);
--- a/fulmargw_decision/tests/contact.rs
+++ b/fulmargw_decision/tests/contact.rs
@@ -1,7 +1,7 @@
 //! Contact of hosts with the witnesses of a service.
 
 use fulmargw_decision::contact::{
-    MARGIN, Requests, Testimony, VALIDITY, is_majority, is_quorum, time_until_lapsed, witnesses,
+    MARGIN, Requests, VALIDITY, WitnessReport, is_majority, is_quorum, time_until_lapsed, witnesses,
 };
 use fulmargw_model::name::Name;
 use quickcheck::quickcheck;
@@ -11,10 +11,10 @@
     Name::new(&format!("host-{number}"))
 }
 
-fn testimony(requests: &[(u8, u64)], known_for: Duration) -> Testimony {
+fn report(requests: &[(u8, u64)], known_for: Duration) -> WitnessReport {
     let requests = requests.iter();
     let requests = requests.map(|(number, age_ms)| (host(*number), Duration::from_millis(*age_ms)));
-    Testimony {
+    WitnessReport {
         requests: requests.collect(),
         known_for,
     }
@@ -47,12 +47,12 @@
 #[test]
 fn a_host_that_has_not_confirmed_is_waited_for() {
     let hosts = [host(0), host(1), host(2)];
-    let testimonies = [
-        testimony(&[(0, 10), (2, 900)], LONG),
-        testimony(&[(1, 20), (2, 500)], LONG),
+    let reports = [
+        report(&[(0, 10), (2, 900)], LONG),
+        report(&[(1, 20), (2, 500)], LONG),
     ];
 
-    let wait = time_until_lapsed(&testimonies, &hosts, |it| *it != host(2));
+    let wait = time_until_lapsed(&reports, &hosts, |it| *it != host(2));
 
     let left = (VALIDITY + MARGIN).saturating_sub(Duration::from_millis(500));
     assert_eq!(wait, Some((left, Some(host(2)))));
@@ -62,9 +62,9 @@
 #[test]
 fn a_host_without_requests_is_not_waited_for() {
     let hosts = [host(0), host(1), host(2)];
-    let testimonies = [testimony(&[(0, 10), (1, 900)], LONG)];
+    let reports = [report(&[(0, 10), (1, 900)], LONG)];
 
-    let wait = time_until_lapsed(&testimonies, &hosts, |it| *it != host(2));
+    let wait = time_until_lapsed(&reports, &hosts, |it| *it != host(2));
 
     assert_eq!(wait, None);
 }
@@ -74,10 +74,10 @@
 fn a_witness_that_has_just_started_is_waited_for_unless_all_hosts_have_confirmed() {
     let hosts = [host(0), host(1), host(2)];
     let age = Duration::from_secs(1);
-    let testimonies = [testimony(&[], age)];
+    let reports = [report(&[], age)];
 
-    let incomplete = time_until_lapsed(&testimonies, &hosts, |it| *it != host(2));
-    let complete = time_until_lapsed(&testimonies, &hosts, |_| true);
+    let incomplete = time_until_lapsed(&reports, &hosts, |it| *it != host(2));
+    let complete = time_until_lapsed(&reports, &hosts, |_| true);
 
     assert_eq!(
         incomplete,
--- a/fulmargw_peer/src/report.rs
+++ b/fulmargw_peer/src/report.rs
@@ -150,7 +150,7 @@
     fn lend(&self, request: LoanRequest) -> LoanResponse;
 
     /// Returns what this host knows as a witness of a service.
-    fn testify(&self, request: ContactRequest) -> ContactResponse;
+    fn contact(&self, request: ContactRequest) -> ContactResponse;
 }
 
 /// A failed request to a peer.
@@ -282,7 +282,7 @@
 }
 
 async fn contact<H: Handler>(State(handler): State<Arc<H>>, body: Bytes) -> EncodedResponse {
-    encode(&handler.testify(decode(&body)?))
+    encode(&handler.contact(decode(&body)?))
 }
 
 /// An encoded response, or the status and text of an error.
--- a/fulmargw_pool/src/contact.rs
+++ b/fulmargw_pool/src/contact.rs
@@ -1,10 +1,10 @@
-//! Proves the contact of this host with the witnesses of services, and testifies as a witness.
+//! Proves the contact of this host with the witnesses of services, and responds as a witness.
 
 use crate::{
     barrier, clock,
     core::Core,
     dialect::Dialect,
-    failover,
+    failover::{self, PEER_REQUEST_TIMEOUT},
     store::{Platform, Revision, Row},
     traffic,
 };
@@ -20,9 +20,7 @@
 
 /// Longest time between two checks whether contact has to be renewed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of a request to a witness.
-const WITNESS_TIMEOUT: Duration = Duration::from_millis(350);
-/// Timeout of the proof of contact by the store.
+/// Timeout of the proof of contact by the store, so that the witnesses are asked again before contact ends.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Prefix of the keys of contact rows.
 pub(crate) const KEY_PREFIX: &str = "contact/";
@@ -62,28 +60,26 @@
         proved_at = proof.ok().flatten();
     }
     let now = clock::since_boot();
-    let is_reported = {
+    let Some(proved_at) = proved_at else {
+        let is_lost = {
+            let mut servers = core.servers.lock();
+            servers.handover(&service).contact.record_failure(now)
+        };
+        if is_lost {
+            metrics::counter!("fulmargw_pool_contacts_lost_total").increment(1);
+            log::warn!(event = "contact_lost", service = service.as_str(); "neither a majority of the witnesses nor the store responds; holding the commits of the service");
+        }
+        return;
+    };
+    let was_lost = {
         let mut servers = core.servers.lock();
         let contact = &mut servers.handover(&service).contact;
-        match proved_at {
-            Some(at) => contact.record_proof(at, now),
-            None => contact.record_failure(now),
-        }
+        contact.record_proof(proved_at, now)
     };
-    match proved_at {
-        Some(_) => {
-            if is_reported {
-                log::info!(event = "contact_regained", service = service.as_str(); "passing on the commits of the service again");
-            }
-            core.work_ready.notify_one();
-        }
-        None => {
-            if is_reported {
-                metrics::counter!("fulmargw_pool_contacts_lost_total").increment(1);
-                log::warn!(event = "contact_lost", service = service.as_str(); "neither a majority of the witnesses nor the store responds; holding the commits of the service");
-            }
-        }
+    if was_lost {
+        log::info!(event = "contact_regained", service = service.as_str(); "passing on the commits of the service again");
     }
+    core.work_ready.notify_one();
 }
 
 /// Asks the witnesses of a service. Returns the time since boot at which they were asked, if a majority of
@@ -93,11 +89,12 @@
     service: &Name,
 ) -> Option<Duration> {
     let asked_at = clock::since_boot();
-    let (count, peers) = witness_addresses(core, service);
-    let mut responded = count - peers.len();
+    let witnesses = Witnesses::of(core, service);
+    let count = witnesses.count();
+    let mut responded = usize::from(witnesses.includes_own);
     let (sender, mut responses) = mpsc::channel(count);
     let host = &core.settings.host.name;
-    for (_, address) in peers {
+    for (_, address) in witnesses.peers {
         let (asking, sender) = (Arc::clone(core), sender.clone());
         let request = ContactRequest {
             service: service.clone(),
@@ -122,18 +119,32 @@
     Some(asked_at)
 }
 
-/// Returns the number of witnesses of a service, and the names and addresses of those that are peers.
-pub(crate) fn witness_addresses<D: Dialect, P: Platform>(
-    core: &Core<D, P>,
-    service: &Name,
-) -> (usize, Vec<(Name, SocketAddr)>) {
-    let members = core.members.lock();
-    let witnesses = witnesses(service, &members.names());
-    let peers = witnesses.iter().filter_map(|name| {
-        let peer = members.peers.get(name)?;
-        Some((name.clone(), peer.endpoint.reports))
-    });
-    (witnesses.len(), peers.collect())
+/// The witnesses of a service.
+#[derive(Debug)]
+pub(crate) struct Witnesses {
+    /// Whether this host is one of them.
+    pub(crate) includes_own: bool,
+    /// Names and addresses for reports of the others.
+    pub(crate) peers: Vec<(Name, SocketAddr)>,
+}
+
+impl Witnesses {
+    pub(crate) fn of<D: Dialect, P: Platform>(core: &Core<D, P>, service: &Name) -> Self {
+        let members = core.members.lock();
+        let names = witnesses(service, &members.names());
+        let peers = names.iter().filter_map(|name| {
+            let peer = members.peers.get(name)?;
+            Some((name.clone(), peer.endpoint.reports))
+        });
+        Self {
+            includes_own: names.contains(members.own()),
+            peers: peers.collect(),
+        }
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.peers.len() + usize::from(self.includes_own)
+    }
 }
 
 /// Asks a witness; `None` if it does not respond in time.
@@ -143,7 +154,7 @@
     request: &ContactRequest,
 ) -> Option<ContactResponse> {
     let response = core.report_client.ask_witness(address, request);
-    let cause = match timeout(WITNESS_TIMEOUT, response).await {
+    let cause = match timeout(PEER_REQUEST_TIMEOUT, response).await {
         Ok(Ok((response, bytes))) => {
             if core.members.lock().is_address_in_other_zone(address) {
                 traffic::record("contact", bytes);
@@ -208,7 +219,7 @@
 
 /// Returns what this host knows as a witness of a service, and records the request of a host that proves its
 /// contact by the response.
-pub(crate) fn testify<D: Dialect, P: Platform>(
+pub(crate) fn respond<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     request: ContactRequest,
 ) -> ContactResponse {
--- a/fulmargw_pool/src/exchange.rs
+++ b/fulmargw_pool/src/exchange.rs
@@ -307,7 +307,7 @@
     trace: &Trace,
 ) {
     let is_write = job.request.statement.kind == Kind::Write;
-    log::info!(event = "commit_not_sent", request:% = job.request.statement.request(), service = trace.server_id.service.as_str(), server = trace.server_id.server.as_str(); "the primary is being replaced, or has been; the commit was not sent");
+    log::info!(event = "commit_not_sent", request:% = job.request.statement.request(), service = trace.server_id.service.as_str(), server = trace.server_id.server.as_str(); "the primary is being replaced or has been, or this host is not in contact; the commit was not sent");
     core.with_backend(&trace.server_id, Backend::statement_finished);
     release(core, connection, trace, is_write);
     let cause_code = if is_write { Code::Busy } else { Code::Aborted };
@@ -323,7 +323,7 @@
     timed_out: bool,
 ) {
     metrics::counter!("fulmargw_pool_commits_unconfirmed_total").increment(1);
-    log::info!(event = "commit_unconfirmed", request:% = job.request.statement.request(), service = trace.server_id.service.as_str(), server = trace.server_id.server.as_str(), timed_out; "the primary is being replaced, or has been, while the commit ran; its outcome is unknown");
+    log::info!(event = "commit_unconfirmed", request:% = job.request.statement.request(), service = trace.server_id.service.as_str(), server = trace.server_id.server.as_str(), timed_out; "while the commit ran the primary was being replaced, or this host was not in contact; its outcome is unknown");
     core.with_backend(&trace.server_id, Backend::statement_finished);
     release(core, connection, &trace, false);
     let outcome = Outcome::Lost {
--- a/fulmargw_pool/src/exchange/commit.rs
+++ b/fulmargw_pool/src/exchange/commit.rs
@@ -2,7 +2,6 @@
 //! not in contact with the others.
 
 use crate::{
-    clock,
     core::Core,
     dialect::Dialect,
     health::{Health, Ticket},
@@ -43,9 +42,8 @@
 }
 
 /// Records a statement as sent. One that commits waits first while the barrier of its service is up, or this
-/// host is not in contact.
-/// Returns `None` if it must not be sent: another server is the assumed primary, or the deadline has
-/// passed.
+/// host is not in contact. Returns `None` if it must not be sent: another server is the assumed primary, or the
+/// deadline has passed.
 pub(super) async fn send<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     job: &Job<D>,
@@ -59,7 +57,6 @@
             Clearance::Superseded => return None,
             Clearance::Held(wait) => {
                 is_held = true;
-                core.contact_wanted.notify_one();
                 if !wait.wait(job.deadline).await {
                     return None;
                 }
@@ -85,11 +82,9 @@
             }
             return Clearance::Held(wait);
         }
-        let contact = &mut servers.handover(&id.service).contact;
-        let since_boot = clock::since_boot();
-        contact.want(since_boot);
-        if !contact.is_valid(since_boot) {
-            return Clearance::Held(contact.wait(now));
+        if let Some(wait) = servers.handover(&id.service).contact.require(now) {
+            core.contact_wanted.notify_one();
+            return Clearance::Held(wait);
         }
         let group = servers.groups.get(&id.service);
         if group.is_some_and(|group| group.has_other_primary(&id.server)) {
@@ -113,9 +108,8 @@
 }
 
 /// Decides on the successful response to a commit, which is kept while a sealed barrier is up or this host is
-/// not in contact.
-/// `record` records the response in the health of the server; it is called before the response is
-/// kept, and not at all for [`Confirmation::Immediate`].
+/// not in contact. `record` records the response in the health of the server; it is called before the response
+/// is kept, and not at all for [`Confirmation::Immediate`].
 pub(super) async fn confirm<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     job: &Job<D>,
@@ -178,13 +172,11 @@
         return Checked::Kept(wait);
     }
     // A promotion that this host does not know of may have been called since contact ended.
-    let since_boot = clock::since_boot();
-    handover.contact.want(since_boot);
-    if !handover.contact.is_valid(since_boot) {
+    if let Some(wait) = handover.contact.require(now) {
         if is_first {
             count_held(handover);
         }
-        return Checked::Kept(handover.contact.wait(now));
+        return Checked::Kept(wait);
     }
     // The barrier may have ended before the response came: the old primary leads until the promotion
     // takes effect, which is some hundred milliseconds after its acceptance.
--- a/fulmargw_pool/src/failover.rs
+++ b/fulmargw_pool/src/failover.rs
@@ -9,14 +9,14 @@
 mod survey;
 
 pub(crate) use claim::{KEY_PREFIX, hold_named, verify_start};
-pub(crate) use reach::reaches;
+pub(crate) use reach::{PEER_REQUEST_TIMEOUT, reaches};
 pub(crate) use survey::connect;
 
 use self::{
     barriers::raise_barriers,
     reach::live_peers,
     recording::Recorder,
-    replacement::{Failure, Latest, Permissions, attempt},
+    replacement::{Failure, LastSent, Permissions, attempt},
 };
 use crate::{
     backend::Role,
@@ -209,6 +209,7 @@
         }
     }
 
+    /// Returns what an attempt may do about a promotion call of the service that may still take effect.
     fn permissions(&self, service: &Name, now: Instant) -> Permissions {
         Permissions {
             may_hold: self.unresolved.may_hold(service, now),
@@ -231,10 +232,10 @@
             Err(_) => {}
         }
         match result {
-            Err(Failure::Unresolved(server, token, latest)) => {
+            Err(Failure::Unresolved(server, token, last_sent)) => {
                 let now = Instant::now();
                 self.unresolved.record(service, server, *token, now);
-                if *latest == Latest::Now {
+                if *last_sent == LastSent::Recently {
                     self.unresolved.record_sent(service, now);
                 }
             }
--- a/fulmargw_pool/src/failover/claim.rs
+++ b/fulmargw_pool/src/failover/claim.rs
@@ -7,7 +7,7 @@
     core::Core,
     dialect::Dialect,
     follow::registry,
-    promotion::attempt::OpenCall,
+    promotion::{HOLD_PERIOD, attempt::NamedCall},
     store::{Condition, Platform, Revision, Row},
     table::{Backend, barrier::PERIOD, start},
 };
@@ -39,9 +39,9 @@
 }
 
 impl Claim {
-    fn open_call(self) -> Option<OpenCall> {
+    fn named_call(self) -> Option<NamedCall> {
         let term = self.term;
-        self.candidate.map(|server| OpenCall { server, term })
+        self.candidate.map(|server| NamedCall { server, term })
     }
 }
 
@@ -51,7 +51,7 @@
     /// State of its row.
     pub(super) row: Condition,
     /// Promotion call that it named.
-    pub(super) candidate: Option<OpenCall>,
+    pub(super) call: Option<NamedCall>,
     /// Whether this host wrote it, or there is none.
     pub(super) is_own: bool,
 }
@@ -61,11 +61,11 @@
 pub(super) async fn claim<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
-    candidate: Option<&OpenCall>,
+    named: Option<&NamedCall>,
     expected: Condition,
 ) -> Result<Revision, Failure> {
     let key = format!("{KEY_PREFIX}{service}");
-    let value = encode(core, candidate)?;
+    let value = encode(core, named)?;
     let put = core.platform.put(&key, value.into(), Some(expected)).await;
     match put {
         Ok(Some(revision)) => Ok(revision),
@@ -76,12 +76,12 @@
 
 fn encode<D: Dialect, P: Platform>(
     core: &Core<D, P>,
-    candidate: Option<&OpenCall>,
+    named: Option<&NamedCall>,
 ) -> Result<Vec<u8>, Failure> {
     let claim = Claim {
         holder: core.settings.host.name.clone(),
-        candidate: candidate.map(|it| it.server.clone()),
-        term: candidate.and_then(|it| it.term),
+        candidate: named.map(|it| it.server.clone()),
+        term: named.and_then(|it| it.term),
     };
     rmp_serde::to_vec(&claim).map_err(|cause| Failure::Encode(cause.to_string()))
 }
@@ -102,12 +102,11 @@
     core.work_ready.notify_one();
 }
 
-/// Time since a claim was first read for which a host that proves its contact by the store holds the commits
-/// of the service. The promotion call has been sent by then, or the claim is written again.
-const NAMED_PERIOD: Duration = Duration::from_secs(15);
-
 /// Raises the barrier of a service if a claim among `rows` names the server of a promotion that may be about
 /// to take effect. This host may not have been asked to raise it.
+///
+/// A claim that was first read longer than [`HOLD_PERIOD`] ago holds nothing: the call has been sent by then, or
+/// the claim was written again.
 pub(crate) async fn hold_named<D: Dialect, P: Platform>(
     core: &Core<D, P>,
     service: &Name,
@@ -118,7 +117,7 @@
         return;
     };
     let age = core.members.lock().claim_age(row, Instant::now());
-    let Some(call) = decode(row).and_then(Claim::open_call) else {
+    let Some(call) = decode(row).and_then(Claim::named_call) else {
         return;
     };
     let is_settled = {
@@ -128,10 +127,9 @@
         let acknowledged = group.and_then(|group| group.acknowledged);
         let newest = acknowledged.map(|position| position.term);
         // A restoration may have brought the claim back.
-        let is_over = call.term.is_some_and(|term| newest >= Some(term));
-        is_over || server.is_some_and(|it| it.server.role == Role::Primary)
+        call.is_settled(newest) || server.is_some_and(|it| it.server.role == Role::Primary)
     };
-    if !is_settled && age < NAMED_PERIOD {
+    if !is_settled && age < HOLD_PERIOD {
         // It is refused if a later barrier or promotion is known.
         let token = row.revision.fencing_token();
         let _ = barrier::raise(core, service, token, PERIOD).await;
@@ -152,7 +150,7 @@
 fn decode(row: &Row) -> Option<Claim> {
     let decoded = rmp_serde::from_slice(&row.value);
     let decoded = decoded.inspect_err(|cause| {
-        log::warn!(event = "row_undecodable", key = row.key.as_str(), cause:% = cause; "ignoring a claim row that cannot be decoded");
+        log::warn!(event = "row_undecodable", key = row.key.as_str(), cause:% = cause; "a claim row cannot be decoded; taking it for one that names no server");
     });
     decoded.ok()
 }
@@ -174,7 +172,7 @@
         let Some(row) = rows.into_iter().find(|row| row.key == key) else {
             return Ok(Previous {
                 row: Condition::Absent,
-                candidate: None,
+                call: None,
                 is_own: true,
             });
         };
@@ -190,7 +188,7 @@
         if is_own || age >= CLAIM_VALIDITY {
             return Ok(Previous {
                 row: Condition::Unchanged(row.revision),
-                candidate: claim.and_then(Claim::open_call),
+                call: claim.and_then(Claim::named_call),
                 is_own,
             });
         }
--- a/fulmargw_pool/src/failover/reach.rs
+++ b/fulmargw_pool/src/failover/reach.rs
@@ -9,7 +9,7 @@
 /// Maximum number of peers that are asked whether they reach a primary.
 const MAX_WITNESSES: usize = 3;
 /// Timeout of a request to a peer.
-pub(super) const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(350);
+pub(crate) const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(350);
 /// Timeout of the check of the primary that a peer makes for such a request; it is shorter.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which a host is not the holder of a service whose primary it cannot reach.
--- a/fulmargw_pool/src/failover/replacement.rs
+++ b/fulmargw_pool/src/failover/replacement.rs
@@ -1,10 +1,10 @@
 //! Carries out the steps of an attempt to replace a primary.
 
 use super::{
-    Reason, assess,
+    Reason, assess, assumed_primary,
     barriers::{Raised, lift_barriers, raise_barriers},
     claim::{KEY_PREFIX, claim, is_excluded, may_be_promoted, previous_claim},
-    confirmation::{Confirmation, confirmation, joined},
+    confirmation::{Confirmation, confirmation},
     reach::{Peer, acknowledged, find_witness, live_peers},
     record_promotion, recording, set_primary,
     survey::{Probe, pause, query, query_replicas, resume_replicas, return_connections},
@@ -18,7 +18,7 @@
     message::Command,
     promotion::{
         Evidence, Obstacle, Replica,
-        attempt::{Attempt, Call, Completeness, End, Look, OpenCall, Step, Survey},
+        attempt::{Attempt, Call, Completeness, End, Look, NamedCall, Step, Survey},
     },
     store::{self, Condition, Outcome, Platform, Revision},
 };
@@ -49,11 +49,11 @@
 
 /// When a promotion call without a response may have been sent last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Latest {
+pub(super) enum LastSent {
     /// In this attempt, or by another host before it.
-    Now,
+    Recently,
     /// In an earlier attempt of this host.
-    Before,
+    Earlier,
 }
 
 /// Why an attempt ended without a new primary.
@@ -75,7 +75,7 @@
     Rejected,
     /// the result of a promotion call for server {0} with token {1} or a smaller one is unknown; it may
     /// take effect later
-    Unresolved(Name, u64, Latest),
+    Unresolved(Name, u64, LastSent),
     /// the result of a promotion call for server {0} with token {1} or a smaller one has been unknown for so
     /// long that it counts as over
     Abandoned(Name, u64),
@@ -121,7 +121,7 @@
         return Err(Failure::Recovered);
     }
     let earlier_call = previous
-        .candidate
+        .call
         .filter(|call| may_be_promoted(core, service, &call.server));
     let claimed = claim(core, service, earlier_call.as_ref(), previous.row).await?;
     let ordered = earlier_call.as_ref().map(|call| call.server.as_str());
@@ -160,12 +160,12 @@
     /// Revision of the claim as this host last wrote it.
     claimed: Revision,
     /// Earlier promotion call that may still take effect.
-    earlier_call: Option<OpenCall>,
+    earlier_call: Option<NamedCall>,
     permissions: Permissions,
     /// Whether the claim before was one of this host, or there was none.
     is_own_claim: bool,
     /// Promotion call that the claim names.
-    named: Option<OpenCall>,
+    named: Option<NamedCall>,
     /// Time at which this attempt first wrote that name.
     named_at: Option<Instant>,
     /// The servers that were asked.
@@ -213,7 +213,8 @@
                 }
                 Step::Secure(server) => {
                     let term = attempt.term();
-                    attempt.secured(self.secure(OpenCall { server, term }).await?)
+                    let secured = self.secure(&NamedCall { server, term }).await;
+                    attempt.secured(secured.map_err(|failure| self.open_call_or(failure))?)
                 }
                 Step::Verify => attempt.verified(&self.look_at_all().await),
                 Step::Call(candidate) => attempt.called(self.call(&candidate).await),
@@ -225,10 +226,10 @@
     /// Forgets the earlier promotion call if the survey has shown that it is settled. The claim may be one that
     /// a restoration of the store brought back.
     fn drop_settled_call(&mut self, attempt: &Attempt) {
-        let is_settled = |call: &mut OpenCall| {
+        let is_settled = |call: &mut NamedCall| {
             attempt.earlier_call().is_none() && !is_excluded(self.core, self.service, &call.server)
         };
-        if let Some(OpenCall { server, term }) = self.earlier_call.take_if(is_settled) {
+        if let Some(NamedCall { server, term }) = self.earlier_call.take_if(is_settled) {
             log::info!(event = "order_settled", service = self.service.as_str(), server = server.as_str(), term = term.map(|term| term.0); "a server knows the term of a promotion call that a claim names, or a later one");
         }
     }
@@ -302,20 +303,16 @@
     ///
     /// The claim names the candidate before the promotion call is sent. If the result of the call is
     /// unknown, another host that claims the service then chooses the same candidate.
-    async fn secure(&mut self, call: OpenCall) -> Result<Option<Position>, Failure> {
+    async fn secure(&mut self, call: &NamedCall) -> Result<Option<Position>, Failure> {
         log::info!(event = "promotion_candidate", service = self.service.as_str(), server = call.server.as_str(), revision:% = self.claimed; "replica with every acknowledged commit");
         let mut waits = 0;
         loop {
-            let raised = self.name_and_raise(&call).await;
-            let raised = raised.map_err(|failure| self.open_call_or(failure))?;
+            let raised = self.name_and_raise(call).await?;
             let named_at = *self.named_at.get_or_insert_with(Instant::now);
-            let confirmed =
-                confirmation(self.core, self.service, &raised.confirmed, named_at).await;
-            match confirmed.map_err(|failure| self.open_call_or(failure))? {
+            match confirmation(self.core, self.service, &raised.confirmed, named_at).await? {
                 Confirmation::Complete => {
                     if waits > 0 {
-                        let joined = self.check_joined().await;
-                        joined.map_err(|failure| self.open_call_or(failure))?;
+                        self.check_joined().await?;
                     }
                     return Ok(raised.acknowledged);
                 }
@@ -330,15 +327,13 @@
                     waits += 1;
                     sleep(left).await;
                 }
-                Confirmation::Waits(..) | Confirmation::Incomplete => {
-                    let failure = Failure::Obstacle(Obstacle::Unconfirmed);
-                    return Err(self.open_call_or(failure));
-                }
+                Confirmation::Waits(..) => return Err(Failure::Obstacle(Obstacle::Unconfirmed)),
+                Confirmation::Incomplete => return Err(Failure::Obstacle(Obstacle::NoQuorum)),
             }
         }
     }
 
-    async fn name_and_raise(&mut self, call: &OpenCall) -> Result<Raised, Failure> {
+    async fn name_and_raise(&mut self, call: &NamedCall) -> Result<Raised, Failure> {
         // The claim may have been written although the store did not respond.
         self.named = Some(call.clone());
         let expected = Condition::Unchanged(self.claimed);
@@ -350,15 +345,17 @@
     /// Checks that no replica has joined since the survey: one that is not paused may have let a host that
     /// did not know of the barrier acknowledge commits.
     async fn check_joined(&self) -> Result<(), Failure> {
-        let (registry, _) = self
-            .core
-            .platform
-            .registry()
-            .await
-            .map_err(Failure::Store)?;
-        let surveyed: Vec<&Name> = self.probes.iter().map(|it| &it.server.id).collect();
-        match joined(self.core, self.service, &registry, &surveyed) {
-            Some(server) => Err(Failure::Obstacle(Obstacle::Moved(server))),
+        let registry = self.core.platform.registry().await;
+        let (registry, _) = registry.map_err(Failure::Store)?;
+        let primary = assumed_primary(self.core, self.service);
+        let is_surveyed = |id: &Name| self.probes.iter().any(|probe| probe.server.id == *id);
+        let members = registry.values().filter(|it| it.service == *self.service);
+        let mut others = members.map(|it| &it.id).filter(|id| {
+            let is_known = is_surveyed(id) || primary.as_ref() == Some(id);
+            !is_known && !is_excluded(self.core, self.service, id)
+        });
+        match others.next() {
+            Some(server) => Err(Failure::Obstacle(Obstacle::Moved(server.clone()))),
             None => Ok(()),
         }
     }
@@ -441,7 +438,7 @@
         };
         let server = call.server.clone();
         log::warn!(event = "order_open", service = self.service.as_str(), token, cause:% = failure; "cannot repeat the promotion call now");
-        Failure::Unresolved(server, token, Latest::Now)
+        Failure::Unresolved(server, token, LastSent::Recently)
     }
 
     /// Ends the barrier and the pauses of an attempt without a new primary, unless a promotion call
@@ -456,13 +453,7 @@
             (Err(failure), Some(server)) => {
                 let token = self.claimed.fencing_token();
                 log::info!(event = "order_open", service = self.service.as_str(), revision:% = self.claimed, cause:% = failure; "an earlier promotion call may still take effect");
-                let is_before = self.lost_token.is_none() && self.is_own_claim;
-                let latest = if is_before {
-                    Latest::Before
-                } else {
-                    Latest::Now
-                };
-                Err(Failure::Unresolved(server, token, latest))
+                Err(Failure::Unresolved(server, token, self.last_sent()))
             }
             (result, _) => result,
         };
@@ -473,7 +464,7 @@
         let result = match result {
             Ok(server) => return Ok(server),
             // The writes of a primary that works must not wait for ever.
-            Err(Failure::Unresolved(server, token, Latest::Before)) if may_abandon => {
+            Err(Failure::Unresolved(server, token, LastSent::Earlier)) if may_abandon => {
                 self.lift_barriers().await;
                 let servers = attempt.servers_to_resume(None);
                 if self.resume(&servers, None).await {
@@ -481,12 +472,12 @@
                     log::warn!(event = "order_abandoned", service = self.service.as_str(), server = server.as_str(), token; "a promotion call has been open for so long that it counts as over; the replicas are resumed");
                     Err(Failure::Abandoned(server, token))
                 } else {
-                    Err(Failure::Unresolved(server, token, Latest::Before))
+                    Err(Failure::Unresolved(server, token, LastSent::Earlier))
                 }
             }
             // The replicas stay paused but for the server of the call. So it receives every commit that is
             // acknowledged.
-            Err(Failure::Unresolved(server, token, latest)) => {
+            Err(Failure::Unresolved(server, token, last_sent)) => {
                 if !may_hold {
                     self.lift_barriers().await;
                 }
@@ -495,7 +486,7 @@
                     let call = self.named.clone().filter(|call| call.server == server);
                     self.resume(&servers, call.as_ref()).await;
                 }
-                Err(Failure::Unresolved(server, token, latest))
+                Err(Failure::Unresolved(server, token, last_sent))
             }
             Err(failure) => {
                 self.lift_barriers().await;
@@ -513,6 +504,15 @@
         result
     }
 
+    /// Tells when the earlier call may have been sent last.
+    fn last_sent(&self) -> LastSent {
+        if self.lost_token.is_none() && self.is_own_claim {
+            LastSent::Earlier
+        } else {
+            LastSent::Recently
+        }
+    }
+
     async fn lift_barriers(&self) {
         if self.barrier_raised.is_some() {
             lift_barriers(self.core, self.service, self.claimed.fencing_token()).await;
@@ -534,7 +534,7 @@
     ///
     /// The claim is renewed with `named`, so that no other host can have it while the replicas are resumed: a
     /// replica that the next holder has paused must stay paused.
-    async fn resume(&mut self, servers: &[Name], named: Option<&OpenCall>) -> bool {
+    async fn resume(&mut self, servers: &[Name], named: Option<&NamedCall>) -> bool {
         let renewed_at = clock::since_boot();
         let expected = Condition::Unchanged(self.claimed);
         match claim(self.core, self.service, named, expected).await {
--- a/fulmargw_pool/src/follow/membership.rs
+++ b/fulmargw_pool/src/follow/membership.rs
@@ -161,12 +161,12 @@
     for (name, revision) in expired {
         let key = format!("{}{name}", rows::KEY_PREFIX);
         let removed = core.platform.remove(&key, revision).await?;
+        log::info!(event = "host_removed", host = name.as_str(), removed; "host neither renewed its member row nor reported");
         let contact = core.members.lock().contact_row(&name);
         if let Some(revision) = contact.filter(|_| removed) {
             let key = format!("{}{name}", contact::KEY_PREFIX);
             core.platform.remove(&key, revision).await?;
         }
-        log::info!(event = "host_removed", host = name.as_str(), removed; "host neither renewed its member row nor reported");
     }
     Ok(written)
 }
--- a/fulmargw_pool/src/follow/report.rs
+++ b/fulmargw_pool/src/follow/report.rs
@@ -206,7 +206,7 @@
         }
     }
 
-    fn testify(&self, request: ContactRequest) -> ContactResponse {
-        contact::testify(&self.0, request)
+    fn contact(&self, request: ContactRequest) -> ContactResponse {
+        contact::respond(&self.0, request)
     }
 }
--- a/fulmargw_pool/src/promotion.rs
+++ b/fulmargw_pool/src/promotion.rs
@@ -44,6 +44,8 @@
     UnknownCommits(Name, Gap),
     /// a host that may pass on commits may not know of the commit barrier
     Unconfirmed,
+    /// fewer than half of the witnesses have confirmed the commit barrier
+    NoQuorum,
 }
 
 impl Obstacle {
@@ -241,10 +243,10 @@
 
 /// Interval at which the commit barrier of a service with an unresolved call is raised again.
 const BARRIER_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which commits are held because of an unresolved call. A call that got no response takes
+/// Time for which commits are held because of an unresolved call, and after which it counts as over. A call that got no response takes
 /// effect within seconds; without this limit a platform that is away would stop all writes of a
 /// service whose primary works.
-const HOLD_PERIOD: Duration = Duration::from_secs(15);
+pub(crate) const HOLD_PERIOD: Duration = Duration::from_secs(15);
 
 /// Promotion calls whose results are unknown, by service. Such a call may take effect at any time,
 /// until one with a greater token is accepted.
--- a/fulmargw_pool/src/promotion/attempt.rs
+++ b/fulmargw_pool/src/promotion/attempt.rs
@@ -60,21 +60,20 @@
     Unresolved,
 }
 
-/// A promotion call that was sent, or is about to be.
+/// The promotion call that a claim names: it was sent, or is about to be.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OpenCall {
+pub struct NamedCall {
     /// Server that it names.
     pub server: Name,
     /// Term that the promotion begins, at least; `None` if a host of an earlier version has sent it.
     pub term: Option<Term>,
 }
 
-impl OpenCall {
+impl NamedCall {
     /// Reports whether the call can no longer change anything, because this promotion or a later one has
-    /// taken effect: a server knows its term or a later one.
-    fn is_settled(&self, replicas: &[Replica]) -> bool {
-        let statuses = replicas.iter().filter_map(|replica| replica.status);
-        let newest = statuses.map(|status| status.term).max();
+    /// taken effect: `newest`, the newest term that is known, is its term or a later one.
+    #[must_use]
+    pub fn is_settled(&self, newest: Option<Term>) -> bool {
         self.term.is_some_and(|term| newest >= Some(term))
     }
 }
@@ -109,7 +108,7 @@
 pub struct Attempt {
     completeness: Completeness,
     /// Earlier promotion call that may still take effect.
-    earlier_call: Option<OpenCall>,
+    earlier_call: Option<NamedCall>,
     replicas: Vec<Replica>,
     evidence: Evidence,
     candidate: Option<Candidate>,
@@ -128,7 +127,7 @@
 impl Attempt {
     /// Creates an attempt; its first step is [`Step::Survey`].
     #[must_use]
-    pub fn new(completeness: Completeness, earlier_call: Option<OpenCall>) -> Self {
+    pub fn new(completeness: Completeness, earlier_call: Option<NamedCall>) -> Self {
         Self {
             completeness,
             earlier_call,
@@ -151,8 +150,9 @@
     pub fn surveyed(&mut self, survey: Survey) -> Step {
         self.evidence = survey.evidence;
         self.replicas = survey.replicas;
-        let replicas = &self.replicas;
-        self.earlier_call.take_if(|call| call.is_settled(replicas));
+        let statuses = self.replicas.iter().filter_map(|replica| replica.status);
+        let newest = statuses.map(|status| status.term).max();
+        self.earlier_call.take_if(|call| call.is_settled(newest));
         let earlier = self.earlier_call.as_ref().map(|call| &call.server);
         let candidate = match choose_candidate(&self.replicas, Term(0), earlier) {
             Ok(candidate) => candidate,
@@ -328,7 +328,7 @@
     /// Returns the earlier promotion call that may still take effect; `None` if there is none, or the survey
     /// has shown that it is settled.
     #[must_use]
-    pub fn earlier_call(&self) -> Option<&OpenCall> {
+    pub fn earlier_call(&self) -> Option<&NamedCall> {
         self.earlier_call.as_ref()
     }
 
--- a/fulmargw_pool/src/table/contact.rs
+++ b/fulmargw_pool/src/table/contact.rs
@@ -1,12 +1,18 @@
 //! Contact of this host with the witnesses of a service, without which it passes on no commits.
 
-use super::barrier::Wait;
-use fulmargw_decision::contact::VALIDITY;
+use super::barrier::{PERIOD, Wait};
+use crate::clock;
+use fulmargw_decision::contact::{LAPSE_TIME, VALIDITY};
 use std::{mem, time::Duration};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Age of the contact at which it is renewed: two further tries fail before it ends.
+// A witness knows its age only up to `PERIOD`, see `Start::age`. It must be known for longer than a request
+// that the witness may have forgotten proves contact.
+const _: () = assert!(PERIOD.as_millis() > LAPSE_TIME.as_millis());
+
+/// Age of the contact at which it is renewed. A try takes 1.05 s at most, so that the next one begins before
+/// contact ends.
 const RENEWAL_AGE: Duration = Duration::from_secs(1);
 /// Delay after a try that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -63,6 +69,13 @@
         self.wanted_at = Some(now);
     }
 
+    /// Records that a commit needs contact. Returns what it waits for; `None` if this host is in contact.
+    pub fn require(&mut self, now: Instant) -> Option<Wait> {
+        let since_boot = clock::since_boot();
+        self.want(since_boot);
+        (!self.is_valid(since_boot)).then(|| self.wait(now))
+    }
+
     /// Returns what a commit waits for without contact.
     #[must_use]
     pub fn wait(&self, now: Instant) -> Wait {
--- a/fulmargw_pool/tests/pause.rs
+++ b/fulmargw_pool/tests/pause.rs
@@ -8,7 +8,7 @@
     backend::{Role, Status},
     promotion::{
         Evidence, Replica,
-        attempt::{Attempt, Call, Completeness, End, Look, OpenCall, Step, Survey},
+        attempt::{Attempt, Call, Completeness, End, Look, NamedCall, Step, Survey},
     },
 };
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng, seq::IndexedRandom as _};
@@ -59,9 +59,9 @@
     }
 
     /// Returns what a claim names: a server and, unless a host of an earlier version wrote it, a term.
-    fn earlier_call(&mut self) -> Option<OpenCall> {
+    fn earlier_call(&mut self) -> Option<NamedCall> {
         let term = self.rng.random_range(1..=NEWEST + 1);
-        let call = OpenCall {
+        let call = NamedCall {
             server: name(self.rng.random_range(0..REPLICAS)),
             term: self.rng.random_bool(0.7).then_some(Term(term)),
         };
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Returns the newest term that a replica knows.
+    fn newest(&self) -> Option<Term> {
+        let statuses = self.replicas.iter().filter_map(|it| it.status);
+        statuses.map(|it| it.term).max()
+    }
+
     /// Returns the servers that respond and are paused.
     fn paused(&self) -> Vec<Name> {
         let paused = self.replicas.iter().filter(|replica| {
@@ -136,17 +142,40 @@
     }
 }
 
+/// What an attempt found and left behind, and how it ended.
+struct Played {
+    group: Group,
+    earlier: Option<NamedCall>,
+    attempt: Attempt,
+    end: End,
+}
+
+/// Carries out an attempt in a random group, with a random earlier claim.
+fn play(seed: u64) -> Played {
+    let mut group = Group::new(seed);
+    let earlier = group.earlier_call();
+    let mut attempt = Attempt::new(Completeness::AllAcknowledged, earlier.clone());
+    let end = group.run(&mut attempt);
+    Played {
+        group,
+        earlier,
+        attempt,
+        end,
+    }
+}
+
 /// Guards against replicas that stay paused for good, so that the writes of a primary that works hang: once no
 /// call is open, or it counts as over, every paused server is resumed. While one is open its server is, so that
 /// commits can be acknowledged.
 #[test]
 fn pauses_end_whatever_a_claim_names() {
     for seed in 0..GROUPS {
-        let mut group = Group::new(seed);
-        let earlier = group.earlier_call();
-        let mut attempt = Attempt::new(Completeness::AllAcknowledged, earlier.clone());
-
-        let end = group.run(&mut attempt);
+        let Played {
+            group,
+            attempt,
+            end,
+            ..
+        } = play(seed);
 
         let paused = group.paused();
         let ended = attempt.servers_to_resume(None);
@@ -168,14 +197,14 @@
 #[test]
 fn a_call_is_settled_once_a_server_knows_its_term() {
     for seed in 0..GROUPS {
-        let mut group = Group::new(seed);
-        let earlier = group.earlier_call();
-        let mut attempt = Attempt::new(Completeness::AllAcknowledged, earlier.clone());
-
-        group.run(&mut attempt);
-
-        let statuses = group.replicas.iter().filter_map(|it| it.status);
-        let newest = statuses.map(|it| it.term).max();
+        let Played {
+            group,
+            earlier,
+            attempt,
+            ..
+        } = play(seed);
+
+        let newest = group.newest();
         let open = earlier.filter(|call| call.term.is_none_or(|term| newest < Some(term)));
         assert_eq!(attempt.earlier_call(), open.as_ref(), "seed {seed}");
     }
@@ -189,8 +218,7 @@
         let mut group = Group::new(seed);
         let mut attempt = Attempt::new(Completeness::AllAcknowledged, None);
         let survey = group.survey();
-        let statuses = group.replicas.iter().filter_map(|it| it.status);
-        let newest = statuses.map(|it| it.term).max();
+        let newest = group.newest();
         let acknowledged = survey.evidence.acknowledged.map(|it| it.term);
 
         attempt.surveyed(survey);
